--- /dev/null
+++ b/packages/cli/bin/primrosectl.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- /dev/null
+++ b/packages/core/src/admission/fair_queue.ts
@@ -0,0 +1,195 @@
+/**
+ * Max-min fair queueing by cost over a tree of owner, team and caller.
+ *
+ * Start-time fair queueing: each node carries the cost it was served over its weight; the backlogged child that was
+ * served least goes next, and a child that becomes active starts level with the others, so idle time earns nothing.
+ *
+ * @module
+ */
+import type { Request } from "../request/types.ts";
+import { pathOf } from "../request/types.ts";
+
+/** A node of the fair tree. */
+export interface FairNode {
+  name: string;
+  weight: number;
+  /** Cost served over weight, on the scale of its siblings. */
+  served: number;
+  /** `served` of the child picked last; where newly active children start. */
+  level: number;
+  children: Map<string, FairNode>;
+  /** Waiting requests of a leaf, oldest first; ended ones are skipped. */
+  items: Request[];
+  /** Waiting requests below this node. */
+  backlog: number;
+  /** Waiting cost below this node. */
+  cost: number;
+}
+
+/** Gives the weight of a node by its path of names. */
+export type WeightOf = (path: readonly string[]) => number;
+
+/** Creates a node without children. */
+export function createFairNode(name: string, weight = 1): FairNode {
+  return {
+    name,
+    weight,
+    served: 0,
+    level: 0,
+    children: new Map(),
+    items: [],
+    backlog: 0,
+    cost: 0,
+  };
+}
+
+function childOf(node: FairNode, name: string, weight: () => number): FairNode {
+  const existing = node.children.get(name);
+  if (existing !== undefined) return existing;
+  const child = createFairNode(name, weight());
+  child.served = node.level;
+  node.children.set(name, child);
+  return child;
+}
+
+function pathNodes(
+  root: FairNode,
+  names: readonly string[],
+  weightOf: WeightOf,
+): FairNode[] {
+  const nodes = [root];
+  names.forEach((name, depth) => {
+    const parent = nodes[depth] as FairNode;
+    nodes.push(
+      childOf(parent, name, () => weightOf(names.slice(0, depth + 1))),
+    );
+  });
+  return nodes;
+}
+
+/** Adds a request at the back of its caller's queue, or at its front when it was started before. */
+export function enqueue(
+  root: FairNode,
+  request: Request,
+  { weightOf, front = false }: { weightOf: WeightOf; front?: boolean },
+): void {
+  const nodes = pathNodes(root, pathOf(request), weightOf);
+  nodes.forEach((node, depth) => {
+    const parent = nodes[depth - 1];
+    if (parent !== undefined && node.backlog === 0) {
+      node.served = Math.max(node.served, parent.level);
+    }
+    node.backlog += 1;
+    node.cost += request.predictedCost;
+  });
+  const items = nodes.at(-1)?.items;
+  if (front) items?.unshift(request);
+  else items?.push(request);
+}
+
+/** Takes a waiting request's weight out of the tree; the item itself is skipped when met. */
+export function removeWaiting(root: FairNode, request: Request): void {
+  let node: FairNode | undefined = root;
+  for (const name of [undefined, ...pathOf(request)]) {
+    if (name !== undefined) node = node?.children.get(name);
+    if (node === undefined) return;
+    node.backlog -= 1;
+    node.cost -= request.predictedCost;
+  }
+}
+
+function leastServed(node: FairNode): FairNode | undefined {
+  let best: FairNode | undefined;
+  for (const child of node.children.values()) {
+    if (
+      child.backlog > 0 && (best === undefined || child.served < best.served)
+    ) best = child;
+  }
+  return best;
+}
+
+function mostBacklogged(node: FairNode): FairNode | undefined {
+  let best: FairNode | undefined;
+  for (const child of node.children.values()) {
+    if (
+      child.backlog > 0 &&
+      (best === undefined ||
+        child.cost / child.weight > best.cost / best.weight)
+    ) best = child;
+  }
+  return best;
+}
+
+function descend(
+  root: FairNode,
+  choose: (node: FairNode) => FairNode | undefined,
+): FairNode | undefined {
+  let node: FairNode | undefined = root;
+  while (node !== undefined && node.children.size > 0) node = choose(node);
+  return node;
+}
+
+function isWaiting(request: Request): boolean {
+  return request.phase === "queued";
+}
+
+/**
+ * Returns the request that fairness puts next, without removing it.
+ *
+ * @example
+ * ```ts
+ * const next = peekFair(root);
+ * if (next) removeWaiting(root, next);
+ * ```
+ */
+export function peekFair(
+  root: FairNode,
+  { owner }: { owner?: string } = {},
+): Request | undefined {
+  if (root.backlog === 0) return undefined;
+  const start = owner === undefined ? root : root.children.get(owner);
+  if (start === undefined || start.backlog === 0) return undefined;
+  const leaf = descend(start, leastServed);
+  while (leaf !== undefined && leaf.items.length > 0) {
+    const first = leaf.items[0] as Request;
+    if (isWaiting(first)) return first;
+    leaf.items.shift();
+  }
+  return undefined;
+}
+
+/** Returns the newest request of the caller with the most waiting cost for its weight. */
+export function peekHeaviest(root: FairNode): Request | undefined {
+  const leaf = root.backlog === 0 ? undefined : descend(root, mostBacklogged);
+  while (leaf !== undefined && leaf.items.length > 0) {
+    const last = leaf.items.at(-1) as Request;
+    if (isWaiting(last)) return last;
+    leaf.items.pop();
+  }
+  return undefined;
+}
+
+/** Charges served cost to a request's path; negative amounts give back an over-estimate. */
+export function charge(
+  root: FairNode,
+  request: Request,
+  { amount, weightOf }: { amount: number; weightOf: WeightOf },
+): void {
+  const nodes = pathNodes(root, pathOf(request), weightOf);
+  nodes.forEach((node, depth) => {
+    const parent = nodes[depth - 1];
+    if (parent === undefined) return;
+    if (amount > 0) parent.level = Math.max(parent.level, node.served);
+    node.served += amount / node.weight;
+  });
+}
+
+/** Forgets idle nodes whose service is already level with their siblings. */
+export function pruneIdle(node: FairNode): void {
+  for (const [name, child] of node.children) {
+    pruneIdle(child);
+    const idle = child.backlog === 0 && child.children.size === 0 &&
+      child.served <= node.level;
+    if (idle) node.children.delete(name);
+  }
+}
--- /dev/null
+++ b/packages/core/src/capacity/targets.ts
@@ -0,0 +1,76 @@
+/**
+ * Keeps each target's limit and allowance current, in constant time for each change.
+ *
+ * @module
+ */
+import type { Pool, State, Target } from "../state/types.ts";
+import { setFree } from "../routing/free_list.ts";
+import { batchLimit } from "./batch_model.ts";
+import { wholeShare } from "./share.ts";
+
+/** Reports older than this say nothing of idle room. */
+const REPORT_LIFE_MS = 5_000;
+/** Part of the idle room that all entries together may borrow. */
+const LENT_SHARE = 0.5;
+/** Above this use of the KV cache a group takes nothing new. */
+const KV_FULL_SHARE = 0.95;
+/** Requests allowed at a target that is probed back in. */
+const PROBE_ALLOWANCE = 1;
+
+function takesWork(target: Target): boolean {
+  return target.phase === "serving" || target.phase === "probing";
+}
+
+function limitOf(state: State, pool: Pool, target: Target): number {
+  if (pool.deployment.kind === "service") return pool.deployment.concurrency;
+  const targetMs = state.config?.config.policy.betweenTokensMs ?? 29;
+  const maxBatch = Math.min(
+    pool.deployment.maxBatch,
+    target.report?.maxBatch ?? pool.deployment.maxBatch,
+  );
+  return batchLimit(pool.model, {
+    targetMs,
+    maxBatch,
+    factor: Math.max(1, target.factor),
+  });
+}
+
+function lentShare(state: State, pool: Pool, target: Target): number {
+  const report = target.report;
+  if (report === undefined || state.now - target.reportedAt > REPORT_LIFE_MS) {
+    return 0;
+  }
+  const idle = target.limit - report.running - report.queued -
+    target.sentSinceReport;
+  if (idle <= 0) return 0;
+  return wholeShare(target.name, idle * LENT_SHARE, pool.share);
+}
+
+function allowanceOf(state: State, pool: Pool, target: Target): number {
+  if (!takesWork(target)) return 0;
+  if (target.phase === "probing") return PROBE_ALLOWANCE;
+  if ((target.report?.kvUsedShare ?? 0) > KV_FULL_SHARE) return 0;
+  const own = wholeShare(target.name, target.limit, pool.share);
+  return Math.max(own, target.attempts.size + lentShare(state, pool, target));
+}
+
+/** Recomputes a target's limit, allowance and place among the free ones. */
+export function refreshTarget(state: State, target: Target): void {
+  const pool = state.pools.get(target.deployment);
+  if (pool === undefined) return;
+  const before = target.limit;
+  target.limit = takesWork(target) ? limitOf(state, pool, target) : 0;
+  pool.slots += target.limit - before;
+  target.allowance = allowanceOf(state, pool, target);
+  setFree(pool.free, target.name, {
+    free: target.attempts.size < target.allowance,
+  });
+}
+
+/** Recomputes every target of a pool; for changes of the share between entries only. */
+export function refreshPool(state: State, pool: Pool): void {
+  for (const name of pool.targets) {
+    const target = state.targets.get(name);
+    if (target !== undefined) refreshTarget(state, target);
+  }
+}
--- /dev/null
+++ b/packages/core/src/claim/claim.ts
@@ -0,0 +1,127 @@
+/**
+ * Claims on idempotency keys: at most one run of a booking over all entry VMs.
+ *
+ * A caller's key is claimed in the log before its request may run. The first claim in log order wins; its holder
+ * records how the run ended, and everyone else answers from that record.
+ *
+ * @module
+ */
+import { appendRecord, createRecord } from "../fold/append.ts";
+import { STORED_ANSWER_MAX_CHARS } from "../fold/constants.ts";
+import type { FoldedClaim, RecordBody, StoredAnswer } from "../fold/types.ts";
+import type { Effects } from "../reduce_types.ts";
+import { advance } from "../request/machine.ts";
+import type { Request } from "../request/types.ts";
+import type { State } from "../state/types.ts";
+import type { Verdict } from "../verdict/types.ts";
+
+/** The log cannot decide a claim after it has been silent for this long. */
+const LOG_SILENT_MS = 3_000;
+
+/** What a claim found in the fold means for a request with the same key. */
+export type ClaimFinding =
+  | "free"
+  | "won"
+  | "mismatch"
+  | "undecided"
+  | "answered"
+  | "ran"
+  | "unknown";
+
+/** Scopes a caller's key to its principal and deployment, so that callers cannot meet each other's keys. */
+export function scopedKey({ principal, deployment, key }: Request): string {
+  return [principal.owner, principal.team, principal.caller, deployment, key]
+    .join("/");
+}
+
+/** Whether the log answers well enough to decide a claim. */
+export function canClaim(state: State): boolean {
+  return state.log.reachable &&
+    state.now - state.log.lastReadAt <= LOG_SILENT_MS;
+}
+
+function isHolderGone(state: State, claim: FoldedClaim): boolean {
+  const [name, incarnation] = claim.entry.split("#");
+  if (name === state.node.name) return incarnation !== state.node.incarnation;
+  const peer = state.peers.get(name ?? "");
+  return peer === undefined || peer.lostAt !== undefined ||
+    peer.incarnation !== incarnation;
+}
+
+/** Reads what the fold says of a request's key. */
+export function findClaim(state: State, request: Request): ClaimFinding {
+  const claim = state.fold.claims.get(scopedKey(request));
+  if (claim === undefined || claim.verdict === "not_run") return "free";
+  if (claim.id === request.claim) return "won";
+  if (claim.digest !== (request.digest ?? "")) return "mismatch";
+  if (claim.verdict === "ran") {
+    return claim.answer === undefined ? "ran" : "answered";
+  }
+  if (claim.verdict === "may_have_run" || isHolderGone(state, claim)) {
+    return "unknown";
+  }
+  return "undecided";
+}
+
+/** Starts to claim a request's key. */
+export function* startClaim(state: State, request: Request): Effects {
+  const record = createRecord(state, {
+    type: "claim",
+    key: scopedKey(request),
+    digest: request.digest ?? "",
+    entry: `${state.node.name}#${state.node.incarnation}`,
+  });
+  request.claim = record.id;
+  state.claiming.set(record.id, request.request);
+  advance(request, "claim");
+  yield* appendRecord(state, record);
+}
+
+/** Makes a request wait for whoever holds its key. */
+export function waitForClaim(state: State, request: Request): void {
+  delete request.claim;
+  advance(request, "wait");
+  const key = scopedKey(request);
+  const waiters = state.waiters.get(key) ?? new Set<string>();
+  waiters.add(request.request);
+  state.waiters.set(key, waiters);
+}
+
+function keptAnswer(
+  answer: StoredAnswer | undefined,
+): { answer?: StoredAnswer } {
+  return answer !== undefined && answer.body.length <= STORED_ANSWER_MAX_CHARS
+    ? { answer }
+    : {};
+}
+
+/** Records how a claimed request ended, so that a repeated key is answered by it. */
+export function* releaseClaim(
+  state: State,
+  request: Request,
+  { verdict, answer }: { verdict: Verdict; answer?: StoredAnswer | undefined },
+): Effects {
+  if (request.claim === undefined) return;
+  const key = scopedKey(request);
+  const claim = request.claim;
+  delete request.claim;
+  const body: RecordBody = {
+    type: "claim_end",
+    key,
+    claim,
+    verdict,
+    ...keptAnswer(answer),
+  };
+  if (state.log.pending.has(claim)) state.log.releases.set(claim, body);
+  else if (state.fold.claims.get(key)?.id === claim) {
+    yield* appendRecord(state, createRecord(state, body));
+  }
+}
+
+/** Ends a claim whose request ended before the claim itself was folded. */
+export function* releaseFoldedClaim(state: State, id: string): Effects {
+  const body = state.log.releases.get(id);
+  if (body === undefined) return;
+  state.log.releases.delete(id);
+  yield* appendRecord(state, createRecord(state, body));
+}
--- /dev/null
+++ b/packages/core/src/config/apply.ts
@@ -0,0 +1,116 @@
+/**
+ * Puts a configuration in force; never a lower offset than the one in force.
+ *
+ * @module
+ */
+import { refreshPool } from "../capacity/targets.ts";
+import type { ServiceDeployment } from "./types.ts";
+import { removeTarget, upsertTarget } from "../health/members.ts";
+import type { Effects } from "../reduce_types.ts";
+import { createPool } from "../state/create_state.ts";
+import type { Pool, State } from "../state/types.ts";
+import type { AcceptedConfig } from "../fold/types.ts";
+import { formatProblems, resolveConfig } from "./resolve.ts";
+import type { Config } from "./types.ts";
+
+/** Puts a document in force if its offset is higher than the one in force. */
+export function* applyConfig(
+  state: State,
+  accepted: AcceptedConfig,
+): Effects {
+  const { offset, document } = accepted;
+  if (state.config !== undefined && offset <= state.config.offset) return;
+  const resolution = resolveConfig(document, state.node.site);
+  if (!resolution.ok) {
+    const cause = formatProblems(resolution.problems);
+    yield { kind: "log", event: "config_void", fields: { offset, cause } };
+    return;
+  }
+  state.config = { offset, config: resolution.value };
+  state.newestConfig = accepted;
+  yield* reconcilePools(state, resolution.value);
+  yield* watchMembers(state);
+  yield { kind: "config_in_force", offset };
+  yield { kind: "log", event: "config_in_force", fields: { offset } };
+}
+
+function* reconcilePools(state: State, config: Config): Effects {
+  for (const [name, pool] of state.pools) {
+    if (config.deployments[name]?.kind !== pool.deployment.kind) {
+      yield* closePool(state, pool);
+    }
+  }
+  for (const [name, deployment] of Object.entries(config.deployments)) {
+    const pool = state.pools.get(name) ??
+      createPool(name, deployment, { now: state.now });
+    state.pools.set(name, pool);
+    pool.deployment = deployment;
+    if (deployment.kind === "service") {
+      yield* reconcileBackends(state, pool, deployment);
+    } else yield* reconcileGroups(state, { deployment: name });
+    refreshPool(state, pool);
+  }
+}
+
+function* closePool(state: State, pool: Pool): Effects {
+  for (const name of [...pool.targets]) {
+    const target = state.targets.get(name);
+    if (target !== undefined) yield* removeTarget(state, target);
+  }
+  state.pools.delete(pool.name);
+}
+
+function* reconcileBackends(
+  state: State,
+  pool: Pool,
+  deployment: ServiceDeployment,
+): Effects {
+  const wanted = new Map(
+    deployment.backends.map((
+      backend,
+    ) => [`${pool.name}/${backend.vm}`, backend]),
+  );
+  for (const name of [...pool.targets]) {
+    const target = state.targets.get(name);
+    if (target !== undefined && !wanted.has(name)) {
+      yield* removeTarget(state, target);
+    }
+  }
+  for (const [name, { vm, address, zone }] of wanted) {
+    const members = [{ vm, address, zone, domain: "" }];
+    yield* upsertTarget(state, {
+      name,
+      deployment: pool.name,
+      epoch: undefined,
+      members,
+    });
+  }
+}
+
+/** Brings the targets of a model deployment in line with the groups folded from the log. */
+export function* reconcileGroups(
+  state: State,
+  { deployment }: { deployment: string },
+): Effects {
+  const pool = state.pools.get(deployment);
+  if (pool === undefined) return;
+  for (const name of [...pool.targets]) {
+    const target = state.targets.get(name);
+    const phase = state.fold.groups.get(name)?.phase;
+    if (target !== undefined && phase !== "formed") {
+      yield* removeTarget(state, target);
+    }
+  }
+  for (const group of state.fold.groups.values()) {
+    if (group.deployment !== deployment || group.phase !== "formed") continue;
+    yield* upsertTarget(state, group);
+  }
+}
+
+/** Tells the driver which VMs to poll. */
+export function* watchMembers(state: State): Effects {
+  const members = [...state.targets.values()].flatMap((target) =>
+    target.members.map(({ member: { vm, address } }) => ({ vm, address }))
+  );
+  yield { kind: "watch", members };
+}
--- /dev/null
+++ b/packages/core/src/config/types.ts
@@ -0,0 +1,41 @@
+/**
+ * Types of the fleet configuration, as resolved with all defaults filled in.
+ *
+ * @module
+ */
+import type { z } from "zod";
+import type { configSchema, deploymentSchema, ownerSchema } from "./schema.ts";
+
+/** The three ranks of work, most urgent first. */
+export const RANKS = ["urgent", "standard", "batch"] as const;
+/** A rank of work. */
+export type Rank = (typeof RANKS)[number];
+
+/** The configuration in force at one site. */
+export type Config = z.output<typeof configSchema>;
+/** An owner with its teams and callers. */
+export type Owner = z.output<typeof ownerSchema>;
+/** A model deployment or a plain service. */
+export type Deployment = z.output<typeof deploymentSchema>;
+/** A deployment of a model over replica groups. */
+export type ModelDeployment = Extract<Deployment, { kind: "model" }>;
+/** A plain service beside the model engines. */
+export type ServiceDeployment = Extract<Deployment, { kind: "service" }>;
+/** Requests and tokens a minute over all entry VMs. */
+export type RateLimit = {
+  requestsPerMinute?: number;
+  tokensPerMinute?: number;
+};
+
+/** Who sent a request. */
+export interface Principal {
+  owner: string;
+  team: string;
+  caller: string;
+}
+
+/** A published configuration: one base and what each site states differently. */
+export interface ConfigDocument {
+  base: unknown;
+  overlays: Record<string, unknown>;
+}
--- /dev/null
+++ b/packages/core/src/drain/drain.ts
@@ -0,0 +1,106 @@
+/**
+ * Graceful stop of this daemon and drains on an operator's word.
+ *
+ * @module
+ */
+import { createMachine, state as machineState, transition } from "robot3";
+import type { EventOf } from "../event/types.ts";
+import { drainVm } from "../health/members.ts";
+import { tendLease } from "../lease/lease.ts";
+import type { Effects } from "../reduce_types.ts";
+import { judgeReadiness } from "../state/readiness.ts";
+import type { NodePhase, State } from "../state/types.ts";
+import { publishUsage } from "../usage/ledger.ts";
+import { nextState } from "../util/machine.ts";
+import { schedule } from "../util/timer_queue.ts";
+
+/** The balancer may still send new requests for this long after readiness went off. */
+export const BALANCER_LAG_MS = 2_000;
+const DRAIN_CHECK_MS = 50;
+/** Time for the last records to reach the log before exit. */
+const LAST_APPENDS_MS = 3_000;
+
+/** The daemon's own life cycle. */
+export const nodeMachine = createMachine("serving", {
+  serving: machineState(transition("drain", "draining")),
+  draining: machineState(transition("finish", "stopped")),
+  stopped: machineState(),
+});
+
+function advanceNode(state: State, step: "drain" | "finish"): boolean {
+  const next = nextState<NodePhase>(nodeMachine, state.phase, step);
+  if (next === undefined) return false;
+  state.phase = next;
+  return true;
+}
+
+/** Handles a stop signal; the second one ends sooner and says what it cuts. */
+export function* orderStop(
+  state: State,
+  { hurry }: EventOf<"stop_ordered">,
+): Effects {
+  if (hurry) return yield* stopNow(state);
+  if (!advanceNode(state, "drain")) return;
+  state.drainingSince = state.now;
+  yield {
+    kind: "log",
+    event: "stopping",
+    fields: { requests: state.requests.size },
+  };
+  yield* judgeReadiness(state);
+  schedule(state.timers, state.now + BALANCER_LAG_MS, {
+    timer: { kind: "drain_check" },
+  });
+}
+
+function* stopNow(state: State): Effects {
+  const cut = [...state.requests.keys()];
+  yield {
+    kind: "log",
+    event: "stop_hurried",
+    fields: { cut: cut.length, requests: cut.slice(0, 20).join(" ") },
+  };
+  yield* finishStop(state, cut.length);
+}
+
+function* finishStop(state: State, cut: number): Effects {
+  if (!advanceNode(state, "finish")) return;
+  yield { kind: "log", event: "stopped", fields: { cut } };
+  yield { kind: "exit", cut };
+}
+
+/** Ends the daemon once nothing is in flight and its last records are in the log. */
+export function* checkDrain(state: State): Effects {
+  if (state.phase !== "draining") return;
+  if (state.requests.size === 0 && !state.drainFlushed) {
+    state.drainFlushed = true;
+    state.drainingSince = state.now;
+    state.usage.publishedAt = -Infinity;
+    yield* publishUsage(state);
+    yield* releaseLeases(state);
+  }
+  const isFlushed = state.log.pending.size === 0 ||
+    state.now - state.drainingSince > LAST_APPENDS_MS;
+  const hasWaited = state.now - state.drainingSince >= DRAIN_CHECK_MS;
+  if (state.drainFlushed && hasWaited && isFlushed) {
+    return yield* finishStop(state, 0);
+  }
+  schedule(state.timers, state.now + DRAIN_CHECK_MS, {
+    timer: { kind: "drain_check" },
+  });
+}
+
+function* releaseLeases(state: State): Effects {
+  for (const lease of state.leases.values()) {
+    yield* tendLease(state, lease, { wanted: false });
+  }
+}
+
+/** Handles a drain that an operator ordered. */
+export function* orderDrain(
+  state: State,
+  { what, name, at }: EventOf<"drain_ordered">,
+): Effects {
+  if (what === "vm") return yield* drainVm(state, name);
+  yield* orderStop(state, { kind: "stop_ordered", hurry: false, at });
+}
--- /dev/null
+++ b/packages/core/src/effect/log_events.ts
@@ -0,0 +1,80 @@
+/**
+ * Catalogue of numbered log events. Numbers are never reused.
+ *
+ * @module
+ */
+
+/** Severity of a log event. */
+export type Severity = "error" | "warn" | "info";
+
+/** One numbered log event. */
+export interface LogEvent {
+  number: number;
+  severity: Severity;
+  text: string;
+}
+
+function event(number: number, severity: Severity, text: string): LogEvent {
+  return { number, severity, text };
+}
+
+/** Every numbered event by name. */
+export const LOG_EVENTS = {
+  started: event(1001, "info", "daemon started"),
+  ready: event(1002, "info", "daemon ready"),
+  stopping: event(1003, "info", "graceful stop began"),
+  stop_hurried: event(1004, "warn", "second stop signal, ending sooner"),
+  stopped: event(1005, "info", "daemon stopped"),
+  settings_invalid: event(1006, "error", "settings are not valid"),
+  not_ready: event(1007, "warn", "daemon not ready"),
+  request_ended: event(1101, "info", "request ended"),
+  request_refused: event(1102, "info", "request refused"),
+  request_malformed: event(1103, "warn", "malformed request"),
+  key_unknown: event(1104, "warn", "request with an unknown key"),
+  attempt_failed: event(1105, "warn", "attempt at a backend server failed"),
+  stream_resumed: event(1106, "info", "stream resumed on another group"),
+  stream_lost: event(1107, "error", "stream ended with an error"),
+  batch_preempted: event(1108, "info", "batch request gave way to urgent work"),
+  frame_broken: event(1109, "warn", "engine sent a broken frame"),
+  answer_foreign: event(
+    1110,
+    "error",
+    "engine sent an answer to another request",
+  ),
+  target_serving: event(1201, "info", "target serves"),
+  target_suspect: event(1202, "warn", "target is suspect"),
+  target_gone: event(1203, "warn", "target is gone"),
+  target_draining: event(1204, "info", "target drains"),
+  target_ejected: event(1205, "warn", "target ejected as an outlier"),
+  target_probing: event(1206, "info", "target is probed back in"),
+  ejection_capped: event(1207, "warn", "ejection skipped, cap reached"),
+  vm_leaving: event(1208, "info", "VM is leaving"),
+  target_pending: event(1210, "info", "target waits for its members"),
+  cache_gap: event(1209, "info", "gap in cache events"),
+  config_in_force: event(1301, "info", "configuration in force"),
+  config_void: event(1302, "warn", "configuration record is void"),
+  record_void: event(1303, "warn", "log record is void"),
+  log_unreachable: event(1304, "error", "log service unreachable"),
+  log_reachable: event(1305, "info", "log service reachable again"),
+  log_trimmed: event(1306, "warn", "log trimmed beyond this daemon, reloading"),
+  fold_restored: event(1307, "info", "folded state restored"),
+  level_unsupported: event(
+    1308,
+    "error",
+    "log needs a newer version of this daemon",
+  ),
+  lease_taken: event(1401, "info", "lease taken"),
+  lease_lost: event(1402, "warn", "lease lost"),
+  order_dropped: event(1403, "warn", "order dropped, lease no longer held"),
+  group_planned: event(1404, "info", "replica group change planned"),
+  order_failed: event(1405, "warn", "order to an engine failed"),
+  claim_lost: event(1501, "info", "idempotency key was claimed elsewhere"),
+  claim_unknown: event(1502, "warn", "outcome of a claim append is unknown"),
+  peer_joined: event(1601, "info", "peer joined"),
+  peer_lost: event(1602, "warn", "peer lost"),
+  peer_refused: event(1603, "warn", "peer refused"),
+  peer_frame_dropped: event(1604, "warn", "peer frame dropped"),
+  usage_published: event(1701, "info", "usage published"),
+  keys_reloaded: event(1801, "info", "keys reloaded"),
+  internal_error: event(1901, "error", "internal error"),
+} as const satisfies Record<string, LogEvent>;
--- /dev/null
+++ b/packages/core/src/event/types.ts
@@ -0,0 +1,131 @@
+/**
+ * Every event that the reducer takes. Times are monotonic milliseconds of the driver's clock.
+ *
+ * @module
+ */
+import type { ConfigDocument, Principal, Rank } from "../config/types.ts";
+import type { FoldDump, StoredRecord, UsageCounter } from "../fold/types.ts";
+import type { PeerMessage } from "../peer/types.ts";
+import type { VmListing } from "../platform/types.ts";
+import type { Outcome } from "../verdict/types.ts";
+import type { StoredAnswer } from "../fold/types.ts";
+
+/** A caller's request as the reducer sees it; bodies stay with the adapters. */
+export interface Arrival {
+  request: string;
+  deployment: string;
+  principal: Principal;
+  rank: Rank;
+  /** Milliseconds from arrival until the caller gives up. */
+  deadlineMs?: number;
+  promptTokens: number;
+  /** Output tokens the caller allows at most. */
+  maxOutputTokens: number;
+  prefixes: readonly number[];
+  idempotent: boolean;
+  key?: string;
+  /** Hash of method, path and body; a repeated key must bring the same. */
+  digest?: string;
+  /** Adapter that the model must have loaded. */
+  adapter?: string;
+}
+
+/** What an engine or service says of itself when asked. */
+export interface MemberStatus {
+  vm: string;
+  incarnation: string;
+  state: "empty" | "loading" | "ready" | "leaving";
+  group?: string;
+  epoch?: number;
+  fence?: number;
+  load?: LoadReport;
+}
+
+/** Load of an engine or service; lags behind the truth. */
+export interface LoadReport {
+  running: number;
+  queued: number;
+  /** 95th percentile of the time between tokens, ms. */
+  stepMs: number;
+  /** Prompt tokens prefilled a millisecond. */
+  prefillPerMs: number;
+  kvUsedShare: number;
+  maxBatch: number;
+  adapters?: string[];
+}
+
+/** A change of an engine's prefix cache. */
+export interface CacheChange {
+  kind: "stored" | "evicted";
+  prefix: number;
+}
+
+/** Every event of the reducer, before its time is added. */
+export type EventBody =
+  | { kind: "tick" }
+  | ({ kind: "request_arrived" } & Arrival)
+  | { kind: "caller_gone"; request: string }
+  | { kind: "attempt_accepted"; request: string; attempt: number }
+  | {
+    kind: "attempt_progress";
+    request: string;
+    attempt: number;
+    tokens: number;
+  }
+  | {
+    kind: "attempt_ended";
+    request: string;
+    attempt: number;
+    outcome: Outcome;
+    /** True once part of the answer has reached the caller and no new attempt can replace it. */
+    committed?: boolean;
+    promptTokens?: number;
+    cachedTokens?: number;
+    retryAfterMs?: number;
+    answer?: StoredAnswer;
+  }
+  | { kind: "member_reported"; address: string; status: MemberStatus }
+  | {
+    kind: "member_unreachable";
+    address: string;
+    vm?: string;
+    cause: "refused" | "timeout";
+  }
+  | {
+    kind: "cache_changed";
+    target: string;
+    sequence: number;
+    changes: CacheChange[];
+  }
+  | { kind: "vms_listed"; vms: VmListing[] }
+  | { kind: "config_loaded"; document: ConfigDocument }
+  | { kind: "log_read"; records: StoredRecord[]; head: number; horizon: number }
+  | { kind: "log_unreachable" }
+  | { kind: "fold_restored"; dump: FoldDump; source: "snapshot" | "peer" }
+  | { kind: "append_settled"; ids: string[]; stored: boolean }
+  | {
+    kind: "usage_signed";
+    sequence: number;
+    counters: UsageCounter[];
+    signature: string;
+  }
+  | {
+    kind: "peer_joined";
+    peer: string;
+    address: string;
+    zone: string;
+    incarnation: string;
+  }
+  | { kind: "peer_lost"; peer: string; incarnation: string }
+  | { kind: "peer_received"; peer: string; message: PeerMessage }
+  | { kind: "drain_ordered"; what: "node" | "vm"; name: string }
+  | { kind: "stop_ordered"; hurry: boolean };
+
+/** An event at a time. */
+export type Event = EventBody & { at: number };
+/** Kind of an event. */
+export type EventKind = EventBody["kind"];
+/** The event of one kind. */
+export type EventOf<K extends EventKind> = Extract<EventBody, { kind: K }> & {
+  at: number;
+};
--- /dev/null
+++ b/packages/core/src/fold/types.ts
@@ -0,0 +1,233 @@
+/**
+ * Records of the platform's log and the state that every daemon folds from them.
+ *
+ * @module
+ */
+import type { ConfigDocument, Rank } from "../config/types.ts";
+import type { Verdict } from "../verdict/types.ts";
+
+/** One VM of a replica group. */
+export interface Member {
+  vm: string;
+  /** `http://IP:PORT` of the VM's engine. */
+  address: string;
+  zone: string;
+  /** Fabric domain of the VM. */
+  domain: string;
+}
+
+/** Cumulative use of one owner's deployment at one rank, as counted by one entry VM. */
+export interface UsageCounter {
+  owner: string;
+  team: string;
+  deployment: string;
+  rank: Rank;
+  requests: number;
+  promptTokens: number;
+  cachedTokens: number;
+  outputTokens: number;
+  bookings: number;
+}
+
+/** Content of a record, by type. */
+export type RecordBody =
+  | { type: "level"; level: number }
+  | {
+    type: "config";
+    basedOn: number;
+    document: ConfigDocument;
+    author: string;
+  }
+  | {
+    type: "lease_grant";
+    lease: string;
+    holder: string;
+    observed: number;
+    durationMs: number;
+  }
+  | { type: "lease_renew"; lease: string; holder: string; grant: number }
+  | { type: "lease_release"; lease: string; holder: string; grant: number }
+  | {
+    type: "group_form";
+    group: string;
+    deployment: string;
+    members: Member[];
+    fence: Fence;
+  }
+  | {
+    type: "group_swap";
+    group: string;
+    remove: string;
+    add: Member;
+    fence: Fence;
+  }
+  | { type: "group_drain"; group: string; fence: Fence }
+  | { type: "group_dissolve"; group: string; fence: Fence }
+  | {
+    type: "vm_freed";
+    vm: string;
+    epoch: number;
+    cause: "unloaded" | "gone";
+    fence: Fence;
+  }
+  | { type: "claim"; key: string; digest: string; entry: string }
+  | {
+    type: "claim_end";
+    key: string;
+    claim: string;
+    verdict: Verdict;
+    answer?: StoredAnswer;
+  }
+  | {
+    type: "usage";
+    entry: string;
+    sequence: number;
+    counters: UsageCounter[];
+    signature: string;
+  };
+
+/** Which lease an order rests on; `operator` where a person gave it. */
+export type Fence = { lease: string; grant: number } | "operator";
+
+/** An answer kept so that a repeated key gets the same one. */
+export interface StoredAnswer {
+  status: number;
+  contentType: string;
+  body: string;
+}
+
+/** A record as written: content, a unique id, and the level that its rule needs. */
+export type LogRecord = RecordBody & { id: string; level: number };
+
+/** A record as read back, with the offset and time that the log service gave it. */
+export interface StoredRecord {
+  offset: number;
+  /** Log service time, ms since 1970, never falling. */
+  at: number;
+  record: LogRecord;
+}
+
+/** The accepted configuration. */
+export interface AcceptedConfig {
+  offset: number;
+  at: number;
+  author: string;
+  document: ConfigDocument;
+}
+
+/** A past configuration, without its document. */
+export interface ConfigHistoryEntry {
+  offset: number;
+  at: number;
+  author: string;
+}
+
+/** A lease as folded; `grant` is the fencing number. */
+export interface FoldedLease {
+  name: string;
+  holder: string;
+  grant: number;
+  renewed: number;
+  durationMs: number;
+}
+
+/** Life of a group in the log. */
+export type GroupPhase = "formed" | "draining";
+
+/** A replica group as folded; `epoch` is the offset of its newest membership. */
+export interface FoldedGroup {
+  name: string;
+  deployment: string;
+  epoch: number;
+  phase: GroupPhase;
+  members: Member[];
+}
+
+/** Where a VM stands between groups. */
+export interface VmAssignment {
+  vm: string;
+  address: string;
+  group: string;
+  deployment: string;
+  epoch: number;
+  /** True from leaving its group until its unload is confirmed. */
+  quarantined: boolean;
+}
+
+/** A claim on an idempotency key. */
+export interface FoldedClaim {
+  key: string;
+  id: string;
+  at: number;
+  digest: string;
+  entry: string;
+  verdict?: Verdict;
+  answer?: StoredAnswer;
+}
+
+/** Newest usage of one entry incarnation. */
+export interface FoldedUsage {
+  entry: string;
+  sequence: number;
+  counters: UsageCounter[];
+  signature: string;
+}
+
+/** Why the fold made a record void. */
+export type VoidCause =
+  | "repeated"
+  | "malformed"
+  | "level_unknown"
+  | "stale_base"
+  | "invalid_config"
+  | "lease_held"
+  | "not_holder"
+  | "fenced"
+  | "vm_taken"
+  | "duplicate_member"
+  | "wrong_size"
+  | "unknown_group"
+  | "group_exists"
+  | "key_claimed"
+  | "unknown_claim"
+  | "stale_usage";
+
+/** What the fold decided about a record. */
+export type FoldResult = { accepted: true } | {
+  accepted: false;
+  cause: VoidCause;
+  detail?: string;
+};
+
+/** Everything agreed between daemons. */
+export interface FoldState {
+  /** Offset of the next record to fold. */
+  next: number;
+  /** Log time of the newest record. */
+  at: number;
+  level: number;
+  config: AcceptedConfig | undefined;
+  history: ConfigHistoryEntry[];
+  leases: Map<string, FoldedLease>;
+  groups: Map<string, FoldedGroup>;
+  vms: Map<string, VmAssignment>;
+  claims: Map<string, FoldedClaim>;
+  usage: Map<string, FoldedUsage>;
+  /** Ids of recent records, oldest first. */
+  seen: Set<string>;
+}
+
+/** A folded state as plain data, for snapshots and newcomers. */
+export interface FoldDump {
+  next: number;
+  at: number;
+  level: number;
+  config?: AcceptedConfig;
+  history: ConfigHistoryEntry[];
+  leases: FoldedLease[];
+  groups: FoldedGroup[];
+  vms: VmAssignment[];
+  claims: FoldedClaim[];
+  usage: FoldedUsage[];
+  seen: string[];
+}
--- /dev/null
+++ b/packages/core/src/health/ejection.ts
@@ -0,0 +1,148 @@
+/**
+ * Ejects targets that fail or straggle against their peers, never more than a capped share, and probes them back in.
+ *
+ * @module
+ */
+import { expectedStep } from "../capacity/batch_model.ts";
+import { refreshTarget } from "../capacity/targets.ts";
+import type { Effects } from "../reduce_types.ts";
+import type { Pool, State, Target } from "../state/types.ts";
+import { schedule } from "../util/timer_queue.ts";
+import { advanceTarget } from "./machine.ts";
+
+/** Failures in a row that eject a target. */
+const MAX_FAILURES = 3;
+/** Step time against its peers at which a target is a straggler. */
+const STRAGGLER_FACTOR = 1.8;
+/** Step time against its peers at which a probed target is well again. */
+const RECOVERED_FACTOR = 1.3;
+const FACTOR_WEIGHT = 0.4;
+/** Ejections in a row lengthen the pause up to this multiple. */
+const MAX_BACKOFF = 2;
+
+function mayEject(state: State, pool: Pool): boolean {
+  const maxShare = state.config?.config.policy.ejectionMaxShare ?? 0;
+  return pool.ejected + 1 <= Math.floor(pool.targets.size * maxShare);
+}
+
+/** Ejects a target unless the cap is reached. */
+export function* ejectTarget(
+  state: State,
+  target: Target,
+  { cause }: { cause: string },
+): Effects {
+  const pool = state.pools.get(target.deployment);
+  if (pool === undefined) return;
+  const counted = target.phase === "probing";
+  if (!counted && !mayEject(state, pool)) {
+    yield {
+      kind: "log",
+      event: "ejection_capped",
+      fields: { target: target.name, cause },
+    };
+    return;
+  }
+  if (!advanceTarget(target, "eject")) return;
+  if (!counted) pool.ejected += 1;
+  target.ejections = Math.min(MAX_BACKOFF, target.ejections + 1);
+  const pauseMs = (state.config?.config.policy.ejectionMs ?? 0) *
+    target.ejections;
+  target.ejectedUntil = state.now + pauseMs;
+  schedule(state.timers, target.ejectedUntil, {
+    timer: { kind: "ejection_end", target: target.name },
+  });
+  refreshTarget(state, target);
+  yield {
+    kind: "log",
+    event: "target_ejected",
+    fields: { target: target.name, cause, pauseMs },
+  };
+}
+
+/** Lets an ejected target take one request at a time. */
+export function* probeTarget(
+  state: State,
+  { target: name }: { target: string },
+): Effects {
+  const target = state.targets.get(name);
+  if (target?.phase !== "ejected" || state.now < target.ejectedUntil) return;
+  advanceTarget(target, "probe");
+  target.failures = 0;
+  target.factor = 1;
+  target.probes = 0;
+  refreshTarget(state, target);
+  yield { kind: "log", event: "target_probing", fields: { target: name } };
+}
+
+/** Puts an ejected or probed target back among the counted ones; call when it leaves those phases. */
+export function settleEjection(state: State, target: Target): void {
+  const pool = state.pools.get(target.deployment);
+  if (pool === undefined) return;
+  if (target.phase === "ejected" || target.phase === "probing") {
+    pool.ejected -= 1;
+  }
+}
+
+function* admitBack(state: State, target: Target): Effects {
+  settleEjection(state, target);
+  advanceTarget(target, "confirm");
+  target.ejections = 0;
+  refreshTarget(state, target);
+  yield {
+    kind: "log",
+    event: "target_serving",
+    fields: { target: target.name, cause: "probe succeeded" },
+  };
+}
+
+/** Counts a failed attempt against its target. */
+export function* noteFailure(state: State, target: Target): Effects {
+  target.failures += 1;
+  if (target.phase === "probing") {
+    return yield* ejectTarget(state, target, { cause: "probe failed" });
+  }
+  if (target.failures >= MAX_FAILURES) {
+    yield* ejectTarget(state, target, { cause: "failures in a row" });
+  }
+}
+
+/** Counts a completed attempt; a probed service is well again after one. */
+export function* noteSuccess(state: State, target: Target): Effects {
+  target.failures = 0;
+  const isService =
+    state.pools.get(target.deployment)?.deployment.kind === "service";
+  if (target.phase === "probing" && isService) yield* admitBack(state, target);
+}
+
+/** Reports with work in hand that a probe needs before it is judged. */
+const PROBE_REPORTS = 2;
+
+/** Sets a load report against what the deployment's model expects of that batch. */
+export function* judgeReport(
+  state: State,
+  pool: Pool,
+  target: Target,
+): Effects {
+  const report = target.report;
+  if (report === undefined || report.running === 0) return;
+  const expected = expectedStep(pool.model, report.running);
+  if (expected === undefined || expected <= 0) return;
+  const ratio = report.stepMs / expected;
+  target.factor += (ratio - target.factor) * FACTOR_WEIGHT;
+  if (target.phase === "probing") {
+    return yield* judgeProbe(state, target, ratio);
+  }
+  if (target.factor > STRAGGLER_FACTOR) {
+    yield* ejectTarget(state, target, { cause: "straggler" });
+  }
+}
+
+function* judgeProbe(state: State, target: Target, ratio: number): Effects {
+  if (ratio > STRAGGLER_FACTOR) {
+    return yield* ejectTarget(state, target, { cause: "still a straggler" });
+  }
+  target.probes += 1;
+  if (ratio < RECOVERED_FACTOR && target.probes >= PROBE_REPORTS) {
+    yield* admitBack(state, target);
+  }
+}
--- /dev/null
+++ b/packages/core/src/lease/lease.ts
@@ -0,0 +1,168 @@
+/**
+ * Leases in the log, timed by each observer's own monotonic clock.
+ *
+ * An observer that has seen no renewal for the lease time plus a margin appends a take-over naming the renewal it
+ * saw; the fold voids it if the holder renewed in between. The holder counts from before it sent the renewal and
+ * stops a margin earlier, so no clock is ever compared with another.
+ *
+ * @module
+ */
+import { appendRecord, createRecord, forgetRecord } from "../fold/append.ts";
+import type { FoldResult, LogRecord } from "../fold/types.ts";
+import type { Effects } from "../reduce_types.ts";
+import type { State } from "../state/types.ts";
+import { nextState } from "../util/machine.ts";
+import { nextFloat } from "../util/random.ts";
+import { leaseMachine, type LeasePhase } from "./machine.ts";
+import type { Lease } from "./types.ts";
+
+/** Time a lease lasts after a renewal. */
+export const LEASE_MS = 10_000;
+/** Renewals are sent this often. */
+export const LEASE_RENEW_MS = 3_000;
+/** The holder stops this much before its time is up; covers clock rates that differ by up to a tenth. */
+export const LEASE_MARGIN_MS = 2_000;
+/** Observers wait up to this much longer, each a different time, so that they do not race. */
+const TAKEOVER_SPREAD_MS = 2_000;
+
+type LeaseStep = "take" | "granted" | "lost" | "renew" | "renewed";
+
+function advanceLease(lease: Lease, step: LeaseStep): boolean {
+  const next = nextState<LeasePhase>(leaseMachine, lease.phase, step);
+  if (next === undefined) return false;
+  lease.phase = next;
+  return true;
+}
+
+/** Returns the lease of a name, watched from now on. */
+export function watchLease(state: State, name: string): Lease {
+  const existing = state.leases.get(name);
+  if (existing !== undefined) return existing;
+  const seenRenewal = state.fold.leases.get(name)?.renewed ?? 0;
+  const lease: Lease = {
+    name,
+    phase: "watching",
+    seenRenewal,
+    seenAt: state.now,
+    grant: undefined,
+    confirmedSentAt: -Infinity,
+    sent: new Map(),
+  };
+  state.leases.set(name, lease);
+  return lease;
+}
+
+/**
+ * Whether this daemon holds a lease right now, by its own clock.
+ *
+ * Checked again at the moment each order leaves: a daemon that was paused finds its time over.
+ */
+export function holdsLease(state: State, lease: Lease): boolean {
+  if (lease.grant === undefined) return false;
+  return state.now < lease.confirmedSentAt + LEASE_MS - LEASE_MARGIN_MS;
+}
+
+/** Renews, gives up or takes over one lease as time passes. */
+export function* tendLease(
+  state: State,
+  lease: Lease,
+  { wanted }: { wanted: boolean },
+): Effects {
+  observeRenewal(state, lease);
+  if (lease.grant !== undefined) {
+    return yield* tendHeld(state, lease, { wanted });
+  }
+  if (!wanted || lease.phase !== "watching" || !state.log.reachable) return;
+  const free = state.fold.leases.get(lease.name) === undefined;
+  const patienceMs = LEASE_MS + LEASE_MARGIN_MS +
+    nextFloat(state.random) * TAKEOVER_SPREAD_MS;
+  if (!free && state.now - lease.seenAt < patienceMs) return;
+  advanceLease(lease, "take");
+  const record = createRecord(state, {
+    type: "lease_grant",
+    lease: lease.name,
+    holder: holderName(state),
+    observed: lease.seenRenewal,
+    durationMs: LEASE_MS,
+  });
+  lease.sent.set(record.id, state.now);
+  yield* appendRecord(state, record);
+}
+
+function holderName(state: State): string {
+  return `${state.node.name}#${state.node.incarnation}`;
+}
+
+function observeRenewal(state: State, lease: Lease): void {
+  const renewed = state.fold.leases.get(lease.name)?.renewed ?? 0;
+  if (renewed === lease.seenRenewal) return;
+  lease.seenRenewal = renewed;
+  lease.seenAt = state.now;
+}
+
+function* tendHeld(
+  state: State,
+  lease: Lease,
+  { wanted }: { wanted: boolean },
+): Effects {
+  if (!holdsLease(state, lease)) {
+    return yield* loseLease(lease, { cause: "time is up" });
+  }
+  if (lease.grant === undefined) return;
+  const body = {
+    lease: lease.name,
+    holder: holderName(state),
+    grant: lease.grant,
+  };
+  if (!wanted) {
+    yield* appendRecord(
+      state,
+      createRecord(state, { type: "lease_release", ...body }),
+    );
+    return yield* loseLease(lease, { cause: "released" });
+  }
+  const lastSentAt = Math.max(lease.confirmedSentAt, ...lease.sent.values());
+  if (state.now - lastSentAt < LEASE_RENEW_MS) return;
+  for (const id of lease.sent.keys()) forgetRecord(state, id);
+  advanceLease(lease, "renew");
+  const record = createRecord(state, { type: "lease_renew", ...body });
+  lease.sent.set(record.id, state.now);
+  yield* appendRecord(state, record);
+}
+
+function* loseLease(lease: Lease, { cause }: { cause: string }): Effects {
+  lease.grant = undefined;
+  lease.sent.clear();
+  advanceLease(lease, "lost");
+  yield {
+    kind: "log",
+    event: "lease_lost",
+    fields: { lease: lease.name, cause },
+  };
+}
+
+/** Notes how the fold decided a grant or renewal of this daemon. */
+export function* settleLease(
+  state: State,
+  { record, result, offset }: {
+    record: LogRecord;
+    result: FoldResult;
+    offset: number;
+  },
+): Effects {
+  if (record.type !== "lease_grant" && record.type !== "lease_renew") return;
+  const lease = state.leases.get(record.lease);
+  const sentAt = lease?.sent.get(record.id);
+  if (lease === undefined || sentAt === undefined) return;
+  lease.sent.delete(record.id);
+  if (!result.accepted) return yield* loseLease(lease, { cause: result.cause });
+  lease.confirmedSentAt = sentAt;
+  if (record.type === "lease_renew") return void advanceLease(lease, "renewed");
+  lease.grant = offset;
+  advanceLease(lease, "granted");
+  yield {
+    kind: "log",
+    event: "lease_taken",
+    fields: { lease: lease.name, fence: offset },
+  };
+}
--- /dev/null
+++ b/packages/core/src/limit/limits.ts
@@ -0,0 +1,149 @@
+/**
+ * Applies the limits of owner, team and caller, shared by demand among all entry VMs.
+ *
+ * @module
+ */
+import type { Principal, RateLimit } from "../config/types.ts";
+import type { Refusal } from "../request/answer.ts";
+import type { Request } from "../request/types.ts";
+import type { State } from "../state/types.ts";
+import {
+  type Bucket,
+  correctBucket,
+  createBucket,
+  demandPerMinute,
+  limitShare,
+  takeFrom,
+} from "./bucket.ts";
+
+/** Unit that a limit counts. */
+export type LimitUnit = "requests" | "tokens";
+
+interface Limited {
+  name: string;
+  unit: LimitUnit;
+  perMinute: number;
+  amount: number;
+}
+
+function limitsOf(
+  state: State,
+  { owner, team, caller }: Principal,
+): [string, RateLimit][] {
+  const ownerConfig = state.config?.config.owners[owner];
+  const teamConfig = ownerConfig?.teams[team];
+  const callerConfig = teamConfig?.callers[caller];
+  return [
+    [owner, ownerConfig?.limit ?? {}],
+    [`${owner}/${team}`, teamConfig?.limit ?? {}],
+    [`${owner}/${team}/${caller}`, callerConfig?.limit ?? {}],
+  ];
+}
+
+function listLimited(state: State, request: Request): Limited[] {
+  const tokens = request.promptTokens + request.predictedOutput;
+  return limitsOf(state, request.principal).flatMap((
+    [name, { requestsPerMinute, tokensPerMinute }],
+  ) => [
+    ...(requestsPerMinute
+      ? [{
+        name,
+        unit: "requests" as const,
+        perMinute: requestsPerMinute,
+        amount: 1,
+      }]
+      : []),
+    ...(tokensPerMinute
+      ? [{
+        name,
+        unit: "tokens" as const,
+        perMinute: tokensPerMinute,
+        amount: tokens,
+      }]
+      : []),
+  ]);
+}
+
+function bucketName({ name, unit }: Pick<Limited, "name" | "unit">): string {
+  return `${name}:${unit}`;
+}
+
+function bucketOf(state: State, limited: Limited): Bucket {
+  const name = bucketName(limited);
+  const existing = state.buckets.get(name);
+  if (existing !== undefined) {
+    existing.perMinute = limited.perMinute;
+    return existing;
+  }
+  const share = 1 / countEntries(state);
+  const bucket = createBucket(limited.perMinute, { share, now: state.now });
+  state.buckets.set(name, bucket);
+  return bucket;
+}
+
+/** Entries that hold a part of every limit: this one and all peers not yet given up. */
+export function countEntries(state: State): number {
+  return 1 + state.peers.size;
+}
+
+/** Takes a request's part of every limit that applies; returns the refusal if one is spent. */
+export function takeLimits(
+  state: State,
+  request: Request,
+): Refusal | undefined {
+  const taken: { bucket: Bucket; amount: number }[] = [];
+  for (const limited of listLimited(state, request)) {
+    const bucket = bucketOf(state, limited);
+    const waitMs = takeFrom(bucket, limited.amount, { now: state.now });
+    if (waitMs === 0) {
+      taken.push({ bucket, amount: limited.amount });
+      continue;
+    }
+    for (const { bucket, amount } of taken) correctBucket(bucket, -amount);
+    return {
+      code: "rate_limited",
+      message:
+        `The limit of ${limited.perMinute} ${limited.unit} a minute for "${limited.name}" is spent`,
+      verdict: "not_run",
+      retryAfterMs: waitMs,
+    };
+  }
+  return undefined;
+}
+
+/** Corrects token limits once the true output is known. */
+export function correctLimits(
+  state: State,
+  request: Request,
+  { outputTokens }: { outputTokens: number },
+): void {
+  for (const [name] of limitsOf(state, request.principal)) {
+    const bucket = state.buckets.get(bucketName({ name, unit: "tokens" }));
+    if (bucket !== undefined) {
+      correctBucket(bucket, outputTokens - request.predictedOutput);
+    }
+  }
+}
+
+/** Demand by limit as told to peers. */
+export function listDemands(state: State): Record<string, number> {
+  const demands: Record<string, number> = {};
+  for (const [name, bucket] of state.buckets) {
+    const demand = Math.round(demandPerMinute(bucket, state.now));
+    if (demand > 0) demands[name] = demand;
+  }
+  return demands;
+}
+
+/** Recomputes this entry's share of every limit from its own demand and the peers' digests. */
+export function shareLimits(state: State): void {
+  const entries = countEntries(state);
+  for (const [name, bucket] of state.buckets) {
+    const own = demandPerMinute(bucket, state.now);
+    let total = own;
+    for (const peer of state.peers.values()) {
+      total += peer.digest?.demands[name] ?? 0;
+    }
+    bucket.share = limitShare(own, total, { entries });
+  }
+}
--- /dev/null
+++ b/packages/core/src/mod.ts
@@ -0,0 +1,31 @@
+/**
+ * The decisions of primroseshed: one pure reducer and the types around it.
+ *
+ * @module
+ */
+export * from "./config/types.ts";
+export * from "./config/problem.ts";
+export * from "./config/resolve.ts";
+export * from "./config/audience.ts";
+export { backendSchema, configSchema } from "./config/schema.ts";
+export * from "./effect/types.ts";
+export * from "./effect/log_events.ts";
+export * from "./event/types.ts";
+export * from "./fold/types.ts";
+export * from "./fold/constants.ts";
+export * from "./fold/fold_record.ts";
+export * from "./fold/fold_state.ts";
+export * from "./peer/types.ts";
+export * from "./platform/types.ts";
+export * from "./reduce.ts";
+export * from "./request/types.ts";
+export * from "./state/types.ts";
+export * from "./state/create_state.ts";
+export * from "./state/dump.ts";
+export * from "./state/readiness.ts";
+export * from "./stream/cursor.ts";
+export * from "./usage/payload.ts";
+export * from "./util/hash.ts";
+export * from "./util/random.ts";
+export * from "./verdict/types.ts";
+export * from "./verdict/verdict_table.ts";
--- /dev/null
+++ b/packages/core/src/peer/digest.ts
@@ -0,0 +1,263 @@
+/**
+ * Builds and takes in the digests that entry VMs exchange.
+ *
+ * @module
+ */
+import { refreshPool } from "../capacity/targets.ts";
+import { type EntryNeed, shareOf } from "../capacity/share.ts";
+import { neededSlots } from "../admission/shed.ts";
+import { applyConfig } from "../config/apply.ts";
+import { RANKS } from "../config/types.ts";
+import type { EventOf } from "../event/types.ts";
+import { dumpFold } from "../fold/fold_state.ts";
+import { restoreFolded } from "../fold/log_reader.ts";
+import { markLeaving } from "../health/members.ts";
+import { listDemands, shareLimits } from "../limit/limits.ts";
+import { type Effects, noEffects } from "../reduce_types.ts";
+import { perRank } from "../request/types.ts";
+import type { Peer, Pool, State } from "../state/types.ts";
+import { schedule } from "../util/timer_queue.ts";
+import type { Digest, Need, PeerMessage } from "./types.ts";
+
+/** Digests are built this often; an unchanged one is sent only every {@link DIGEST_IDLE_MS}. */
+export const DIGEST_MS = 250;
+/** Longest silence of a live daemon towards its peers. */
+export const DIGEST_IDLE_MS = 1_000;
+/** A peer heard within this time is alive, also on behalf of others. */
+export const HEARD_MS = 2_500;
+/** A peer that nobody has heard for this long is removed, and its shares are split anew. */
+export const FORGET_MS = 3_000;
+/** Share intervals that move less than this are left as they are. */
+const SHARE_STEP = 0.004;
+/** Leaving VMs told in one digest at most. */
+const MAX_LEAVING = 32;
+/** Relative change of a need below which it is told as before. */
+const NEED_GRAIN = 8;
+
+// Rounds to an eighth of the value's own size, so that noise does not make every digest a new one.
+function coarse(value: number): number {
+  if (value < 0.01) return 0;
+  const grain = 2 ** Math.floor(Math.log2(value)) / NEED_GRAIN;
+  return Math.round(value / grain) * grain;
+}
+
+function needOf(state: State, pool: Pool): Need {
+  const need = perRank(0);
+  for (const rank of RANKS) need[rank] = coarse(neededSlots(state, pool, rank));
+  return need;
+}
+
+function listNeeds(state: State): Record<string, Need> {
+  const needs: Record<string, Need> = {};
+  for (const pool of state.pools.values()) {
+    const need = needOf(state, pool);
+    if (RANKS.some((rank) => need[rank] > 0)) needs[pool.name] = need;
+  }
+  return needs;
+}
+
+function isHeard(state: State, peer: Peer): boolean {
+  return state.now - peer.heardAt <= HEARD_MS;
+}
+
+function buildDigest(state: State): Omit<Digest, "sequence"> {
+  const heard = [...state.peers.values()].filter((peer) =>
+    isHeard(state, peer)
+  );
+  return {
+    fold: state.fold.next,
+    config: state.config?.offset ?? 0,
+    draining: state.phase !== "serving",
+    needs: listNeeds(state),
+    demands: Object.fromEntries(
+      Object.entries(listDemands(state)).map((
+        [name, value],
+      ) => [name, coarse(value)]),
+    ),
+    hears: Object.fromEntries(
+      heard.map(({ name, incarnation }) => [name, incarnation]),
+    ),
+    leaving: Object.fromEntries([...state.leaving].slice(-MAX_LEAVING)),
+  };
+}
+
+/** Sends the digest if it changed or the last one is old, and recomputes shares. */
+export function* tellPeers(state: State): Effects {
+  schedule(state.timers, state.now + DIGEST_MS, {
+    timer: { kind: "peer_digest" },
+  });
+  yield* forgetPeers(state);
+  shareCapacity(state);
+  shareLimits(state);
+  const body = buildDigest(state);
+  const { fold: _fold, ...stable } = body;
+  const text = JSON.stringify(stable);
+  const isFresh = state.now - state.digestSent.at < DIGEST_IDLE_MS;
+  if (isFresh && text === state.digestSent.text) return;
+  state.digestSent = { at: state.now, text };
+  state.digestSequence += 1;
+  const digest: Digest = { ...body, sequence: state.digestSequence };
+  for (const peer of state.peers.values()) {
+    if (peer.lostAt === undefined) yield send(peer, { kind: "digest", digest });
+  }
+}
+
+function send(
+  { name }: Peer,
+  message: PeerMessage,
+): { kind: "peer_send"; peer: string; message: PeerMessage } {
+  return { kind: "peer_send", peer: name, message };
+}
+
+function isVouchedFor(state: State, peer: Peer): boolean {
+  for (const other of state.peers.values()) {
+    if (other === peer || !isHeard(state, other)) continue;
+    if (other.digest?.hears[peer.name] === peer.incarnation) return true;
+  }
+  return false;
+}
+
+// A peer is removed only when neither this daemon nor any peer it hears has heard it.
+function* forgetPeers(state: State): Effects {
+  for (const peer of state.peers.values()) {
+    const isSilent = state.now - peer.heardAt > FORGET_MS;
+    if (!isSilent || isVouchedFor(state, peer)) continue;
+    state.peers.delete(peer.name);
+    yield {
+      kind: "log",
+      event: "peer_lost",
+      fields: { peer: peer.name, incarnation: peer.incarnation },
+    };
+  }
+}
+
+function listEntryNeeds(state: State, pool: Pool): EntryNeed[] {
+  const entries = [{ entry: state.node.name, need: needOf(state, pool) }];
+  for (const { name, digest } of state.peers.values()) {
+    if (digest?.draining === true) continue;
+    entries.push({ entry: name, need: digest?.needs[pool.name] ?? perRank(0) });
+  }
+  return entries;
+}
+
+/** Recomputes this entry's share of every pool from the needs that peers told. */
+export function shareCapacity(state: State): void {
+  for (const pool of state.pools.values()) {
+    const entries = listEntryNeeds(state, pool);
+    pool.entries = entries.length;
+    const share = shareOf(state.node.name, entries, pool.slots);
+    const moved = Math.abs(share.low - pool.share.low) +
+      Math.abs(share.high - pool.share.high);
+    if (moved < SHARE_STEP) continue;
+    pool.share = share;
+    refreshPool(state, pool);
+  }
+}
+
+/** Handles a peer that connected. */
+export function* joinPeer(
+  state: State,
+  event: EventOf<"peer_joined">,
+): Effects {
+  const { peer, address, zone, incarnation } = event;
+  const known = state.peers.get(peer);
+  const isSame = known?.incarnation === incarnation;
+  state.peers.set(peer, {
+    name: peer,
+    address,
+    zone,
+    incarnation,
+    digest: isSame ? known.digest : undefined,
+    heardAt: state.now,
+    lostAt: undefined,
+  });
+  state.digestSent.text = "";
+  if (!isSame) {
+    yield {
+      kind: "log",
+      event: "peer_joined",
+      fields: { peer, incarnation, address },
+    };
+  }
+  if (!state.folded) {
+    yield { kind: "peer_send", peer, message: { kind: "fold_request" } };
+  }
+}
+
+/** Handles a broken connection; the peer's shares stay held until it is known to be gone. */
+export function losePeer(
+  state: State,
+  { peer: name, incarnation }: EventOf<"peer_lost">,
+): Effects {
+  const peer = state.peers.get(name);
+  if (peer?.incarnation === incarnation) peer.lostAt = state.now;
+  return noEffects();
+}
+
+type MessageHandlers = {
+  [K in PeerMessage["kind"]]: (
+    state: State,
+    peer: Peer,
+    message: Extract<PeerMessage, { kind: K }>,
+  ) => Effects;
+};
+
+const MESSAGES: MessageHandlers = {
+  *digest(state, peer, { digest }) {
+    if (peer.digest !== undefined && digest.sequence <= peer.digest.sequence) {
+      return;
+    }
+    peer.digest = digest;
+    for (const [vm, incarnation] of Object.entries(digest.leaving)) {
+      yield* markLeaving(state, vm, incarnation);
+    }
+    const above = state.config?.offset ?? 0;
+    if (digest.config > above) {
+      yield send(peer, { kind: "config_request", above });
+    }
+    if (
+      !state.folded && !state.log.reachable && digest.fold > state.fold.next
+    ) {
+      yield send(peer, { kind: "fold_request" });
+    }
+  },
+  *config_request(state, peer, { above }) {
+    const config = state.newestConfig;
+    if (config !== undefined && config.offset > above) {
+      yield send(peer, { kind: "config_answer", config });
+    }
+  },
+  *config_answer(state, _peer, { config }) {
+    yield* applyConfig(state, config);
+  },
+  *fold_request(state, peer) {
+    if (state.folded) {
+      yield send(peer, { kind: "fold_answer", dump: dumpFold(state.fold) });
+    }
+  },
+  *fold_answer(state, _peer, { dump }) {
+    if (state.folded) return;
+    yield* restoreFolded(state, {
+      kind: "fold_restored",
+      dump,
+      source: "peer",
+      at: state.now,
+    });
+  },
+};
+
+/** Handles a message of a peer. */
+export function* receivePeer(
+  state: State,
+  { peer: name, message }: EventOf<"peer_received">,
+): Effects {
+  const peer = state.peers.get(name);
+  if (peer === undefined) return;
+  peer.heardAt = state.now;
+  const handler = MESSAGES[message.kind] as (
+    state: State,
+    peer: Peer,
+    message: PeerMessage,
+  ) => Effects;
+  yield* handler(state, peer, message);
+}
--- /dev/null
+++ b/packages/core/src/planner/placement.ts
@@ -0,0 +1,88 @@
+/**
+ * Chooses VMs for replica groups inside fabric domains.
+ *
+ * @module
+ */
+import type { Member } from "../fold/types.ts";
+
+/** A VM that may join a group. */
+export type Candidate = Member;
+
+/** Groups already placed, by zone and by domain. */
+export interface Placement {
+  zones: ReadonlyMap<string, number>;
+  domains: ReadonlyMap<string, number>;
+}
+
+function byDomain(candidates: readonly Candidate[]): Map<string, Candidate[]> {
+  const domains = new Map<string, Candidate[]>();
+  for (const candidate of candidates) {
+    const list = domains.get(candidate.domain) ?? [];
+    list.push(candidate);
+    domains.set(candidate.domain, list);
+  }
+  return domains;
+}
+
+/** Counts groups by the zone and domain of their first member. */
+export function countPlacement(
+  groups: readonly { members: readonly Member[] }[],
+): Placement {
+  const zones = new Map<string, number>();
+  const domains = new Map<string, number>();
+  for (const { members: [first] } of groups) {
+    if (first === undefined) continue;
+    zones.set(first.zone, (zones.get(first.zone) ?? 0) + 1);
+    domains.set(first.domain, (domains.get(first.domain) ?? 0) + 1);
+  }
+  return { zones, domains };
+}
+
+/**
+ * Picks the members of a new group: the zone with the fewest groups, then the domain that strands the fewest VMs.
+ *
+ * Returns undefined where no single domain has enough free VMs.
+ */
+export function placeGroup(
+  candidates: readonly Candidate[],
+  size: number,
+  { placement }: { placement: Placement },
+): Member[] | undefined {
+  let best:
+    | { domain: string; rank: readonly number[]; members: Candidate[] }
+    | undefined;
+  for (const [domain, members] of byDomain(candidates)) {
+    if (members.length < size) continue;
+    const zone = members[0]?.zone ?? "";
+    const rank = [
+      placement.zones.get(zone) ?? 0,
+      members.length % size,
+      placement.domains.get(domain) ?? 0,
+      members.length,
+    ];
+    if (best === undefined || compareRanks(rank, best.rank) < 0) {
+      best = { domain, rank, members };
+    }
+  }
+  return best?.members.toSorted((left, right) => left.vm < right.vm ? -1 : 1)
+    .slice(0, size);
+}
+
+function compareRanks(
+  left: readonly number[],
+  right: readonly number[],
+): number {
+  for (const [index, value] of left.entries()) {
+    const gap = value - (right[index] ?? 0);
+    if (gap !== 0) return gap;
+  }
+  return 0;
+}
+
+/** Picks a spare for one lost member from the group's own fabric domain. */
+export function placeSpare(
+  candidates: readonly Candidate[],
+  domain: string,
+): Member | undefined {
+  return candidates.find((candidate) => candidate.domain === domain);
+}
--- /dev/null
+++ b/packages/core/src/platform/types.ts
@@ -0,0 +1,17 @@
+/**
+ * What the platform's list of VMs says.
+ *
+ * @module
+ */
+
+/** One VM in the platform's list, which lags behind the truth. */
+export interface VmListing {
+  vm: string;
+  address: string;
+  zone: string;
+  domain: string;
+  incarnation: string;
+  state: "live" | "leaving";
+  role: "engine" | "service" | "entry";
+  accelerators: number;
+}
--- /dev/null
+++ b/packages/core/src/reduce.ts
@@ -0,0 +1,155 @@
+/**
+ * The one reducer over all events. It reads no clock and does no I/O: time comes with each event, and what is to be
+ * done leaves as effects.
+ *
+ * @module
+ */
+import { pruneIdle } from "./admission/fair_queue.ts";
+import { wakeAllWaiters } from "./claim/waiters.ts";
+import { applyConfig } from "./config/apply.ts";
+import { RANKS } from "./config/types.ts";
+import { checkDrain, orderDrain, orderStop } from "./drain/drain.ts";
+import type { Effect } from "./effect/types.ts";
+import type { Event, EventKind } from "./event/types.ts";
+import { retryAppends, settleAppend } from "./fold/append.ts";
+import { loseLog, readLog, restoreFolded } from "./fold/log_reader.ts";
+import { probeTarget } from "./health/ejection.ts";
+import {
+  checkMembers,
+  listVms,
+  missMember,
+  reportMember,
+} from "./health/members.ts";
+import { joinPeer, losePeer, receivePeer, tellPeers } from "./peer/digest.ts";
+import { planAll } from "./planner/planner.ts";
+import {
+  type Effects,
+  type Handler,
+  noEffects,
+  type TimerHandler,
+} from "./reduce_types.ts";
+import { arriveRequest } from "./request/arrive.ts";
+import { dispatchPool } from "./request/dispatch.ts";
+import {
+  acceptAttempt,
+  checkStall,
+  endAttempt,
+  expireRequest,
+  leaveCaller,
+  progressAttempt,
+  retryRequest,
+} from "./request/progress.ts";
+import { changeCache } from "./routing/cache_events.ts";
+import { writeSnapshots } from "./snapshot/snapshot.ts";
+import { judgeReadiness } from "./state/readiness.ts";
+import type { State } from "./state/types.ts";
+import { appendUsage, publishUsage } from "./usage/ledger.ts";
+import { schedule, takeDue, type Timer } from "./util/timer_queue.ts";
+
+/** Housekeeping runs this often. */
+const HOUSEKEEPING_MS = 250;
+
+type Handlers = { [K in EventKind]: Handler<K> };
+type TimerHandlers = { [K in Timer["kind"]]: TimerHandler<K> };
+
+const HANDLERS: Handlers = {
+  tick: noEffects,
+  request_arrived: arriveRequest,
+  caller_gone: leaveCaller,
+  attempt_accepted: acceptAttempt,
+  attempt_progress: progressAttempt,
+  attempt_ended: endAttempt,
+  member_reported: reportMember,
+  member_unreachable: missMember,
+  cache_changed: changeCache,
+  vms_listed: listVms,
+  *config_loaded(state, { document }) {
+    yield* applyConfig(state, {
+      offset: 0,
+      at: 0,
+      author: "settings",
+      document,
+    });
+    yield* judgeReadiness(state);
+  },
+  log_read: readLog,
+  log_unreachable: loseLog,
+  fold_restored: restoreFolded,
+  *append_settled(state, { ids, stored }) {
+    yield* settleAppend(state, ids, { stored });
+  },
+  usage_signed: appendUsage,
+  peer_joined: joinPeer,
+  peer_lost: losePeer,
+  peer_received: receivePeer,
+  drain_ordered: orderDrain,
+  stop_ordered: orderStop,
+};
+
+const TIMERS: TimerHandlers = {
+  request_expiry: expireRequest,
+  request_retry: retryRequest,
+  stream_stall: checkStall,
+  member_check: checkMembers,
+  ejection_end: probeTarget,
+  housekeeping: keepHouse,
+  peer_digest: tellPeers,
+  append_retry: retryAppends,
+  drain_check: checkDrain,
+};
+
+function* keepHouse(state: State): Effects {
+  schedule(state.timers, state.now + HOUSEKEEPING_MS, {
+    timer: { kind: "housekeeping" },
+  });
+  yield* planAll(state);
+  yield* writeSnapshots(state);
+  yield* wakeAllWaiters(state);
+  yield* publishUsage(state);
+  for (const pool of state.pools.values()) {
+    for (const rank of RANKS) pruneIdle(pool.queues[rank]);
+    yield* dispatchPool(state, pool);
+  }
+}
+
+function* runTimers(state: State): Effects {
+  let timer = takeDue(state.timers, state.now);
+  while (timer !== undefined) {
+    const handler = TIMERS[timer.kind] as (
+      state: State,
+      timer: Timer,
+    ) => Effects;
+    yield* handler(state, timer);
+    timer = takeDue(state.timers, state.now);
+  }
+}
+
+function* handle(state: State, event: Event): Effects {
+  const handler = HANDLERS[event.kind] as (
+    state: State,
+    event: Event,
+  ) => Effects;
+  yield* handler(state, event);
+  yield* runTimers(state);
+}
+
+/**
+ * Takes one event and returns its effects in order.
+ *
+ * The state is owned by the reducer and changed in place, so that a step costs the same however large the fleet is;
+ * the same state and event always give the same effects.
+ *
+ * @example
+ * ```ts
+ * for (const effect of reduce(state, { kind: "tick", at: 250 })) carryOut(effect);
+ * ```
+ */
+export function reduce(state: State, event: Event): Effect[] {
+  state.now = Math.max(state.now, event.at);
+  return [...handle(state, event)];
+}
+
+/** Time of the next due timer, so that a driver can sleep until then. */
+export function nextTimerAt(state: State): number | undefined {
+  return state.timers.heap.peek()?.at;
+}
--- /dev/null
+++ b/packages/core/src/request/answer.ts
@@ -0,0 +1,126 @@
+/**
+ * Ends requests: every request gets exactly one outcome.
+ *
+ * @module
+ */
+import type { RefusalCode } from "../effect/types.ts";
+import { removeWaiting } from "../admission/fair_queue.ts";
+import { retryAfterMs } from "../admission/shed.ts";
+import { releaseClaim, scopedKey } from "../claim/claim.ts";
+import type { StoredAnswer } from "../fold/types.ts";
+import type { Effects } from "../reduce_types.ts";
+import type { State } from "../state/types.ts";
+import type { Verdict } from "../verdict/types.ts";
+import { countUse } from "../usage/ledger.ts";
+import { advance } from "./machine.ts";
+import type { Request } from "./types.ts";
+
+/** How a request is refused. */
+export interface Refusal {
+  code: RefusalCode;
+  message: string;
+  verdict: Verdict;
+  retryAfterMs?: number;
+}
+
+/** Codes after which a caller may come back, and is told when. */
+const COME_BACK_CODES: ReadonlySet<RefusalCode> = new Set([
+  "overloaded",
+  "no_capacity",
+  "log_unavailable",
+  "not_ready",
+]);
+
+/** Takes a queued request out of its queue's accounts. */
+export function leaveQueue(state: State, request: Request): void {
+  const pool = state.pools.get(request.deployment);
+  if (pool === undefined || request.phase !== "queued") return;
+  const index = pool.resumptions.indexOf(request);
+  if (index >= 0) pool.resumptions.splice(index, 1);
+  else removeWaiting(pool.queues[request.rank], request);
+}
+
+function forget(state: State, request: Request): boolean {
+  leaveQueue(state, request);
+  if (!advance(request, "end")) return false;
+  state.requests.delete(request.request);
+  if (request.key !== undefined) {
+    state.waiters.get(scopedKey(request))?.delete(request.request);
+  }
+  return true;
+}
+
+function* observeEnd(
+  request: Request,
+  { verdict, code }: { verdict: Verdict; code: string },
+): Effects {
+  const { rank, principal: { owner } } = request;
+  yield {
+    kind: "observe",
+    measure: { kind: "ended", rank, owner, verdict, code },
+  };
+}
+
+/** Ends a request with an error and a verdict. */
+export function* refuseRequest(
+  state: State,
+  request: Request,
+  { refusal }: { refusal: Refusal },
+): Effects {
+  if (!forget(state, request)) return;
+  const { code, verdict } = refusal;
+  countUse(state, request);
+  const pool = state.pools.get(request.deployment);
+  const comeBack = refusal.retryAfterMs ??
+    (pool && COME_BACK_CODES.has(code)
+      ? retryAfterMs(state, pool, request.rank)
+      : undefined);
+  yield* releaseClaim(state, request, { verdict });
+  yield {
+    kind: "refuse",
+    request: request.request,
+    code,
+    message: refusal.message,
+    verdict,
+    ...(comeBack !== undefined && { retryAfterMs: comeBack }),
+  };
+  yield* observeEnd(request, { verdict, code });
+}
+
+/** Ends a request whose whole answer has arrived. */
+export function* finishRequest(
+  state: State,
+  request: Request,
+  { answer }: { answer?: StoredAnswer | undefined },
+): Effects {
+  if (!forget(state, request)) return;
+  request.verdict = "ran";
+  countUse(state, request);
+  yield* releaseClaim(state, request, { verdict: "ran", answer });
+  yield { kind: "finish", request: request.request };
+  yield* observeEnd(request, { verdict: "ran", code: "ok" });
+}
+
+/** Answers a repeated key with the answer that was kept. */
+export function* replayRequest(
+  state: State,
+  request: Request,
+  { answer }: { answer: StoredAnswer },
+): Effects {
+  if (!forget(state, request)) return;
+  yield { kind: "replay", request: request.request, answer };
+  yield* observeEnd(request, { verdict: "ran", code: "replayed" });
+}
+
+/** Ends a request whose caller has left; nobody is answered. */
+export function* abandonRequest(
+  state: State,
+  request: Request,
+  { verdict }: { verdict: Verdict },
+): Effects {
+  if (!forget(state, request)) return;
+  request.verdict = verdict;
+  countUse(state, request);
+  yield* releaseClaim(state, request, { verdict });
+  yield* observeEnd(request, { verdict, code: "caller_gone" });
+}
--- /dev/null
+++ b/packages/core/src/request/arrive.ts
@@ -0,0 +1,232 @@
+/**
+ * Takes a caller's request in: whom the deployment serves, limits, claims, then the queue.
+ *
+ * @module
+ */
+import { ARRIVAL_WINDOW_MS } from "../admission/shed.ts";
+import { rankPolicy } from "../admission/weights.ts";
+import {
+  canClaim,
+  type ClaimFinding,
+  findClaim,
+  scopedKey,
+  startClaim,
+  waitForClaim,
+} from "../claim/claim.ts";
+import { refusalReason } from "../config/audience.ts";
+import type { EventOf } from "../event/types.ts";
+import { takeLimits } from "../limit/limits.ts";
+import { type Effects, noEffects } from "../reduce_types.ts";
+import type { Pool, State } from "../state/types.ts";
+import { addAmount } from "../util/ewma.ts";
+import { schedule } from "../util/timer_queue.ts";
+import { type Refusal, refuseRequest, replayRequest } from "./answer.ts";
+import { enqueueRequest } from "./dispatch.ts";
+import { advance } from "./machine.ts";
+import type { Request } from "./types.ts";
+
+/** Cost of a prompt token in output-token equivalents: prefill is that much cheaper than decoding. */
+export const PROMPT_TOKEN_COST = 0.1;
+/** Cost of one request to a plain service. */
+const SERVICE_REQUEST_COST = 1;
+/** Part of the first-token target kept for the prefill and the way back. */
+const PREFILL_RESERVE_MS = 200;
+const LOG_RETRY_AFTER_MS = 5_000;
+
+/** Cost of a request with the given output, in output-token equivalents. */
+export function costOfOutput(
+  request: Pick<Request, "promptTokens">,
+  outputTokens: number,
+): number {
+  return request.promptTokens * PROMPT_TOKEN_COST + outputTokens;
+}
+
+function predictedOutput(
+  pool: Pool,
+  event: EventOf<"request_arrived">,
+): number {
+  if (pool.deployment.kind === "service") return 0;
+  return Math.max(
+    1,
+    Math.min(event.maxOutputTokens, pool.outputTokens[event.rank].value),
+  );
+}
+
+function createRequest(
+  state: State,
+  pool: Pool,
+  event: EventOf<"request_arrived">,
+): Request {
+  const { kind: _kind, at: _at, ...arrival } = event;
+  const policy = rankPolicy(state, event.rank);
+  const deadlineAt = state.now +
+    Math.min(event.deadlineMs ?? policy.deadlineMs, policy.deadlineMs);
+  const output = predictedOutput(pool, event);
+  const isModel = pool.deployment.kind === "model";
+  const startBy = isModel
+    ? state.now + policy.firstTokenMs - PREFILL_RESERVE_MS
+    : deadlineAt;
+  return {
+    ...arrival,
+    phase: "claiming",
+    arrivedAt: state.now,
+    deadlineAt,
+    startBy,
+    predictedCost: isModel ? costOfOutput(event, output) : SERVICE_REQUEST_COST,
+    charged: 0,
+    predictedOutput: output,
+    attempt: 0,
+    committed: false,
+    preemptions: 0,
+    avoid: [],
+    delivered: 0,
+    verdict: "not_run",
+    lastProgressAt: state.now,
+    promptTokensSeen: 0,
+    cachedTokensSeen: 0,
+  };
+}
+
+function* refusedArrival(
+  event: EventOf<"request_arrived">,
+  { code, message }: Pick<Refusal, "code" | "message">,
+): Effects {
+  const { request, rank, principal: { owner } } = event;
+  yield { kind: "refuse", request, code, message, verdict: "not_run" };
+  yield {
+    kind: "observe",
+    measure: { kind: "ended", rank, owner, verdict: "not_run", code },
+  };
+}
+
+function stopRefusal(
+  state: State,
+): Pick<Refusal, "code" | "message"> | undefined {
+  if (state.phase !== "serving") {
+    return {
+      code: "stopping",
+      message: "This entry VM is stopping; try again",
+    };
+  }
+  if (!state.ready) {
+    return {
+      code: "not_ready",
+      message: "This entry VM is not ready yet; try again",
+    };
+  }
+  return undefined;
+}
+
+/** Handles a request's arrival. */
+export function* arriveRequest(
+  state: State,
+  event: EventOf<"request_arrived">,
+): Effects {
+  const stopped = stopRefusal(state);
+  if (stopped !== undefined) return yield* refusedArrival(event, stopped);
+  const pool = state.pools.get(event.deployment);
+  if (pool === undefined) {
+    const message = `Cannot find a deployment named "${event.deployment}"`;
+    return yield* refusedArrival(event, {
+      code: "unknown_deployment",
+      message,
+    });
+  }
+  const undeclared = refusalReason(pool.deployment, {
+    ...event,
+    site: state.node.site,
+  });
+  if (undeclared !== undefined) {
+    const message =
+      `Deployment "${event.deployment}" does not serve ${undeclared}`;
+    return yield* refusedArrival(event, { code: "not_declared", message });
+  }
+  yield* admitRequest(state, pool, createRequest(state, pool, event));
+}
+
+function* admitRequest(state: State, pool: Pool, request: Request): Effects {
+  state.requests.set(request.request, request);
+  addAmount(pool.arrivals[request.rank], 1, {
+    now: state.now,
+    windowMs: ARRIVAL_WINDOW_MS,
+  });
+  schedule(state.timers, request.deadlineAt, {
+    timer: { kind: "request_expiry", request: request.request },
+  });
+  const limited = takeLimits(state, request);
+  if (limited !== undefined) {
+    return yield* refuseRequest(state, request, { refusal: limited });
+  }
+  if (request.idempotent || request.key === undefined) {
+    return yield* enqueueRequest(state, pool, request);
+  }
+  yield* claimKey(state, request);
+}
+
+type FindingHandler = (state: State, request: Request) => Effects;
+
+function refuseWith(refusal: Refusal): FindingHandler {
+  return (state, request) => refuseRequest(state, request, { refusal });
+}
+
+const FINDINGS: Readonly<Record<ClaimFinding, FindingHandler>> = {
+  *free(state, request) {
+    if (canClaim(state)) return yield* startClaim(state, request);
+    yield* refuseRequest(state, request, {
+      refusal: {
+        code: "log_unavailable",
+        message:
+          "Cannot claim the Idempotency-Key while the log service is unreachable; nothing was run",
+        verdict: "not_run",
+        retryAfterMs: LOG_RETRY_AFTER_MS,
+      },
+    });
+  },
+  *won(state, request) {
+    const pool = state.pools.get(request.deployment);
+    if (pool !== undefined) yield* enqueueRequest(state, pool, request);
+  },
+  mismatch: refuseWith({
+    code: "key_mismatch",
+    message: "This Idempotency-Key was used for another request; use a new key",
+    verdict: "not_run",
+  }),
+  undecided(state, request) {
+    waitForClaim(state, request);
+    return noEffects();
+  },
+  *answered(state, request) {
+    const answer = state.fold.claims.get(scopedKey(request))?.answer;
+    if (answer !== undefined) yield* replayRequest(state, request, { answer });
+  },
+  ran: refuseWith({
+    code: "already_ran",
+    message:
+      "The request with this Idempotency-Key ran; its answer is no longer kept",
+    verdict: "ran",
+  }),
+  unknown: refuseWith({
+    code: "key_in_use",
+    message:
+      "The request with this Idempotency-Key may have run; look it up before using a new key",
+    verdict: "may_have_run",
+  }),
+};
+
+/** Goes on with a request by what the fold says of its key. */
+export function* claimKey(state: State, request: Request): Effects {
+  yield* FINDINGS[findClaim(state, request)](state, request);
+}
+
+/** Goes on with every request that waited for a key. */
+export function* wakeWaiters(state: State, key: string): Effects {
+  const waiting = state.waiters.get(key);
+  if (waiting === undefined) return;
+  state.waiters.delete(key);
+  for (const id of waiting) {
+    const request = state.requests.get(id);
+    if (request !== undefined && advance(request, "wait")) {
+      yield* claimKey(state, request);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/request/attempt.ts
@@ -0,0 +1,18 @@
+/**
+ * Accounts of an attempt at a target.
+ *
+ * @module
+ */
+import { refreshTarget } from "../capacity/targets.ts";
+import type { State } from "../state/types.ts";
+import type { Request } from "./types.ts";
+
+/** Takes a request's attempt off its target. */
+export function releaseTarget(state: State, request: Request): void {
+  const target = state.targets.get(request.target ?? "");
+  delete request.target;
+  if (target === undefined) return;
+  target.attempts.delete(request.request);
+  state.pools.get(target.deployment)?.runningBatch.delete(request.request);
+  refreshTarget(state, target);
+}
--- /dev/null
+++ b/packages/core/src/request/dispatch.ts
@@ -0,0 +1,127 @@
+/**
+ * Starts waiting requests at targets with room.
+ *
+ * @module
+ */
+import { overflowOf, queueAllowance } from "../admission/shed.ts";
+import { chargeStart, pickNext } from "../admission/pick.ts";
+import { enqueue, removeWaiting } from "../admission/fair_queue.ts";
+import { weightOf } from "../admission/weights.ts";
+import { refreshTarget } from "../capacity/targets.ts";
+import type { Effects } from "../reduce_types.ts";
+import { addHolder } from "../routing/prefix_index.ts";
+import { chooseTarget } from "../routing/route.ts";
+import type { Pool, State, Target } from "../state/types.ts";
+import { schedule } from "../util/timer_queue.ts";
+import { refuseRequest } from "./answer.ts";
+import { advance } from "./machine.ts";
+import { preemptFor } from "./preempt.ts";
+import type { Request } from "./types.ts";
+
+/** Puts a request into its queue; a resumed one goes before everything else. */
+export function* enqueueRequest(
+  state: State,
+  pool: Pool,
+  request: Request,
+): Effects {
+  if (!advance(request, "enqueue")) return;
+  if (request.delivered > 0) pool.resumptions.push(request);
+  else {enqueue(pool.queues[request.rank], request, {
+      weightOf: (path) => weightOf(state, path),
+    });}
+  schedule(state.timers, Math.min(request.startBy, request.deadlineAt), {
+    timer: { kind: "request_expiry", request: request.request },
+  });
+  yield* dispatchPool(state, pool);
+  yield* shedOverflow(state, pool, request);
+}
+
+function* shedOverflow(state: State, pool: Pool, arrived: Request): Effects {
+  let excess = overflowOf(state, pool, arrived.rank);
+  while (excess !== undefined) {
+    yield* refuseRequest(state, excess, {
+      refusal: {
+        code: "overloaded",
+        message:
+          `More ${excess.rank} work than "${pool.name}" can start in time (queue of ${
+            Math.floor(queueAllowance(state, pool, excess.rank))
+          })`,
+        verdict: excess.verdict,
+      },
+    });
+    excess = overflowOf(state, pool, arrived.rank);
+  }
+}
+
+/** Starts whatever can start in a pool. */
+export function* dispatchPool(state: State, pool: Pool): Effects {
+  if (!state.ready) return;
+  while (true) {
+    const request = pool.resumptions[0] ?? pickNext(state, pool);
+    if (request === undefined) return;
+    const target = chooseTarget(state, pool, request);
+    if (target === undefined) {
+      if (yield* preemptFor(state, pool, request)) continue;
+      return;
+    }
+    if (pool.resumptions[0] === request) pool.resumptions.shift();
+    else removeWaiting(pool.queues[request.rank], request);
+    yield* startRequest(state, { pool, request, target });
+  }
+}
+
+function* startRequest(
+  state: State,
+  { pool, request, target }: { pool: Pool; request: Request; target: Target },
+): Effects {
+  if (!advance(request, "send")) return;
+  if (request.startedAt === undefined) {
+    chargeStart(state, pool, request);
+    yield {
+      kind: "observe",
+      measure: {
+        kind: "queue_wait",
+        rank: request.rank,
+        ms: state.now - request.arrivedAt,
+      },
+    };
+  }
+  request.attempt += 1;
+  request.startedAt = state.now;
+  request.lastProgressAt = state.now;
+  request.target = target.name;
+  target.attempts.add(request.request);
+  if (request.rank === "batch") pool.runningBatch.add(request.request);
+  target.sentSinceReport += 1;
+  for (const prefix of request.prefixes) {
+    addHolder(pool.prefixes, prefix, { target: target.name, now: state.now });
+  }
+  refreshTarget(state, target);
+  if (pool.deployment.kind === "model") scheduleStall(state, request);
+  const leader = target.members[0];
+  if (leader === undefined) return;
+  yield {
+    kind: "send",
+    request: request.request,
+    attempt: request.attempt,
+    target: target.name,
+    address: leader.member.address,
+    rank: request.rank,
+    ...(target.epoch !== undefined &&
+      { group: target.name, epoch: target.epoch }),
+    resumeFrom: request.delivered,
+    remainingMs: Math.max(1, Math.round(request.deadlineAt - state.now)),
+  };
+}
+
+/** Schedules the check that a running stream still moves. */
+export function scheduleStall(state: State, request: Request): void {
+  const stallMs = state.config?.config.policy.stallMs ?? 2_000;
+  schedule(state.timers, request.lastProgressAt + stallMs, {
+    timer: {
+      kind: "stream_stall",
+      request: request.request,
+      attempt: request.attempt,
+    },
+  });
+}
--- /dev/null
+++ b/packages/core/src/routing/route.ts
@@ -0,0 +1,110 @@
+/**
+ * Chooses the target of a request among a few candidates, never by a scan of the fleet.
+ *
+ * @module
+ */
+import { expectedStep } from "../capacity/batch_model.ts";
+import type { Request } from "../request/types.ts";
+import type { Pool, State, Target } from "../state/types.ts";
+import { sampleFree } from "./free_list.ts";
+import { matchPrefixes } from "./prefix_index.ts";
+
+/** Candidates drawn at random; with the affinity ones this bounds the work of a decision. */
+const RANDOM_CANDIDATES = 4;
+const AFFINITY_CANDIDATES = 2;
+/** Cost of leaving the entry's availability zone, ms. */
+const OTHER_ZONE_MS = 2;
+/** Prefill speed assumed until a report tells, prompt tokens a millisecond. */
+const DEFAULT_PREFILL_PER_MS = 8;
+/** Delay expected of a fully used batch, ms; rises with the square of its use. */
+const FULL_BATCH_MS = 60;
+/** Delay of loading an adapter that is not there, ms. */
+const ADAPTER_LOAD_MS = 400;
+const DEFAULT_STEP_MS = 25;
+
+/** A candidate with its expected delay to the first token. */
+export interface ScoredTarget {
+  target: Target;
+  score: number;
+}
+
+function cachedShareOf(request: Request, blocks: number): number {
+  return request.prefixes.length === 0 ? 0 : blocks / request.prefixes.length;
+}
+
+function queueDelay(pool: Pool, target: Target): number {
+  const ahead = (target.report?.running ?? target.attempts.size) +
+    (target.report?.queued ?? 0) +
+    target.sentSinceReport;
+  const limit = Math.max(target.limit, 1);
+  const stepMs = (expectedStep(pool.model, limit) ?? DEFAULT_STEP_MS) *
+    Math.max(1, target.factor);
+  const over = Math.max(0, ahead - limit);
+  const use = Math.min(1, ahead / limit);
+  return over * stepMs + use * use * FULL_BATCH_MS;
+}
+
+/** Expected delay of a request's first token at a target, ms. */
+export function scoreTarget(
+  state: State,
+  { pool, request, target, blocks }: {
+    pool: Pool;
+    request: Request;
+    target: Target;
+    blocks: number;
+  },
+): number {
+  const prefillPerMs = (target.report?.prefillPerMs || DEFAULT_PREFILL_PER_MS) /
+    Math.max(1, target.factor);
+  const uncached = request.promptTokens * (1 - cachedShareOf(request, blocks));
+  const zone = target.members[0]?.member.zone === state.node.zone
+    ? 0
+    : OTHER_ZONE_MS;
+  const adapterLoaded = request.adapter === undefined ||
+    target.report?.adapters?.includes(request.adapter) !== false;
+  const adapter = adapterLoaded ? 0 : ADAPTER_LOAD_MS;
+  return queueDelay(pool, target) + uncached / prefillPerMs + zone + adapter;
+}
+
+function hasRoom(target: Target | undefined): target is Target {
+  return target !== undefined && target.attempts.size < target.allowance;
+}
+
+function candidatesOf(
+  state: State,
+  pool: Pool,
+  request: Request,
+): Map<string, number> {
+  const candidates = new Map<string, number>();
+  for (
+    const name of sampleFree(pool.free, RANDOM_CANDIDATES, {
+      random: state.random,
+    })
+  ) candidates.set(name, 0);
+  const matches = matchPrefixes(pool.prefixes, request.prefixes, {
+    now: state.now,
+    most: AFFINITY_CANDIDATES,
+  });
+  for (const { target, blocks } of matches) candidates.set(target, blocks);
+  return candidates;
+}
+
+/**
+ * Returns the best target with room, or undefined where none has any.
+ *
+ * Targets already tried are used again only when no other has room.
+ */
+export function chooseTarget(
+  state: State,
+  pool: Pool,
+  request: Request,
+): Target | undefined {
+  let best: ScoredTarget | undefined;
+  for (const [name, blocks] of candidatesOf(state, pool, request)) {
+    const target = state.targets.get(name);
+    if (!hasRoom(target) || request.avoid.includes(name)) continue;
+    const score = scoreTarget(state, { pool, request, target, blocks });
+    if (best === undefined || score < best.score) best = { target, score };
+  }
+  return best?.target;
+}
--- /dev/null
+++ b/packages/core/src/state/create_state.ts
@@ -0,0 +1,124 @@
+/**
+ * Creates a reducer's state.
+ *
+ * @module
+ */
+import { createFairNode } from "../admission/fair_queue.ts";
+import { createBatchModel } from "../capacity/batch_model.ts";
+import type { Deployment } from "../config/types.ts";
+import { createFoldState } from "../fold/fold_state.ts";
+import { perRank } from "../request/types.ts";
+import { createFreeList } from "../routing/free_list.ts";
+import { createPrefixIndex } from "../routing/prefix_index.ts";
+import { createLedger } from "../usage/ledger.ts";
+import { createAverage, createRate } from "../util/ewma.ts";
+import { createRandom } from "../util/random.ts";
+import { createTimerQueue, schedule } from "../util/timer_queue.ts";
+import type { Node, Pool, State } from "./types.ts";
+
+const FIRST_HOLD_MS = 4_000;
+const FIRST_SERVICE_HOLD_MS = 50;
+const FIRST_OUTPUT_TOKENS = 200;
+
+/** Options of {@link createState}. */
+export interface StateOptions {
+  /** Seed of every random choice. */
+  seed: number;
+  /** Start time, monotonic ms. */
+  now: number;
+}
+
+/**
+ * Creates the state of a daemon that knows nothing yet.
+ *
+ * @example
+ * ```ts
+ * const state = createState({ name: "entry-1", zone: "suva-a", site: "suva-a", incarnation: "i1" }, { seed: 1, now: 0 });
+ * const effects = reduce(state, { kind: "config_loaded", document, at: 0 });
+ * ```
+ */
+export function createState(node: Node, { seed, now }: StateOptions): State {
+  const timers = createTimerQueue();
+  schedule(timers, now, { timer: { kind: "housekeeping" } });
+  schedule(timers, now, { timer: { kind: "peer_digest" } });
+  return {
+    node,
+    now,
+    random: createRandom(seed),
+    timers,
+    phase: "serving",
+    drainingSince: 0,
+    drainFlushed: false,
+    ready: false,
+    config: undefined,
+    newestConfig: undefined,
+    fold: createFoldState(),
+    folded: false,
+    log: {
+      reachable: true,
+      lastReadAt: now,
+      head: 0,
+      nextId: 1,
+      pending: new Map(),
+      inFlight: new Set(),
+      releases: new Map(),
+      retryAt: now,
+    },
+    requests: new Map(),
+    pools: new Map(),
+    targets: new Map(),
+    byAddress: new Map(),
+    leaving: new Map(),
+    vms: new Map(),
+    peers: new Map(),
+    buckets: new Map(),
+    waiters: new Map(),
+    claiming: new Map(),
+    leases: new Map(),
+    planners: new Map(),
+    evidence: new Map(),
+    digestSequence: 0,
+    digestSent: { at: -Infinity, text: "" },
+    usage: createLedger(),
+    snapshot: { next: 0, at: now },
+  };
+}
+
+/** Creates the pool of a deployment. */
+export function createPool(
+  name: string,
+  deployment: Deployment,
+  { now }: { now: number },
+): Pool {
+  const holdMs = deployment.kind === "model"
+    ? FIRST_HOLD_MS
+    : FIRST_SERVICE_HOLD_MS;
+  const queue = () => createFairNode("");
+  const rate = () => createRate(now);
+  const hold = () => createAverage(holdMs);
+  const output = () => createAverage(FIRST_OUTPUT_TOKENS);
+  return {
+    name,
+    deployment,
+    queues: { urgent: queue(), standard: queue(), batch: queue() },
+    resumptions: [],
+    floorCredit: perRank(0),
+    ownerUse: new Map(),
+    totalUse: rate(),
+    holdMs: { urgent: hold(), standard: hold(), batch: hold() },
+    outputTokens: { urgent: output(), standard: output(), batch: output() },
+    arrivals: { urgent: rate(), standard: rate(), batch: rate() },
+    firstTries: rate(),
+    retries: rate(),
+    model: createBatchModel(),
+    slots: 0,
+    share: { low: 0, high: 1 },
+    entries: 1,
+    targets: new Set(),
+    free: createFreeList(),
+    ejected: 0,
+    prefixes: createPrefixIndex(),
+    preemptedAt: 0,
+    runningBatch: new Set(),
+  };
+}
--- /dev/null
+++ b/packages/core/src/util/ewma.ts
@@ -0,0 +1,60 @@
+/**
+ * Exponentially weighted averages over irregular samples.
+ *
+ * @module
+ */
+
+/** A decaying average of samples. */
+export interface Average {
+  value: number;
+  samples: number;
+}
+
+/** Creates an average that starts at `initial` until samples arrive. */
+export function createAverage(initial: number): Average {
+  return { value: initial, samples: 0 };
+}
+
+/** Adds a sample; `weight` in (0, 1] is the share of the newest one. */
+export function addSample(
+  average: Average,
+  sample: number,
+  { weight }: { weight: number },
+): void {
+  const share = Math.max(weight, 1 / (average.samples + 1));
+  average.value += (sample - average.value) * share;
+  average.samples += 1;
+}
+
+/** A decaying rate of amounts per millisecond. */
+export interface Rate {
+  perMs: number;
+  at: number;
+}
+
+/** Creates a rate of zero as of `now` (ms). */
+export function createRate(now: number): Rate {
+  return { perMs: 0, at: now };
+}
+
+/** Decays a rate to `now`; `windowMs` is the time constant. */
+export function decayRate(
+  rate: Rate,
+  { now, windowMs }: { now: number; windowMs: number },
+): number {
+  if (now > rate.at) {
+    rate.perMs *= Math.exp((rate.at - now) / windowMs);
+    rate.at = now;
+  }
+  return rate.perMs;
+}
+
+/** Counts `amount` at `now` into the rate. */
+export function addAmount(
+  rate: Rate,
+  amount: number,
+  { now, windowMs }: { now: number; windowMs: number },
+): void {
+  decayRate(rate, { now, windowMs });
+  rate.perMs += amount / windowMs;
+}
--- /dev/null
+++ b/packages/core/src/util/timer_queue.ts
@@ -0,0 +1,56 @@
+/**
+ * Timers as data: a heap of deadlines that the reducer drains as virtual time passes.
+ *
+ * @module
+ */
+import TinyQueue from "tinyqueue";
+
+/** What a timer does once due; the reducer looks its handler up by kind. */
+export type Timer =
+  | { kind: "request_expiry"; request: string }
+  | { kind: "request_retry"; request: string }
+  | { kind: "stream_stall"; request: string; attempt: number }
+  | { kind: "member_check"; target: string }
+  | { kind: "ejection_end"; target: string }
+  | { kind: "housekeeping" }
+  | { kind: "peer_digest" }
+  | { kind: "append_retry" }
+  | { kind: "drain_check" };
+
+interface Entry {
+  at: number;
+  sequence: number;
+  timer: Timer;
+}
+
+/** Deadlines ordered by time, then by insertion. */
+export interface TimerQueue {
+  heap: TinyQueue<Entry>;
+  sequence: number;
+}
+
+function compareEntries(left: Entry, right: Entry): number {
+  return left.at - right.at || left.sequence - right.sequence;
+}
+
+/** Creates an empty timer queue. */
+export function createTimerQueue(): TimerQueue {
+  return { heap: new TinyQueue<Entry>([], compareEntries), sequence: 0 };
+}
+
+/** Schedules `timer` for time `at` (monotonic ms). */
+export function schedule(
+  queue: TimerQueue,
+  at: number,
+  { timer }: { timer: Timer },
+): void {
+  queue.sequence += 1;
+  queue.heap.push({ at, sequence: queue.sequence, timer });
+}
+
+/** Removes and returns the next timer due by `now`, if any. */
+export function takeDue(queue: TimerQueue, now: number): Timer | undefined {
+  const next = queue.heap.peek();
+  if (next === undefined || next.at > now) return undefined;
+  return queue.heap.pop()?.timer;
+}
--- /dev/null
+++ b/packages/core/src/verdict/types.ts
@@ -0,0 +1,27 @@
+/**
+ * Whether a request may have run, as told to its caller.
+ *
+ * @module
+ */
+
+/** `not_run`: certainly not started; `may_have_run`: unknown; `ran`: it took effect. */
+export type Verdict = "not_run" | "may_have_run" | "ran";
+
+/** How one attempt at a backend server ended, as seen from its connection. */
+export type Outcome =
+  | "connect_refused"
+  | "connect_timeout"
+  | "tls_failed"
+  | "reset_before_send"
+  | "reset_after_send"
+  | "response_timeout"
+  | "body_cut_off"
+  | "broken_frame"
+  | "foreign_answer"
+  | "status_not_run"
+  | "status_error"
+  | "queue_timeout"
+  | "caller_gone_queued"
+  | "caller_gone_running"
+  | "cancelled"
+  | "completed";
--- /dev/null
+++ b/packages/daemon/src/backend/cache_feed.ts
@@ -0,0 +1,71 @@
+/**
+ * Reads engines' prefix-cache events.
+ *
+ * @module
+ */
+import type { CacheChange, EventBody, State } from "@primroseshed/core";
+import { type Agent, request } from "undici";
+
+/** Options of {@link createCacheFeed}. */
+export interface CacheFeedOptions {
+  agent: Agent;
+  state: State;
+  everyMs: number;
+  dispatch(event: EventBody): void;
+}
+
+interface CachePage {
+  sequence: number;
+  changes: CacheChange[];
+}
+
+const REQUEST_TIMEOUT_MS = 1_000;
+
+/** Feed of cache events. */
+export interface CacheFeed {
+  /** Reads the whole cache of one target anew. */
+  resync(target: string, address: string): void;
+  stop(): void;
+}
+
+/** Starts to read the cache events of every model target's leader. */
+export function createCacheFeed(
+  { agent, state, everyMs, dispatch }: CacheFeedOptions,
+): CacheFeed {
+  async function read(
+    target: string,
+    address: string,
+    from: number,
+  ): Promise<void> {
+    try {
+      const response = await request(`${address}/cache_events?from=${from}`, {
+        dispatcher: agent,
+        signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
+      });
+      if (response.statusCode !== 200) return void await response.body.dump();
+      const { sequence, changes } = await response.body.json() as CachePage;
+      dispatch({ kind: "cache_changed", target, sequence, changes });
+    } catch {
+      // Hints only: what is missed is read again at the next turn.
+    }
+  }
+
+  function readAll(): void {
+    for (
+      const { name, epoch, members, cacheSequence, phase } of state.targets
+        .values()
+    ) {
+      const leader = members[0];
+      if (epoch === undefined || leader === undefined || phase !== "serving") {
+        continue;
+      }
+      void read(name, leader.member.address, cacheSequence + 1);
+    }
+  }
+
+  const timer = setInterval(readAll, everyMs);
+  return {
+    resync: (target, address) => void read(target, address, 0),
+    stop: () => clearInterval(timer),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/backend/orders.ts
@@ -0,0 +1,53 @@
+/**
+ * Sends orders to engines.
+ *
+ * @module
+ */
+import type { Effect, LogEventName } from "@primroseshed/core";
+import { type Agent, request } from "undici";
+import { monotonicNow } from "../driver/driver.ts";
+
+/** The effect that orders an engine. */
+export type OrderEffect = Extract<Effect, { kind: "order" }>;
+
+/** Longest wait for an engine to take an order, ms. */
+const ORDER_TIMEOUT_MS = 2_000;
+
+/** Options of {@link createOrderSender}. */
+export interface OrderSenderOptions {
+  agent: Agent;
+  log(event: LogEventName, fields: Record<string, unknown>): void;
+}
+
+/** Creates a sender that looks at the clock again as each order leaves; a late order is dropped. */
+export function createOrderSender(
+  { agent, log }: OrderSenderOptions,
+): (effect: OrderEffect) => Promise<void> {
+  return async ({ vm, address, fence, validUntil, order }) => {
+    const leftMs = validUntil - monotonicNow();
+    if (leftMs <= 0) return log("order_dropped", { vm, action: order.action });
+    try {
+      const response = await request(`${address}/orders`, {
+        method: "POST",
+        dispatcher: agent,
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify({ fence, ...order }),
+        signal: AbortSignal.timeout(Math.min(ORDER_TIMEOUT_MS, leftMs)),
+      });
+      await response.body.dump();
+      if (response.statusCode >= 300) {
+        log("order_failed", {
+          vm,
+          action: order.action,
+          status: response.statusCode,
+        });
+      }
+    } catch (error) {
+      log("order_failed", {
+        vm,
+        action: order.action,
+        cause: (error as Error).message,
+      });
+    }
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/backend/status_poll.ts
@@ -0,0 +1,89 @@
+/**
+ * Asks watched VMs for their status.
+ *
+ * @module
+ */
+import type {
+  EventBody,
+  MemberStatus,
+  State,
+  WatchedMember,
+} from "@primroseshed/core";
+import { type Agent, request } from "undici";
+import { outcomeOfError } from "./transport.ts";
+
+/** Options of {@link createStatusPoll}. */
+export interface StatusPollOptions {
+  agent: Agent;
+  state: State;
+  everyMs: number;
+  timeoutMs: number;
+  dispatch(event: EventBody): void;
+}
+
+/** Polls VMs. */
+export interface StatusPoll {
+  /** Replaces the list of VMs to ask. */
+  watch(members: readonly WatchedMember[]): void;
+  stop(): void;
+}
+
+/** Starts to poll; each VM is asked once per interval, spread over it. */
+export function createStatusPoll(
+  { agent, state, everyMs, timeoutMs, dispatch }: StatusPollOptions,
+): StatusPoll {
+  let watched: readonly WatchedMember[] = [];
+  const asking = new Set<string>();
+
+  async function ask({ vm, address }: WatchedMember): Promise<void> {
+    if (asking.has(address)) return;
+    asking.add(address);
+    try {
+      const signal = AbortSignal.timeout(timeoutMs);
+      const response = await request(`${address}/status`, {
+        dispatcher: agent,
+        signal,
+      });
+      const status = await response.body.json() as MemberStatus;
+      dispatch({ kind: "member_reported", address, status });
+    } catch (error) {
+      const refused =
+        outcomeOfError(error, { sent: false }) === "connect_refused";
+      dispatch({
+        kind: "member_unreachable",
+        address,
+        vm,
+        cause: refused ? "refused" : "timeout",
+      });
+    } finally {
+      asking.delete(address);
+    }
+  }
+
+  // Spare VMs matter only to the daemon that plans, and the lease tells which one that is.
+  function listAll(): WatchedMember[] {
+    const members = new Map(watched.map((member) => [member.address, member]));
+    const isPlanner = [...state.planners.values()].some(({ grant }) =>
+      grant !== undefined
+    );
+    if (!isPlanner) return [...members.values()];
+    for (const { vm, address, role } of state.vms.values()) {
+      if (role === "engine") members.set(address, { vm, address });
+    }
+    return [...members.values()];
+  }
+
+  const timer = setInterval(() => {
+    const members = listAll();
+    members.forEach((member, index) =>
+      setTimeout(() => void ask(member), everyMs * index / members.length)
+    );
+  }, everyMs);
+  return {
+    watch(members) {
+      watched = members;
+      for (const member of members) void ask(member);
+    },
+    stop: () => clearInterval(timer),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/backend/transport.ts
@@ -0,0 +1,147 @@
+/**
+ * Sends one attempt to a backend server over a real connection and says exactly how it ended.
+ *
+ * @module
+ */
+import type { Outcome } from "@primroseshed/core";
+import { Agent, type Dispatcher } from "undici";
+
+/** Codes of errors that only arise before a connection exists. */
+const CONNECT_OUTCOMES: Readonly<Record<string, Outcome>> = {
+  ECONNREFUSED: "connect_refused",
+  EHOSTUNREACH: "connect_refused",
+  ENETUNREACH: "connect_refused",
+  EADDRNOTAVAIL: "connect_refused",
+  UND_ERR_CONNECT_TIMEOUT: "connect_timeout",
+  ETIMEDOUT: "connect_timeout",
+  ERR_TLS_CERT_ALTNAME_INVALID: "tls_failed",
+  DEPTH_ZERO_SELF_SIGNED_CERT: "tls_failed",
+  SELF_SIGNED_CERT_IN_CHAIN: "tls_failed",
+  UNABLE_TO_VERIFY_LEAF_SIGNATURE: "tls_failed",
+  ERR_SSL_WRONG_VERSION_NUMBER: "tls_failed",
+  EPROTO: "tls_failed",
+};
+
+const TIMEOUT_CODES: ReadonlySet<string> = new Set([
+  "UND_ERR_HEADERS_TIMEOUT",
+  "UND_ERR_BODY_TIMEOUT",
+]);
+
+function codeOf(error: unknown): string {
+  const { code, cause } = (error ?? {}) as { code?: unknown; cause?: unknown };
+  if (typeof code === "string") return code;
+  return cause === undefined ? "" : codeOf(cause);
+}
+
+/** Outcome of a failed attempt; `sent` tells whether the request had begun to leave. */
+export function outcomeOfError(
+  error: unknown,
+  { sent, answered = false }: { sent: boolean; answered?: boolean },
+): Outcome {
+  const code = codeOf(error);
+  if (!sent) return CONNECT_OUTCOMES[code] ?? "reset_before_send";
+  if (TIMEOUT_CODES.has(code)) return "response_timeout";
+  return answered ? "body_cut_off" : "reset_after_send";
+}
+
+/** What happens on an attempt's connection. */
+export interface AttemptEvents {
+  onHeaders(
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void;
+  onData(chunk: Buffer): void;
+  onEnd(): void;
+  onFailure(outcome: Outcome): void;
+}
+
+/** One attempt under way. */
+export interface Attempt {
+  /** Ends the attempt; no further events come. */
+  cancel(): void;
+  pause(): void;
+  resume(): void;
+}
+
+/** What to send. */
+export type AttemptRequest = Dispatcher.DispatchOptions;
+
+/** Options of {@link createAgents}. */
+export interface AgentOptions {
+  connectTimeoutMs: number;
+}
+
+/** Connections to backend servers. */
+export interface Agents {
+  /** Kept-alive connections, for what may be repeated. */
+  reusing: Agent;
+  /** A fresh connection each, so that a stale one never leaves a booking's outcome in doubt. */
+  fresh: Agent;
+}
+
+/** Creates the connection pools. */
+export function createAgents({ connectTimeoutMs }: AgentOptions): Agents {
+  const connect = { timeout: connectTimeoutMs };
+  const shared = { connect, connections: null, bodyTimeout: 0 };
+  return {
+    reusing: new Agent({ ...shared, pipelining: 1 }),
+    fresh: new Agent({ ...shared, pipelining: 0 }),
+  };
+}
+
+/** Starts an attempt. Exactly one of `onEnd` and `onFailure` is called, unless it is cancelled first. */
+export function startAttempt(
+  agent: Agent,
+  request: AttemptRequest,
+  { events }: { events: AttemptEvents },
+): Attempt {
+  let controller: Dispatcher.DispatchController | undefined;
+  let isOver = false;
+  let isPaused = false;
+  let answered = false;
+
+  agent.dispatch(request, {
+    onRequestStart(started) {
+      controller = started;
+      if (isOver) started.abort(new Error("cancelled"));
+    },
+    onResponseStart(_controller, status, headers) {
+      if (status < 200 || isOver) return;
+      answered = true;
+      events.onHeaders(status, headers);
+    },
+    onResponseData(_controller, chunk) {
+      if (!isOver) events.onData(chunk);
+    },
+    onResponseEnd() {
+      if (isOver) return;
+      isOver = true;
+      events.onEnd();
+    },
+    onResponseError(_controller, error) {
+      if (isOver) return;
+      isOver = true;
+      events.onFailure(
+        outcomeOfError(error, { sent: controller !== undefined, answered }),
+      );
+    },
+  });
+
+  return {
+    cancel() {
+      if (isOver) return;
+      isOver = true;
+      controller?.abort(new Error("cancelled"));
+    },
+    pause() {
+      if (isOver || isPaused) return;
+      isPaused = true;
+      controller?.pause();
+    },
+    resume() {
+      if (!isPaused) return;
+      isPaused = false;
+      controller?.resume();
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/driver/driver.ts
@@ -0,0 +1,109 @@
+/**
+ * Drives the reducer in real time: feeds it events with a monotonic time and hands its effects to their handlers.
+ *
+ * @module
+ */
+import { performance } from "node:perf_hooks";
+import {
+  type Effect,
+  type EventBody,
+  nextTimerAt,
+  reduce,
+  type State,
+} from "@primroseshed/core";
+
+/** Carries out one kind of effect. */
+export type EffectHandlers = {
+  [K in Effect["kind"]]: (effect: Extract<Effect, { kind: K }>) => void;
+};
+
+/** Feeds events to the reducer. */
+export interface Driver {
+  state: State;
+  /** Takes an event now; effects run before this returns unless another event is being handled. */
+  dispatch(event: EventBody): void;
+  /** Stops the timers. */
+  stop(): void;
+}
+
+/** Options of {@link createDriver}. */
+export interface DriverOptions {
+  state: State;
+  handlers: EffectHandlers;
+  /** Called when a handler throws; the loop goes on. */
+  onError(error: unknown): void;
+}
+
+const MIN_SLEEP_MS = 1;
+const MAX_SLEEP_MS = 1_000;
+
+/** Monotonic time, ms. */
+export function monotonicNow(): number {
+  return performance.now();
+}
+
+/** Creates the one loop of a daemon. */
+export function createDriver(
+  { state, handlers, onError }: DriverOptions,
+): Driver {
+  const waiting: EventBody[] = [];
+  let busy = false;
+  let stopped = false;
+  let timer: NodeJS.Timeout | undefined;
+  let wakeAt = Infinity;
+
+  function carryOut(effect: Effect): void {
+    try {
+      (handlers[effect.kind] as (effect: Effect) => void)(effect);
+    } catch (error) {
+      onError(error);
+    }
+  }
+
+  function step(event: EventBody): void {
+    try {
+      for (const effect of reduce(state, { ...event, at: monotonicNow() })) {
+        carryOut(effect);
+      }
+    } catch (error) {
+      onError(error);
+    }
+  }
+
+  function sleep(): void {
+    const next = nextTimerAt(state) ?? Infinity;
+    if (stopped || (next >= wakeAt && timer !== undefined)) return;
+    clearTimeout(timer);
+    wakeAt = next;
+    const pause = Math.min(
+      MAX_SLEEP_MS,
+      Math.max(MIN_SLEEP_MS, next - monotonicNow()),
+    );
+    timer = setTimeout(() => {
+      timer = undefined;
+      wakeAt = Infinity;
+      dispatch({ kind: "tick" });
+    }, pause);
+  }
+
+  function dispatch(event: EventBody): void {
+    waiting.push(event);
+    if (busy) return;
+    busy = true;
+    for (
+      let next = waiting.shift();
+      next !== undefined;
+      next = waiting.shift()
+    ) step(next);
+    busy = false;
+    sleep();
+  }
+
+  function stop(): void {
+    stopped = true;
+    clearTimeout(timer);
+  }
+
+  sleep();
+  return { state, dispatch, stop };
+}
--- /dev/null
+++ b/packages/daemon/src/http/caller_app.ts
@@ -0,0 +1,353 @@
+/**
+ * The callers' listener.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import {
+  type Arrival,
+  type EventBody,
+  type LogEventName,
+  type ModelDeployment,
+  type Principal,
+  servesCaller,
+  type ServiceDeployment,
+  type State,
+} from "@primroseshed/core";
+import polka from "polka";
+import type { Agents } from "../backend/transport.ts";
+import type { Settings } from "../settings/schema.ts";
+import { authenticate, indexKeys, type KeyIndex } from "./auth.ts";
+import { CutOffError, readBody, readStart } from "./body.ts";
+import { createChatExchange } from "./chat_exchange.ts";
+import {
+  type ChatRequest,
+  readChatRequest,
+  unknownName,
+} from "./chat_request.ts";
+import {
+  answerClientError,
+  RequestError,
+  sendError,
+  sendJson,
+} from "./errors.ts";
+import type { Exchange, Exchanges } from "./exchanges.ts";
+import { readRequestOptions } from "./request_headers.ts";
+import { createServiceExchange } from "./service_exchange.ts";
+
+/** Options of {@link createCallerApp}. */
+export interface CallerAppOptions {
+  settings: Settings;
+  state: State;
+  exchanges: Exchanges;
+  agents: Agents;
+  dispatch(event: EventBody): void;
+  log(event: LogEventName, fields?: Record<string, unknown>): void;
+}
+
+type Next = () => void;
+type Route = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => Promise<void> | void;
+
+const SERVICE_PATH = /^\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
+
+/** Creates the callers' server. */
+export function createCallerApp(options: CallerAppOptions): Server {
+  const { settings, state, exchanges, agents, dispatch, log } = options;
+  const { limits } = settings;
+  let keys: KeyIndex = new Map();
+  let keysOffset: number | undefined;
+  let count = 0;
+
+  function currentKeys(): KeyIndex {
+    if (state.config !== undefined && keysOffset !== state.config.offset) {
+      keys = indexKeys(state.config.config);
+      keysOffset = state.config.offset;
+    }
+    return keys;
+  }
+
+  function principalOf(request: IncomingMessage): Principal {
+    if (state.config === undefined) throw new NotReadyError();
+    return authenticate(currentKeys(), request.headers.authorization);
+  }
+
+  function nextId(prefix: string): string {
+    count += 1;
+    return `${prefix}-${state.node.name}-${state.node.incarnation}-${count}`;
+  }
+
+  function open(
+    arrival: Arrival,
+    response: ServerResponse,
+    exchange: Exchange,
+  ): void {
+    const id = arrival.request;
+    exchanges.set(id, exchange);
+    response.on("close", () => {
+      exchanges.delete(id);
+      if (!response.writableFinished) {
+        dispatch({ kind: "caller_gone", request: id });
+      }
+    });
+    if (state.phase !== "serving") response.setHeader("connection", "close");
+    dispatch({ kind: "request_arrived", ...arrival });
+  }
+
+  function modelOf(principal: Principal, model: string): ModelDeployment {
+    const deployment = state.config?.config.deployments[model];
+    if (deployment?.kind === "model") return deployment;
+    throw new RequestError(
+      "not_found",
+      unknownName("model", model, listNames(principal, "model")),
+    );
+  }
+
+  function serviceOf(principal: Principal, name: string): ServiceDeployment {
+    const deployment = state.config?.config.deployments[name];
+    if (deployment?.kind === "service") return deployment;
+    throw new RequestError(
+      "not_found",
+      unknownName("service", name, listNames(principal, "service")),
+    );
+  }
+
+  function listNames(
+    principal: Principal,
+    kind: "model" | "service",
+  ): string[] {
+    return Object.entries(state.config?.config.deployments ?? {})
+      .filter(([, deployment]) =>
+        deployment.kind === kind && servesCaller(deployment, principal)
+      )
+      .map(([name]) => name);
+  }
+
+  function maxOutputOf(chat: ChatRequest, deployment: ModelDeployment): number {
+    const asked = chat.maxOutputTokens ?? deployment.maxOutputTokens;
+    if (asked > deployment.maxOutputTokens) {
+      const message =
+        `max_tokens: ${asked} is more than this deployment allows; ask for at most ${deployment.maxOutputTokens}`;
+      throw new RequestError("invalid_request", message);
+    }
+    if (chat.promptTokens > deployment.maxPromptTokens) {
+      const message =
+        `messages: about ${chat.promptTokens} tokens; shorten them to at most ${deployment.maxPromptTokens}`;
+      throw new RequestError("invalid_request", message);
+    }
+    return asked;
+  }
+
+  async function complete(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const principal = principalOf(request);
+    const { key: _key, ...requestOptions } = readRequestOptions(
+      request.headers,
+    );
+    const chat = readChatRequest(
+      await readBody(request, { maxBytes: limits.maxBodyBytes }),
+    );
+    const deployment = modelOf(principal, chat.body.model);
+    const maxOutputTokens = maxOutputOf(chat, deployment);
+    chat.body.max_tokens = maxOutputTokens;
+    const id = nextId("chatcmpl");
+    const exchange = createChatExchange({
+      id,
+      chat,
+      response,
+      agents,
+      firstByteTimeoutMs: settings.timing.firstByteTimeoutMs,
+      callerStallMs: limits.callerStallMs,
+      dispatch,
+      log,
+    });
+    open(
+      {
+        request: id,
+        deployment: chat.body.model,
+        principal,
+        ...requestOptions,
+        promptTokens: chat.promptTokens,
+        maxOutputTokens,
+        prefixes: chat.prefixes,
+        idempotent: true,
+        ...(chat.body.adapter !== undefined && { adapter: chat.body.adapter }),
+      },
+      response,
+      exchange,
+    );
+  }
+
+  async function callService(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const principal = principalOf(request);
+    const [, name = "", path = "/", query = ""] =
+      SERVICE_PATH.exec(request.url ?? "") ?? [];
+    const requestOptions = readRequestOptions(request.headers);
+    const deployment = serviceOf(principal, decodeName(name));
+    const start = await readStart(request, { maxBytes: limits.replayBytes });
+    const isSafe = deployment.idempotentMethods.includes(
+      request.method ?? "GET",
+    );
+    if (!start.whole && requestOptions.key !== undefined) {
+      throw new RequestError(
+        "body_too_large",
+        `Cannot take a body of more than ${limits.replayBytes} bytes with a key`,
+      );
+    }
+    const id = nextId("call");
+    const idempotent = isSafe && start.whole;
+    const digest = createHash("sha256").update(
+      `${request.method} ${path}${query}\n`,
+    ).update(start.bytes).digest("hex");
+    const exchange = createServiceExchange({
+      id,
+      deployment,
+      path: `${path}${query}`,
+      start,
+      idempotent,
+      keepsAnswer: requestOptions.key !== undefined && !isSafe,
+      request,
+      response,
+      agents,
+      dispatch,
+    });
+    const { key, ...rest } = requestOptions;
+    open(
+      {
+        request: id,
+        deployment: decodeName(name),
+        principal,
+        ...rest,
+        ...(key !== undefined && !isSafe && { key }),
+        promptTokens: 0,
+        maxOutputTokens: 0,
+        prefixes: [],
+        idempotent,
+        digest,
+      },
+      response,
+      exchange,
+    );
+  }
+
+  function listModels(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const names = listNames(principalOf(request), "model");
+    const data = names.map((id) => ({
+      id,
+      object: "model",
+      created: 0,
+      owned_by: "primroseshed",
+    }));
+    sendJson(response, 200, { body: { object: "list", data } });
+  }
+
+  function answerFailure(
+    error: unknown,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    if (error instanceof CutOffError) return void response.destroy();
+    if (error instanceof NotReadyError) {
+      return sendError(response, {
+        code: "not_ready",
+        message: "This entry VM is not ready yet; try again",
+        verdict: "not_run",
+      });
+    }
+    if (!(error instanceof RequestError)) throw error;
+    log(error.code === "unauthorized" ? "key_unknown" : "request_malformed", {
+      code: error.code,
+      path: request.url,
+    });
+    if (error.code === "body_too_large") {
+      response.setHeader("connection", "close");
+    }
+    sendError(response, {
+      code: error.code,
+      message: error.message,
+      verdict: "not_run",
+    });
+  }
+
+  function guarded(route: Route): Route {
+    return async (request, response) => {
+      try {
+        await route(request, response);
+      } catch (error) {
+        try {
+          answerFailure(error, request, response);
+        } catch (cause) {
+          log("internal_error", { cause: String(cause) });
+          response.destroy();
+        }
+      }
+    };
+  }
+
+  function admitHeaders(
+    request: IncomingMessage,
+    response: ServerResponse,
+    next: Next,
+  ): void {
+    if (state.phase !== "serving") response.setHeader("connection", "close");
+    if (request.rawHeaders.length / 2 <= limits.maxHeaders) return next();
+    const message = `Cannot take more than ${limits.maxHeaders} headers`;
+    sendError(response, {
+      code: "headers_too_large",
+      message,
+      verdict: "not_run",
+    });
+  }
+
+  const server = createServer({
+    maxHeaderSize: limits.maxHeaderBytes,
+    headersTimeout: limits.headerTimeoutMs,
+    requestTimeout: limits.bodyTimeoutMs,
+    connectionsCheckingInterval: CONNECTION_CHECK_MS,
+  });
+  server.maxHeadersCount = 0;
+  server.on("clientError", answerClientError);
+  const app = polka({
+    onNoMatch(request, response) {
+      const message =
+        `Cannot find ${request.method} ${request.path}; see docs/api.md`;
+      sendError(response, { code: "not_found", message, verdict: "not_run" });
+    },
+  })
+    .use(admitHeaders)
+    .post("/v1/chat/completions", guarded(complete))
+    .get("/v1/models", guarded(listModels))
+    .all("/services/:name", guarded(callService))
+    .all("/services/:name/*", guarded(callService));
+  server.on("request", app.handler);
+  return server;
+}
+
+const CONNECTION_CHECK_MS = 1_000;
+
+function decodeName(name: string): string {
+  try {
+    return decodeURIComponent(name);
+  } catch {
+    return name;
+  }
+}
+
+/** Raised while no configuration is in force. */
+class NotReadyError extends Error {}
--- /dev/null
+++ b/packages/daemon/src/http/chat_exchange.ts
@@ -0,0 +1,301 @@
+/**
+ * One chat completion: relays a resumable engine stream to its caller, whole or streamed.
+ *
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import {
+  type EventBody,
+  judgeChunk,
+  type LogEventName,
+  type Outcome,
+  type StoredAnswer,
+  type StreamCursor,
+} from "@primroseshed/core";
+import {
+  createEngineStream,
+  type EngineChunk,
+  type EngineUsage,
+} from "../backend/engine_stream.ts";
+import {
+  type Agents,
+  type Attempt,
+  startAttempt,
+} from "../backend/transport.ts";
+import type { ChatRequest } from "./chat_request.ts";
+import { errorBody, sendError, sendJson } from "./errors.ts";
+import type { Exchange, RefuseEffect, SendEffect } from "./exchanges.ts";
+
+/** Options of {@link createChatExchange}. */
+export interface ChatExchangeOptions {
+  id: string;
+  chat: ChatRequest;
+  response: ServerResponse;
+  agents: Agents;
+  firstByteTimeoutMs: number;
+  /** A caller that takes nothing for this long is dropped. */
+  callerStallMs: number;
+  dispatch(event: EventBody): void;
+  log(event: LogEventName, fields: Record<string, unknown>): void;
+}
+
+const MS_PER_SECOND = 1_000;
+const KEEP_ALIVE_MS = 500;
+const STREAM_HEADERS = {
+  "content-type": "text/event-stream; charset=utf-8",
+  "cache-control": "no-cache",
+  "x-accel-buffering": "no",
+};
+
+interface Current {
+  number: number;
+  attempt: Attempt;
+}
+
+/** Creates the exchange of one chat completion. */
+export function createChatExchange(options: ChatExchangeOptions): Exchange {
+  const { id, chat, response, agents, dispatch, log } = options;
+  const cursor: StreamCursor = { id, next: 0 };
+  const created = Math.floor(Date.now() / MS_PER_SECOND);
+  let text = "";
+  let usage: EngineUsage | undefined;
+  let finishReason: string | null = null;
+  let current: Current | undefined;
+  let stallTimer: NodeJS.Timeout | undefined;
+
+  function chunkBody(
+    delta: Record<string, string>,
+    reason: string | null,
+  ): Record<string, unknown> {
+    const choices = [{ index: 0, delta, finish_reason: reason }];
+    return {
+      id,
+      object: "chat.completion.chunk",
+      created,
+      model: chat.body.model,
+      choices,
+    };
+  }
+
+  function usageBody(): Record<string, unknown> {
+    const promptTokens = usage?.promptTokens ?? chat.promptTokens;
+    return {
+      prompt_tokens: promptTokens,
+      completion_tokens: cursor.next,
+      total_tokens: promptTokens + cursor.next,
+      prompt_tokens_details: { cached_tokens: usage?.cachedTokens ?? 0 },
+    };
+  }
+
+  function writeEvent(body: unknown): void {
+    if (response.destroyed) return;
+    const hasRoom = response.write(
+      `data: ${typeof body === "string" ? body : JSON.stringify(body)}\n\n`,
+    );
+    if (!hasRoom) holdEngine();
+  }
+
+  // A slow caller pauses its engine stream; the reducer is told that the stream itself is well.
+  function holdEngine(): void {
+    if (stallTimer !== undefined || current === undefined) return;
+    const { attempt, number } = current;
+    const since = Date.now();
+    attempt.pause();
+    stallTimer = setInterval(() => {
+      dispatch({ kind: "attempt_accepted", request: id, attempt: number });
+      if (Date.now() - since > options.callerStallMs) response.destroy();
+    }, KEEP_ALIVE_MS);
+    response.once("drain", releaseEngine);
+    response.once("close", releaseEngine);
+  }
+
+  function releaseEngine(): void {
+    clearInterval(stallTimer);
+    stallTimer = undefined;
+    response.off("drain", releaseEngine);
+    response.off("close", releaseEngine);
+    current?.attempt.resume();
+  }
+
+  function startStream(): void {
+    if (response.headersSent) return;
+    response.writeHead(200, { ...STREAM_HEADERS, "primrose-request-id": id });
+    writeEvent(chunkBody({ role: "assistant", content: "" }, null));
+  }
+
+  function deliver(chunk: EngineChunk, number: number): void {
+    text += chunk.text;
+    usage = chunk.usage ?? usage;
+    finishReason = chunk.finishReason ?? finishReason;
+    if (chat.stream) startStream();
+    if (chat.stream && chunk.text !== "") {
+      writeEvent(chunkBody({ content: chunk.text }, null));
+    }
+    if (chunk.tokens > 0) {
+      dispatch({
+        kind: "attempt_progress",
+        request: id,
+        attempt: number,
+        tokens: chunk.tokens,
+      });
+    }
+  }
+
+  function endAttempt(
+    number: number,
+    outcome: Outcome,
+    extra: { retryAfterMs?: number } = {},
+  ): void {
+    if (current?.number !== number) return;
+    current.attempt.cancel();
+    current = undefined;
+    dispatch({
+      kind: "attempt_ended",
+      request: id,
+      attempt: number,
+      outcome,
+      ...(usage &&
+        { promptTokens: usage.promptTokens, cachedTokens: usage.cachedTokens }),
+      ...extra,
+    });
+  }
+
+  function takeChunk(chunk: EngineChunk, number: number): void {
+    if (current?.number !== number) return;
+    const verdict = judgeChunk(cursor, chunk);
+    if (verdict === "deliver") return deliver(chunk, number);
+    if (verdict === "drop_duplicate") return;
+    const event = verdict === "foreign_answer"
+      ? "answer_foreign"
+      : "frame_broken";
+    log(event, { request: id, offset: chunk.offset, expected: cursor.next });
+    endAttempt(number, verdict);
+  }
+
+  function send(
+    { attempt: number, address, rank, group, epoch, resumeFrom, remainingMs }:
+      SendEffect,
+  ): void {
+    current?.attempt.cancel();
+    let status = 0;
+    let retryAfterMs: number | undefined;
+    let isDone = false;
+    const decoder = new TextDecoder();
+    const parser = createEngineStream({
+      onChunk: (chunk) => takeChunk(chunk, number),
+      onDone: () => isDone = true,
+      onBroken(cause) {
+        if (current?.number !== number) return;
+        log("frame_broken", { request: id, cause });
+        endAttempt(number, "broken_frame");
+      },
+    });
+    const body = JSON.stringify({
+      ...chat.body,
+      stream: true,
+      resume: { offset: resumeFrom, text },
+    });
+    const attempt = startAttempt(agents.reusing, {
+      origin: address,
+      path: "/v1/chat/completions",
+      method: "POST",
+      headers: {
+        "content-type": "application/json",
+        "x-request-id": id,
+        "x-priority": rank,
+        "x-group": group ?? "",
+        "x-epoch": String(epoch ?? ""),
+        "x-remaining-ms": String(remainingMs),
+      },
+      body,
+      headersTimeout: options.firstByteTimeoutMs,
+    }, {
+      events: {
+        onHeaders(received, headers) {
+          status = received;
+          retryAfterMs = Number(headers["retry-after"] ?? NaN) * MS_PER_SECOND;
+          dispatch({ kind: "attempt_accepted", request: id, attempt: number });
+        },
+        onData(chunk) {
+          if (status === 200) {
+            parser.feed(decoder.decode(chunk, { stream: true }));
+          }
+        },
+        onEnd() {
+          if (status !== 200) {
+            const outcome = ENGINE_NOT_RUN_STATUSES.has(status)
+              ? "status_not_run"
+              : "status_error";
+            return endAttempt(
+              number,
+              outcome,
+              Number.isFinite(retryAfterMs)
+                ? { retryAfterMs: retryAfterMs ?? 0 }
+                : {},
+            );
+          }
+          endAttempt(
+            number,
+            isDone && finishReason !== null ? "completed" : "body_cut_off",
+          );
+        },
+        onFailure: (outcome) => endAttempt(number, outcome),
+      },
+    });
+    current = { number, attempt };
+  }
+
+  function finishStream(): void {
+    startStream();
+    const last = chunkBody({}, finishReason);
+    if (!chat.includeUsage) last.usage = usageBody();
+    writeEvent(last);
+    if (chat.includeUsage) {
+      writeEvent({ ...chunkBody({}, null), choices: [], usage: usageBody() });
+    }
+    writeEvent("[DONE]");
+    response.end();
+  }
+
+  function finishWhole(): void {
+    const message = { role: "assistant", content: text };
+    const choices = [{ index: 0, message, finish_reason: finishReason }];
+    const body = {
+      id,
+      object: "chat.completion",
+      created,
+      model: chat.body.model,
+      choices,
+      usage: usageBody(),
+    };
+    response.setHeader("primrose-verdict", "ran");
+    response.setHeader("primrose-request-id", id);
+    sendJson(response, 200, { body });
+  }
+
+  function refuse(effect: RefuseEffect): void {
+    current?.attempt.cancel();
+    current = undefined;
+    if (!response.headersSent) return sendError(response, effect);
+    writeEvent(errorBody(effect));
+    response.end();
+  }
+
+  return {
+    send,
+    cancel(number) {
+      if (current?.number !== number) return;
+      current.attempt.cancel();
+      current = undefined;
+    },
+    refuse,
+    finish: () => chat.stream ? finishStream() : finishWhole(),
+    replay(answer: StoredAnswer) {
+      response.writeHead(answer.status, { "content-type": answer.contentType });
+      response.end(answer.body);
+    },
+  };
+}
+
+/** Statuses with which an engine says that it has not begun: wrong group or epoch, full, or leaving. */
+const ENGINE_NOT_RUN_STATUSES: ReadonlySet<number> = new Set([409, 429, 503]);
--- /dev/null
+++ b/packages/daemon/src/http/exchanges.ts
@@ -0,0 +1,24 @@
+/**
+ * Callers' requests under way at this daemon's listeners.
+ *
+ * @module
+ */
+import type { Effect, StoredAnswer } from "@primroseshed/core";
+
+/** The effect that starts an attempt. */
+export type SendEffect = Extract<Effect, { kind: "send" }>;
+/** The effect that refuses a request. */
+export type RefuseEffect = Extract<Effect, { kind: "refuse" }>;
+
+/** One caller's request and its answer. */
+export interface Exchange {
+  /** Starts an attempt; an earlier one can no longer deliver. */
+  send(effect: SendEffect): void;
+  cancel(attempt: number): void;
+  refuse(effect: RefuseEffect): void;
+  finish(): void;
+  replay(answer: StoredAnswer): void;
+}
+
+/** Exchanges by request id. */
+export type Exchanges = Map<string, Exchange>;
--- /dev/null
+++ b/packages/daemon/src/http/operator_app.ts
@@ -0,0 +1,188 @@
+/**
+ * The operators' listener.
+ *
+ * @module
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import {
+  dumpState,
+  type EventBody,
+  type State,
+  toJson,
+  unreadiness,
+} from "@primroseshed/core";
+import polka from "polka";
+import type { Metrics } from "../observe/metrics.ts";
+import type { Settings } from "../settings/schema.ts";
+import { isOperator } from "./auth.ts";
+import { readBody } from "./body.ts";
+import { RequestError, sendError, sendJson } from "./errors.ts";
+import { createStatus } from "./status.ts";
+
+/** Options of {@link createOperatorApp}. */
+export interface OperatorAppOptions {
+  settings: Settings;
+  state: State;
+  metrics: Metrics;
+  dispatch(event: EventBody): void;
+}
+
+type Route = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => Promise<void> | void;
+
+const MAX_BODY_BYTES = 4_096;
+
+function parseDrain(text: string): { what: "node" | "vm"; name: string } {
+  let value: { what?: unknown; name?: unknown } | null;
+  try {
+    value = JSON.parse(text);
+  } catch {
+    throw new RequestError(
+      "invalid_request",
+      'Cannot parse the body; send {"what":"node"|"vm","name":"..."}',
+    );
+  }
+  const { what, name } = value ?? {};
+  if (
+    (what !== "node" && what !== "vm") || typeof name !== "string" ||
+    name === ""
+  ) {
+    throw new RequestError(
+      "invalid_request",
+      'Cannot drain; send {"what":"node"|"vm","name":"..."}',
+    );
+  }
+  return { what, name };
+}
+
+/** Creates the operators' server: health, readiness, metrics, state and drains. */
+export function createOperatorApp(
+  { settings, state, metrics, dispatch }: OperatorAppOptions,
+): Server {
+  function guarded(route: Route): Route {
+    return async (request, response) => {
+      try {
+        if (
+          !isOperator(
+            request.headers.authorization,
+            settings.secrets.operatorKeySha256,
+          )
+        ) {
+          throw new RequestError(
+            "unauthorized",
+            "Cannot accept this key; send the operators' bearer key",
+          );
+        }
+        await route(request, response);
+      } catch (error) {
+        if (!(error instanceof RequestError)) return void response.destroy();
+        sendError(response, {
+          code: error.code,
+          message: error.message,
+          verdict: "not_run",
+        });
+      }
+    };
+  }
+
+  async function drain(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const order = parseDrain(
+      (await readBody(request, { maxBytes: MAX_BODY_BYTES })).toString("utf8"),
+    );
+    if (order.what === "node" && order.name !== state.node.name) {
+      throw new RequestError(
+        "invalid_request",
+        `Cannot drain "${order.name}" here; this daemon is "${state.node.name}"`,
+      );
+    }
+    dispatch({ kind: "drain_ordered", ...order });
+    sendJson(response, 202, { body: { draining: order } });
+  }
+
+  function showReadiness(
+    _request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const cause = unreadiness(state);
+    sendJson(response, cause === undefined ? 200 : 503, {
+      body: { ready: cause === undefined, cause },
+    });
+  }
+
+  function showConfig(
+    _request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const { newestConfig, config, node, fold } = state;
+    const body = {
+      node: node.name,
+      site: node.site,
+      offset: config?.offset,
+      author: newestConfig?.author,
+      document: newestConfig?.document,
+      resolved: config?.config,
+      history: fold.history,
+      log: settings.platform.log,
+    };
+    sendJson(response, 200, { body });
+  }
+
+  async function showMetrics(
+    _request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const text = await metrics.registry.metrics();
+    response.writeHead(200, { "content-type": metrics.registry.contentType });
+    response.end(text);
+  }
+
+  const app = polka({
+    onNoMatch(_request, response) {
+      sendError(response, {
+        code: "not_found",
+        message: "Cannot find this page; see docs/api.md",
+        verdict: "not_run",
+      });
+    },
+  })
+    .get(
+      "/healthz",
+      (_request, response) =>
+        sendJson(response, 200, { body: { healthy: true } }),
+    )
+    .get("/readyz", showReadiness)
+    .get("/metrics", guarded(showMetrics))
+    .get(
+      "/state",
+      guarded((_request, response) =>
+        sendJson(response, 200, { body: dumpState(state) })
+      ),
+    )
+    .get(
+      "/status",
+      guarded((_request, response) =>
+        sendJson(response, 200, { body: createStatus(state) })
+      ),
+    )
+    .get(
+      "/groups",
+      guarded((_request, response) =>
+        sendJson(response, 200, { body: toJson([...state.targets.values()]) })
+      ),
+    )
+    .get("/config", guarded(showConfig))
+    .post("/drain", guarded(drain));
+  const server = createServer();
+  server.on("request", app.handler);
+  return server;
+}
--- /dev/null
+++ b/packages/daemon/src/http/service_exchange.ts
@@ -0,0 +1,202 @@
+/**
+ * One call of a plain service: bodies stream both ways, and the answer is passed on as it came.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { Readable } from "node:stream";
+import {
+  type EventBody,
+  type Outcome,
+  outcomeOfStatus,
+  type ServiceDeployment,
+  STORED_ANSWER_MAX_CHARS,
+  type StoredAnswer,
+  verdictOf,
+} from "@primroseshed/core";
+import {
+  type Agents,
+  type Attempt,
+  type AttemptRequest,
+  startAttempt,
+} from "../backend/transport.ts";
+import type { BodyStart } from "./body.ts";
+import { sendError } from "./errors.ts";
+import type { Exchange, SendEffect } from "./exchanges.ts";
+import { passableHeaders } from "./request_headers.ts";
+
+/** Options of {@link createServiceExchange}. */
+export interface ServiceExchangeOptions {
+  id: string;
+  deployment: ServiceDeployment;
+  /** Path and query at the service. */
+  path: string;
+  start: BodyStart;
+  idempotent: boolean;
+  /** Whether a small answer is kept for a repeated key. */
+  keepsAnswer: boolean;
+  request: IncomingMessage;
+  response: ServerResponse;
+  agents: Agents;
+  dispatch(event: EventBody): void;
+}
+
+/** Statuses of a gateway in front of the service; an idempotent call is tried elsewhere. */
+const RETRIED_STATUSES: ReadonlySet<number> = new Set([502, 503, 504]);
+
+type HeaderMap = Record<string, string | string[] | undefined>;
+
+async function* restOf(
+  start: BodyStart,
+  request: IncomingMessage,
+): AsyncGenerator<Buffer> {
+  yield start.bytes;
+  for await (const chunk of request) yield chunk as Buffer;
+}
+
+/** Creates the exchange of one service call. */
+export function createServiceExchange(
+  options: ServiceExchangeOptions,
+): Exchange {
+  const { id, deployment, request, response, start, agents, dispatch } =
+    options;
+  let current: { number: number; attempt: Attempt } | undefined;
+  let kept: string[] | undefined;
+  let keptChars = 0;
+
+  function endAttempt(
+    number: number,
+    outcome: Outcome,
+    answer?: StoredAnswer,
+  ): void {
+    if (current?.number !== number) return;
+    current.attempt.cancel();
+    current = undefined;
+    const committed = response.headersSent;
+    dispatch({
+      kind: "attempt_ended",
+      request: id,
+      attempt: number,
+      outcome,
+      committed,
+      ...(answer && { answer }),
+    });
+  }
+
+  function passHeaders(status: number, headers: HeaderMap): void {
+    const verdict = verdictOf(
+      outcomeOfStatus(status, deployment.notRunStatuses),
+    );
+    response.writeHead(status, {
+      ...passableHeaders(headers, { consume: false }),
+      "primrose-verdict": verdict,
+      "primrose-request-id": id,
+    });
+  }
+
+  function passData(chunk: Buffer): void {
+    keep(chunk);
+    if (response.destroyed || response.write(chunk)) return;
+    const attempt = current?.attempt;
+    attempt?.pause();
+    response.once("drain", () => attempt?.resume());
+  }
+
+  function keep(chunk: Buffer): void {
+    if (kept === undefined) return;
+    keptChars += chunk.length;
+    if (keptChars > STORED_ANSWER_MAX_CHARS) kept = undefined;
+    else kept.push(chunk.toString("utf8"));
+  }
+
+  function failingOutcome(status: number): Outcome | undefined {
+    if (deployment.notRunStatuses.includes(status)) return "status_not_run";
+    return options.idempotent && RETRIED_STATUSES.has(status)
+      ? "status_error"
+      : undefined;
+  }
+
+  function bodyOf(): AttemptRequest["body"] {
+    if (!start.whole) return Readable.from(restOf(start, request));
+    return start.bytes.length > 0 ? start.bytes : null;
+  }
+
+  function headersOf({ group }: SendEffect): Record<string, string | string[]> {
+    const length = request.headers["content-length"];
+    return {
+      ...passableHeaders(request.headers, { consume: true }),
+      "x-request-id": id,
+      ...(group !== undefined && { "x-group": group }),
+      ...(!start.whole && length !== undefined && { "content-length": length }),
+    };
+  }
+
+  function send(effect: SendEffect): void {
+    const { attempt: number, address, remainingMs } = effect;
+    let failing: Outcome | undefined;
+    let status = 0;
+    let contentType = "";
+    kept = options.keepsAnswer ? [] : undefined;
+    keptChars = 0;
+    const attempt = startAttempt(
+      options.idempotent ? agents.reusing : agents.fresh,
+      {
+        origin: address,
+        path: options.path,
+        method: (request.method ?? "GET") as AttemptRequest["method"],
+        headers: headersOf(effect),
+        body: bodyOf(),
+        headersTimeout: Math.min(remainingMs, deployment.responseTimeoutMs),
+      },
+      {
+        events: {
+          onHeaders(received, headers) {
+            status = received;
+            contentType = String(
+              headers["content-type"] ?? "application/octet-stream",
+            );
+            failing = failingOutcome(received);
+            if (failing === undefined) passHeaders(received, headers);
+          },
+          onData(chunk) {
+            if (failing === undefined) passData(chunk);
+          },
+          onEnd() {
+            if (failing !== undefined) return endAttempt(number, failing);
+            const answer = kept && { status, contentType, body: kept.join("") };
+            endAttempt(number, "completed", answer);
+          },
+          onFailure: (outcome) => endAttempt(number, outcome),
+        },
+      },
+    );
+    current = { number, attempt };
+  }
+
+  return {
+    send,
+    cancel(number) {
+      if (current?.number !== number) return;
+      current.attempt.cancel();
+      current = undefined;
+    },
+    refuse(effect) {
+      current?.attempt.cancel();
+      current = undefined;
+      // Headers are out, so only a broken connection can tell the caller that the answer is not whole.
+      if (response.headersSent) response.destroy();
+      else sendError(response, effect);
+    },
+    finish() {
+      response.end();
+    },
+    replay({ status, contentType, body }) {
+      response.writeHead(status, {
+        "content-type": contentType,
+        "primrose-verdict": "ran",
+        "primrose-replayed": "true",
+      });
+      response.end(body);
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * The daemon as a library, for tests, benches and the demo.
+ *
+ * @module
+ */
+export { createDaemon, type Daemon, type DaemonOptions } from "./wire.ts";
+export {
+  loadDocument,
+  type LoadedSettings,
+  loadSettings,
+  SettingsError,
+} from "./settings/load.ts";
+export { type Settings, settingsSchema } from "./settings/schema.ts";
+export { createLogClient, type LogClient } from "./platform/log_client.ts";
+export { createLogger, type Logger } from "./observe/logger.ts";
+export { createAgents, startAttempt } from "./backend/transport.ts";
--- /dev/null
+++ b/packages/daemon/src/peers/mesh.ts
@@ -0,0 +1,209 @@
+/**
+ * Connections to all peers: of two daemons the one with the lower name dials.
+ *
+ * @module
+ */
+import { createServer as createHttpServer, type Server } from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import type { EventBody, LogEventName, PeerMessage } from "@primroseshed/core";
+import { WebSocket, WebSocketServer } from "ws";
+import {
+  type Connection,
+  createConnection,
+  MAX_FRAME_BYTES,
+} from "./connection.ts";
+import type { Hello, Side } from "./handshake.ts";
+
+/** TLS files as read. */
+export interface PeerTls {
+  cert: string;
+  key: string;
+  ca: string;
+}
+
+/** Address of a peer, `IP:PORT`. */
+export interface PeerAddress {
+  name: string;
+  address: string;
+}
+
+/** Options of {@link createMesh}. */
+export interface MeshOptions {
+  self: { name: string; zone: string; incarnation: string };
+  listen: { host: string; port: number };
+  key: string;
+  tls?: PeerTls;
+  dispatch(event: EventBody): void;
+  log(event: LogEventName, fields: Record<string, unknown>): void;
+}
+
+/** Connections to peers. */
+export interface Mesh {
+  /** Starts to listen; resolves to the port in use. */
+  listen(): Promise<number>;
+  /** Replaces the list of peers to keep connected to. */
+  setPeers(peers: readonly PeerAddress[]): void;
+  send(peer: string, message: PeerMessage): void;
+  /** Uses a new key for connections from now on. */
+  setKey(key: string): void;
+  stop(): void;
+}
+
+const REDIAL_MIN_MS = 200;
+const REDIAL_MAX_MS = 3_000;
+
+interface Dialing {
+  address: string;
+  pauseMs: number;
+  timer?: NodeJS.Timeout;
+  socket?: WebSocket;
+}
+
+/** Creates the mesh of one daemon. */
+export function createMesh(
+  { self, listen, key: firstKey, tls, dispatch, log }: MeshOptions,
+): Mesh {
+  let key = firstKey;
+  let stopped = false;
+  const connections = new Map<
+    string,
+    { connection: Connection; hello: Hello }
+  >();
+  const dialing = new Map<string, Dialing>();
+  const server: Server = tls
+    ? createTlsServer({ ...tls, requestCert: true, rejectUnauthorized: true })
+    : createHttpServer();
+  const acceptor = new WebSocketServer({
+    server,
+    maxPayload: MAX_FRAME_BYTES,
+    perMessageDeflate: false,
+  });
+  acceptor.on(
+    "connection",
+    (socket, request) =>
+      attach(socket, "listener", request.socket.remoteAddress ?? ""),
+  );
+  acceptor.on("error", () => undefined);
+
+  function attach(
+    socket: WebSocket,
+    side: Side,
+    address: string,
+    onEnd?: () => void,
+  ): void {
+    let opened: Hello | undefined;
+    const connection: Connection = createConnection({
+      socket,
+      side,
+      self,
+      key,
+      events: {
+        onOpen(hello) {
+          opened = hello;
+          connections.set(hello.node, { connection, hello });
+          const { node, zone, incarnation } = hello;
+          dispatch({
+            kind: "peer_joined",
+            peer: node,
+            address,
+            zone,
+            incarnation,
+          });
+        },
+        onMessage(message) {
+          if (opened !== undefined) {
+            dispatch({ kind: "peer_received", peer: opened.node, message });
+          }
+        },
+        onDrop: (cause) =>
+          log(opened ? "peer_frame_dropped" : "peer_refused", {
+            cause,
+            address,
+            peer: opened?.node,
+          }),
+        onClose() {
+          onEnd?.();
+          if (
+            opened === undefined ||
+            connections.get(opened.node)?.connection !== connection
+          ) return;
+          connections.delete(opened.node);
+          dispatch({
+            kind: "peer_lost",
+            peer: opened.node,
+            incarnation: opened.incarnation,
+          });
+        },
+      },
+    });
+  }
+
+  function dial(name: string): void {
+    const entry = dialing.get(name);
+    if (stopped || entry === undefined) return;
+    const socket = new WebSocket(
+      `${tls ? "wss" : "ws"}://${entry.address}`,
+      [],
+      {
+        maxPayload: MAX_FRAME_BYTES,
+        perMessageDeflate: false,
+        handshakeTimeout: REDIAL_MAX_MS,
+        ...tls,
+      },
+    );
+    entry.socket = socket;
+    socket.once("open", () => entry.pauseMs = REDIAL_MIN_MS);
+    attach(socket, "dialer", entry.address, () => redial(name, entry));
+  }
+
+  function redial(name: string, entry: Dialing): void {
+    if (stopped || dialing.get(name) !== entry) return;
+    const pause = entry.pauseMs * (0.5 + Math.random());
+    entry.pauseMs = Math.min(REDIAL_MAX_MS, entry.pauseMs * 2);
+    entry.timer = setTimeout(() => dial(name), pause);
+  }
+
+  function endDial(name: string): void {
+    const entry = dialing.get(name);
+    dialing.delete(name);
+    clearTimeout(entry?.timer);
+    entry?.socket?.terminate();
+  }
+
+  return {
+    listen: () =>
+      new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(listen.port, listen.host, () =>
+          resolve((server.address() as { port: number }).port));
+      }),
+    setPeers(peers) {
+      const wanted = new Map(
+        peers.filter(({ name }) => name > self.name).map((
+          peer,
+        ) => [peer.name, peer.address]),
+      );
+      for (const [name, { address }] of dialing) {
+        if (wanted.get(name) !== address) endDial(name);
+      }
+      for (const [name, address] of wanted) {
+        if (dialing.has(name)) continue;
+        dialing.set(name, { address, pauseMs: REDIAL_MIN_MS });
+        dial(name);
+      }
+    },
+    send(peer, message) {
+      connections.get(peer)?.connection.send(message);
+    },
+    setKey(next) {
+      key = next;
+    },
+    stop() {
+      stopped = true;
+      for (const name of [...dialing.keys()]) endDial(name);
+      for (const { connection } of connections.values()) connection.close();
+      acceptor.close();
+      server.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/platform/log_client.ts
@@ -0,0 +1,87 @@
+/**
+ * Client of the platform's log service.
+ *
+ * @module
+ */
+import type { LogRecord, StoredRecord } from "@primroseshed/core";
+import { type Dispatcher, request } from "undici";
+import VError from "verror";
+
+/** Stream that carries everything agreed. */
+export const CONTROL_STREAM = "control";
+/** Stream that carries snapshots of the folded state. */
+export const SNAPSHOT_STREAM = "snapshots";
+
+/** Part of a stream. */
+export interface LogPage {
+  records: StoredRecord[];
+  /** Offset of the newest record; 0 while there is none. */
+  head: number;
+  /** Offset of the oldest record still kept. */
+  horizon: number;
+}
+
+/** A place to read from. */
+export interface ReadOptions {
+  from: number;
+  limit?: number;
+  /** Longest time to wait for a record beyond the head, ms. */
+  waitMs?: number;
+}
+
+/** Client of the log service. */
+export interface LogClient {
+  read(stream: string, options: ReadOptions): Promise<LogPage>;
+  /** Appends records in order; a failure leaves their outcome unknown. */
+  append(stream: string, records: readonly LogRecord[]): Promise<number[]>;
+}
+
+const READ_LIMIT = 1_000;
+const REQUEST_TIMEOUT_MS = 5_000;
+
+async function readJson<T>(
+  response: Dispatcher.ResponseData,
+  action: string,
+): Promise<T> {
+  if (response.statusCode !== 200) {
+    await response.body.dump();
+    throw new VError(
+      { name: "LogError", info: { status: response.statusCode } },
+      "Cannot %s: status %d",
+      action,
+      response.statusCode,
+    );
+  }
+  return await response.body.json() as T;
+}
+
+/** Creates a client of the log service at `address`. */
+export function createLogClient(address: string): LogClient {
+  const urlOf = (stream: string) => `${address}/v1/streams/${stream}/records`;
+  return {
+    async read(stream, { from, limit = READ_LIMIT, waitMs = 0 }) {
+      const url = `${
+        urlOf(stream)
+      }?from=${from}&limit=${limit}&wait_ms=${waitMs}`;
+      const headersTimeout = waitMs + REQUEST_TIMEOUT_MS;
+      const response = await request(url, {
+        headersTimeout,
+        bodyTimeout: REQUEST_TIMEOUT_MS,
+      });
+      return await readJson<LogPage>(response, "read the log");
+    },
+    async append(stream, records) {
+      const response = await request(urlOf(stream), {
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify({ records }),
+        headersTimeout: REQUEST_TIMEOUT_MS,
+      });
+      const { offsets } = await readJson<{ offsets: number[] }>(
+        response,
+        "append to the log",
+      );
+      return offsets;
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/platform/log_tail.ts
@@ -0,0 +1,125 @@
+/**
+ * Follows the control stream and commits appended records in groups.
+ *
+ * @module
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import type { EventBody, FoldDump, LogRecord, State } from "@primroseshed/core";
+import {
+  CONTROL_STREAM,
+  type LogClient,
+  SNAPSHOT_STREAM,
+} from "./log_client.ts";
+
+/** Options of the log adapter. */
+export interface LogTailOptions {
+  client: LogClient;
+  state: State;
+  dispatch(event: EventBody): void;
+  /** Longest wait for a new record, ms. */
+  pollMs: number;
+  /** Records gathered for this long go out in one append, ms. */
+  groupCommitMs: number;
+}
+
+/** Adapter of the log service. */
+export interface LogTail {
+  /** Queues records for the next group commit. */
+  append(records: readonly LogRecord[]): void;
+  /** Loads the newest snapshot, then goes on from it. */
+  reload(): void;
+  writeSnapshot(record: LogRecord): void;
+  stop(): void;
+}
+
+const RETRY_MIN_MS = 200;
+const RETRY_MAX_MS = 2_000;
+const MAX_BATCH = 500;
+
+/** Starts to follow the log. */
+export function createLogTail(
+  { client, state, dispatch, pollMs, groupCommitMs }: LogTailOptions,
+): LogTail {
+  let stopped = false;
+  let mustLoad = true;
+  let queue: LogRecord[] = [];
+  let flushing: NodeJS.Timeout | undefined;
+
+  async function loadSnapshot(): Promise<void> {
+    const { head } = await client.read(SNAPSHOT_STREAM, { from: 0, limit: 1 });
+    if (head === 0) return;
+    const { records } = await client.read(SNAPSHOT_STREAM, {
+      from: head,
+      limit: 1,
+    });
+    const dump =
+      (records[0]?.record as unknown as { state?: FoldDump } | undefined)
+        ?.state;
+    if (dump !== undefined) {
+      dispatch({ kind: "fold_restored", dump, source: "snapshot" });
+    }
+  }
+
+  async function readOnce(): Promise<void> {
+    if (mustLoad) await loadSnapshot();
+    mustLoad = false;
+    const waitMs = state.folded && state.log.reachable ? pollMs : 0;
+    const page = await client.read(CONTROL_STREAM, {
+      from: state.fold.next,
+      waitMs,
+    });
+    if (stopped) return;
+    dispatch({ kind: "log_read", ...page });
+  }
+
+  async function follow(): Promise<void> {
+    let pauseMs = RETRY_MIN_MS;
+    while (!stopped) {
+      try {
+        await readOnce();
+        pauseMs = RETRY_MIN_MS;
+      } catch {
+        if (stopped) return;
+        dispatch({ kind: "log_unreachable" });
+        await sleep(pauseMs * (0.5 + Math.random()));
+        pauseMs = Math.min(RETRY_MAX_MS, pauseMs * 2);
+      }
+    }
+  }
+
+  async function flush(): Promise<void> {
+    flushing = undefined;
+    const records = queue.slice(0, MAX_BATCH);
+    queue = queue.slice(MAX_BATCH);
+    if (queue.length > 0) scheduleFlush();
+    const ids = records.map(({ id }) => id);
+    try {
+      await client.append(CONTROL_STREAM, records);
+      dispatch({ kind: "append_settled", ids, stored: true });
+    } catch {
+      dispatch({ kind: "append_settled", ids, stored: false });
+    }
+  }
+
+  function scheduleFlush(): void {
+    flushing ??= setTimeout(() => void flush(), groupCommitMs);
+  }
+
+  void follow();
+  return {
+    append(records) {
+      queue.push(...records);
+      scheduleFlush();
+    },
+    reload() {
+      mustLoad = true;
+    },
+    writeSnapshot(record) {
+      client.append(SNAPSHOT_STREAM, [record]).catch(() => undefined);
+    },
+    stop() {
+      stopped = true;
+      clearTimeout(flushing);
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/platform/vm_list.ts
@@ -0,0 +1,37 @@
+/**
+ * Polls the platform's list of VMs.
+ *
+ * @module
+ */
+import type { EventBody, VmListing } from "@primroseshed/core";
+import { request } from "undici";
+
+const REQUEST_TIMEOUT_MS = 2_000;
+
+/** Options of {@link createVmListPoll}. */
+export interface VmListOptions {
+  address: string;
+  everyMs: number;
+  dispatch(event: EventBody): void;
+}
+
+/** Starts to poll the VM list; returns a function that stops it. A list that does not answer changes nothing. */
+export function createVmListPoll(
+  { address, everyMs, dispatch }: VmListOptions,
+): () => void {
+  async function poll(): Promise<void> {
+    try {
+      const response = await request(`${address}/v1/vms`, {
+        headersTimeout: REQUEST_TIMEOUT_MS,
+        bodyTimeout: REQUEST_TIMEOUT_MS,
+      });
+      const { vms } = await response.body.json() as { vms: VmListing[] };
+      dispatch({ kind: "vms_listed", vms });
+    } catch {
+      // The last list stays in use until the platform answers again.
+    }
+  }
+  void poll();
+  const timer = setInterval(() => void poll(), everyMs);
+  return () => clearInterval(timer);
+}
--- /dev/null
+++ b/packages/daemon/src/wire.ts
@@ -0,0 +1,295 @@
+/**
+ * Wires the parts of a daemon together.
+ *
+ * @module
+ */
+import { createPrivateKey, randomBytes, sign } from "node:crypto";
+import { readFileSync } from "node:fs";
+import type { Server } from "node:http";
+import {
+  createState,
+  type Effect,
+  type LogRecord,
+  type State,
+  usagePayload,
+} from "@primroseshed/core";
+import { createCacheFeed } from "./backend/cache_feed.ts";
+import { createOrderSender } from "./backend/orders.ts";
+import { createStatusPoll } from "./backend/status_poll.ts";
+import { createAgents } from "./backend/transport.ts";
+import {
+  createDriver,
+  type Driver,
+  type EffectHandlers,
+  monotonicNow,
+} from "./driver/driver.ts";
+import { createCallerApp } from "./http/caller_app.ts";
+import type { Exchange, Exchanges } from "./http/exchanges.ts";
+import { createOperatorApp } from "./http/operator_app.ts";
+import { createLogger, type Logger } from "./observe/logger.ts";
+import { createMetrics } from "./observe/metrics.ts";
+import { createMesh, type PeerAddress, type PeerTls } from "./peers/mesh.ts";
+import { createLogClient } from "./platform/log_client.ts";
+import { createLogTail } from "./platform/log_tail.ts";
+import { createVmListPoll } from "./platform/vm_list.ts";
+import type { LoadedSettings } from "./settings/load.ts";
+import type { Settings } from "./settings/schema.ts";
+
+/** Addresses a daemon listens on. */
+export interface Addresses {
+  callers: string;
+  operators: string;
+  peers: string;
+}
+
+/** A running daemon. */
+export interface Daemon {
+  state: State;
+  addresses: Addresses;
+  /** Begins a graceful stop; a second call ends sooner. */
+  stop(): void;
+  /** Replaces the peers' key for new connections. */
+  setPeerKey(key: string): void;
+  /** Resolves with the number of requests cut once the daemon has stopped. */
+  stopped: Promise<number>;
+}
+
+const INCARNATION_BYTES = 4;
+const SEED_RANGE = 2 ** 31;
+const CACHE_POLL_MS = 1_000;
+const PEER_REFRESH_MS = 1_000;
+
+function listenOn(
+  server: Server,
+  { host, port }: { host: string; port: number },
+): Promise<string> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(
+      port,
+      host,
+      () =>
+        resolve(
+          `http://${host}:${(server.address() as { port: number }).port}`,
+        ),
+    );
+  });
+}
+
+function readTls(settings: Settings): { tls?: PeerTls } {
+  const { peerTls } = settings;
+  if (peerTls === undefined) return {};
+  const read = (file: string) => readFileSync(file, "utf8");
+  return {
+    tls: {
+      cert: read(peerTls.certFile),
+      key: read(peerTls.keyFile),
+      ca: read(peerTls.caFile),
+    },
+  };
+}
+
+function createSigner(usageKey: string | undefined): (text: string) => string {
+  if (usageKey === undefined) return () => "";
+  const key = createPrivateKey(usageKey);
+  return (text) => sign(null, Buffer.from(text), key).toString("base64");
+}
+
+function listPeers(settings: Settings, state: State): PeerAddress[] {
+  const peers = new Map(
+    settings.peers.map((peer) => [peer.name, peer.address]),
+  );
+  for (const { vm, address, role, state: vmState } of state.vms.values()) {
+    if (role === "entry" && vmState === "live" && vm !== settings.node.name) {
+      peers.set(vm, new URL(address).host);
+    }
+  }
+  return [...peers].map(([name, address]) => ({ name, address }));
+}
+
+/** Options of {@link createDaemon}. */
+export interface DaemonOptions {
+  /** Where log events go; standard error by default. */
+  logger?: Logger;
+}
+
+/**
+ * Creates and starts a daemon.
+ *
+ * @example
+ * ```ts
+ * const daemon = await createDaemon(loadSettings("node.jsonc"));
+ * process.once("SIGTERM", () => daemon.stop());
+ * await daemon.stopped;
+ * ```
+ */
+export async function createDaemon(
+  loaded: LoadedSettings,
+  options: DaemonOptions = {},
+): Promise<Daemon> {
+  const { settings, document, peerKey, usageKey } = loaded;
+  const { name, zone, site } = settings.node;
+  const incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
+  const seed = settings.seed ??
+    randomBytes(INCARNATION_BYTES).readUInt32LE() % SEED_RANGE;
+  const state = createState({ name, zone, site, incarnation }, {
+    seed,
+    now: monotonicNow(),
+  });
+  const logger = options.logger ??
+    createLogger({ level: settings.log.level, node: name });
+  const metrics = createMetrics(state);
+  const exchanges: Exchanges = new Map();
+  const agents = createAgents({
+    connectTimeoutMs: settings.timing.connectTimeoutMs,
+  });
+  const signUsage = createSigner(usageKey);
+  const dispatch: Driver["dispatch"] = (event) => driver.dispatch(event);
+  const { log: logAddress, vms: vmsAddress } = settings.platform;
+  let resolveStopped: (cut: number) => void;
+  const stopped = new Promise<number>((resolve) => resolveStopped = resolve);
+
+  function exchangeEffect(
+    act: (exchange: Exchange) => void,
+    request: string,
+  ): void {
+    const exchange = exchanges.get(request);
+    if (exchange !== undefined) act(exchange);
+  }
+
+  const handlers: EffectHandlers = {
+    send: (effect) =>
+      exchangeEffect((exchange) => exchange.send(effect), effect.request),
+    cancel: ({ request, attempt }) =>
+      exchangeEffect((exchange) => exchange.cancel(attempt), request),
+    refuse: (effect) =>
+      exchangeEffect((exchange) => exchange.refuse(effect), effect.request),
+    finish: ({ request }) =>
+      exchangeEffect((exchange) => exchange.finish(), request),
+    replay: ({ request, answer }) =>
+      exchangeEffect((exchange) => exchange.replay(answer), request),
+    append: ({ records }) => tail.append(records),
+    reload_fold: () => tail.reload(),
+    write_snapshot: ({ record }) =>
+      tail.writeSnapshot(record as unknown as LogRecord),
+    peer_send: ({ peer, message }) => mesh.send(peer, message),
+    watch: ({ members }) => poll.watch(members),
+    order: (effect) => void sendOrder(effect),
+    sign_usage(effect) {
+      const entry = `${name}#${incarnation}`;
+      const signature = signUsage(usagePayload({ ...effect, entry }));
+      dispatch({
+        kind: "usage_signed",
+        sequence: effect.sequence,
+        counters: effect.counters,
+        signature,
+      });
+    },
+    resync_cache: ({ target, address }) => cacheFeed.resync(target, address),
+    config_in_force: () => undefined,
+    log: ({ event, fields }) => logger.write(event, fields),
+    observe: ({ measure }) => metrics.observe(measure),
+    exit: ({ cut }: Extract<Effect, { kind: "exit" }>) => void shutDown(cut),
+  };
+
+  const driver = createDriver({
+    state,
+    handlers,
+    onError: (error) =>
+      logger.write("internal_error", {
+        cause: error instanceof Error ? error.stack : String(error),
+      }),
+  });
+  const write: Logger["write"] = (event, fields) => logger.write(event, fields);
+  const sendOrder = createOrderSender({ agent: agents.reusing, log: write });
+  const {
+    statusPollMs,
+    statusTimeoutMs,
+    vmListPollMs,
+    logPollMs,
+    groupCommitMs,
+  } = settings.timing;
+  const poll = createStatusPoll({
+    agent: agents.reusing,
+    state,
+    everyMs: statusPollMs,
+    timeoutMs: statusTimeoutMs,
+    dispatch,
+  });
+  const cacheFeed = createCacheFeed({
+    agent: agents.reusing,
+    state,
+    everyMs: CACHE_POLL_MS,
+    dispatch,
+  });
+  const mesh = createMesh({
+    self: { name, zone, incarnation },
+    listen: settings.listen.peers,
+    key: peerKey,
+    ...readTls(settings),
+    dispatch,
+    log: write,
+  });
+  const callers = createCallerApp({
+    settings,
+    state,
+    exchanges,
+    agents,
+    dispatch,
+    log: write,
+  });
+  const operators = createOperatorApp({ settings, state, metrics, dispatch });
+
+  async function shutDown(cut: number): Promise<void> {
+    clearInterval(peerTimer);
+    stopVmList();
+    tail.stop();
+    poll.stop();
+    cacheFeed.stop();
+    mesh.stop();
+    for (const server of [callers, operators]) server.close();
+    callers.closeAllConnections();
+    operators.closeIdleConnections();
+    driver.stop();
+    await Promise.all([agents.reusing.destroy(), agents.fresh.destroy()]);
+    resolveStopped(cut);
+  }
+
+  const peersPort = await mesh.listen();
+  const addresses: Addresses = {
+    callers: await listenOn(callers, settings.listen.callers),
+    operators: await listenOn(operators, settings.listen.operators),
+    peers: `${settings.listen.peers.host}:${peersPort}`,
+  };
+  logger.write("started", { ...addresses, zone, site, incarnation });
+  dispatch({ kind: "config_loaded", document });
+  const tail = createLogTail({
+    client: createLogClient(logAddress),
+    state,
+    dispatch,
+    pollMs: logPollMs,
+    groupCommitMs,
+  });
+  const stopVmList = vmsAddress === undefined
+    ? () => undefined
+    : createVmListPoll({
+      address: vmsAddress,
+      everyMs: vmListPollMs,
+      dispatch,
+    });
+  const refreshPeers = () => mesh.setPeers(listPeers(settings, state));
+  refreshPeers();
+  const peerTimer = setInterval(refreshPeers, PEER_REFRESH_MS);
+  let stops = 0;
+
+  return {
+    state,
+    addresses,
+    stop() {
+      stops += 1;
+      dispatch({ kind: "stop_ordered", hurry: stops > 1 });
+    },
+    setPeerKey: (key) => mesh.setKey(key),
+    stopped,
+  };
+}
--- /dev/null
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -0,0 +1,326 @@
+/**
+ * Stand-in for the model engine of one VM.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { CacheChange, Member, MemberStatus } from "@primroseshed/core";
+import { hashPrefixes } from "@primroseshed/core";
+import {
+  answerJson,
+  createApp,
+  type Faults,
+  type Listener,
+  readJson,
+  startListener,
+} from "../http/listener.ts";
+import { answerLength, wordAt } from "./text.ts";
+
+/** How an engine misbehaves beyond its listener's faults. */
+export interface EngineFaults extends Faults {
+  ignoresFencing: boolean;
+  /** Stops each stream after this many tokens without an end. */
+  cutAfterTokens: number | undefined;
+  /** What it does wrong once in each stream, at the given token. */
+  mischief: Mischief | undefined;
+  /** Refuses every request as not begun. */
+  refuses: boolean;
+}
+
+/** One wrong chunk in a stream. */
+export interface Mischief {
+  kind: "broken_json" | "foreign_id" | "duplicate" | "gap";
+  atToken: number;
+}
+
+/** Options of {@link startEngine}. */
+export interface EngineOptions {
+  vm: string;
+  host?: string;
+  port?: number;
+  stepMs?: number;
+  loadMs?: number;
+  maxBatch?: number;
+}
+
+/** A running engine. */
+export interface Engine extends Listener {
+  vm: string;
+  faults: EngineFaults;
+  status: MemberStatus;
+  /** Requests received, with their resume offset. */
+  received: { id: string; resumeFrom: number }[];
+  cancelled: string[];
+  orders: Order[];
+  /** Starts anew and empty, as a replaced VM would. */
+  restart(): void;
+}
+
+interface Order {
+  action: "load" | "unload";
+  fence: number;
+  epoch: number;
+  group?: string;
+  members?: Member[];
+}
+
+interface ChatBody {
+  messages: { role: string; content: string }[];
+  max_tokens?: number;
+  resume?: { offset: number };
+}
+
+const CHARS_PER_TOKEN = 4;
+
+function createEngineFaults(): EngineFaults {
+  return {
+    down: false,
+    paused: false,
+    slowMs: 0,
+    loseAnswers: false,
+    ignoresFencing: false,
+    cutAfterTokens: undefined,
+    mischief: undefined,
+    refuses: false,
+  };
+}
+
+/** Starts an engine that is empty until an order loads it. */
+export async function startEngine(options: EngineOptions): Promise<Engine> {
+  const { vm, stepMs = 2, loadMs = 20, maxBatch = 32 } = options;
+  const faults = createEngineFaults();
+  const received: Engine["received"] = [];
+  const cancelled: string[] = [];
+  const orders: Order[] = [];
+  const cache: {
+    sequence: number;
+    changes: CacheChange[];
+    known: Set<number>;
+  } = {
+    sequence: 0,
+    changes: [],
+    known: new Set(),
+  };
+  let restarts = 0;
+  let running = 0;
+  const status: MemberStatus = {
+    vm,
+    incarnation: `${vm}-0`,
+    state: "empty",
+    epoch: 0,
+    fence: 0,
+  };
+
+  function currentStatus(): MemberStatus {
+    const load = {
+      running,
+      queued: 0,
+      stepMs,
+      prefillPerMs: 20,
+      kvUsedShare: running / (maxBatch * 2),
+      maxBatch,
+    };
+    return { ...status, load };
+  }
+
+  async function obey(order: Order): Promise<void> {
+    status.fence = Math.max(status.fence ?? 0, order.fence);
+    const isRepeat = order.action === "load" && status.group === order.group &&
+      status.epoch === order.epoch;
+    if (isRepeat || order.epoch < (status.epoch ?? 0)) return;
+    status.epoch = order.epoch;
+    if (order.action === "unload") {
+      status.state = "empty";
+      delete status.group;
+      return;
+    }
+    const keepsWeights = status.state === "ready" &&
+      status.group === order.group;
+    status.group = order.group ?? "";
+    status.state = "loading";
+    await sleep(keepsWeights ? 1 : loadMs);
+    if (status.epoch === order.epoch) status.state = "ready";
+  }
+
+  async function takeOrder(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const order = await readJson<Order>(request);
+    if (!faults.ignoresFencing && order.fence < (status.fence ?? 0)) {
+      return answerJson(response, 409, {
+        body: { error: "old fencing number", fence: status.fence },
+      });
+    }
+    orders.push(order);
+    void obey(order);
+    answerJson(response, 202, { body: { accepted: true } });
+  }
+
+  function isMine(request: IncomingMessage): boolean {
+    return request.headers["x-group"] === status.group &&
+      request.headers["x-epoch"] === String(status.epoch);
+  }
+
+  function notePrefixes(prompt: string): number {
+    const prefixes = hashPrefixes(prompt);
+    const hits = prefixes.filter((prefix) => cache.known.has(prefix)).length;
+    for (const prefix of prefixes) {
+      if (cache.known.has(prefix)) continue;
+      cache.known.add(prefix);
+      cache.sequence += 1;
+      cache.changes.push({ kind: "stored", prefix });
+    }
+    return hits;
+  }
+
+  async function complete(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const id = String(request.headers["x-request-id"]);
+    const body = await readJson<ChatBody>(request);
+    const canRun = status.state === "ready" && isMine(request) &&
+      running < maxBatch && !faults.refuses;
+    if (!canRun) {
+      return answerJson(response, 503, { body: { error: "not begun" } });
+    }
+    const resumeFrom = body.resume?.offset ?? 0;
+    received.push({ id, resumeFrom });
+    running += 1;
+    let isGone = false;
+    response.on("close", () => {
+      isGone = !response.writableFinished;
+      if (isGone) cancelled.push(id);
+    });
+    try {
+      await stream({ id, body, resumeFrom, response, isGone: () => isGone });
+    } finally {
+      running -= 1;
+    }
+  }
+
+  async function stream({ id, body, resumeFrom, response, isGone }: {
+    id: string;
+    body: ChatBody;
+    resumeFrom: number;
+    response: ServerResponse;
+    isGone(): boolean;
+  }): Promise<void> {
+    const prompt = body.messages.map(({ role, content }) =>
+      `${role}\n${content}\n`
+    ).join("");
+    const hits = notePrefixes(prompt);
+    const length = answerLength(prompt, body.max_tokens ?? Infinity);
+    response.writeHead(200, { "content-type": "text/event-stream" });
+    const write = (
+      chunkId: string,
+      offset: number,
+      extra: Record<string, unknown> = {},
+    ) => {
+      const isEnd = offset >= length;
+      const delta = isEnd ? {} : { content: wordAt(prompt, offset) };
+      const choices = [{
+        index: 0,
+        delta,
+        finish_reason: isEnd ? "stop" : null,
+      }];
+      return response.write(
+        `data: ${
+          JSON.stringify({
+            id: chunkId,
+            offset,
+            tokens: isEnd ? 0 : 1,
+            choices,
+            ...extra,
+          })
+        }\n\n`,
+      );
+    };
+    for (let offset = resumeFrom; offset < length; offset++) {
+      while (faults.paused && !isGone()) await sleep(stepMs);
+      if (stepMs > 0) await sleep(stepMs);
+      if (isGone()) return;
+      if (
+        faults.cutAfterTokens !== undefined &&
+        offset - resumeFrom >= faults.cutAfterTokens
+      ) {
+        return void response.end();
+      }
+      if (faults.mischief?.atToken === offset) {
+        misbehave(faults.mischief, { id, offset, response, write });
+      }
+      const hasRoom = write(id, offset);
+      if (!hasRoom) {
+        await new Promise((resolve) =>
+          response.once("drain", resolve).once("close", resolve)
+        );
+      }
+    }
+    const promptTokens = Math.max(
+      1,
+      Math.ceil(prompt.length / CHARS_PER_TOKEN),
+    );
+    const cachedTokens = Math.min(promptTokens, hits * 64);
+    const usage = {
+      prompt_tokens: promptTokens,
+      completion_tokens: length,
+      cached_tokens: cachedTokens,
+    };
+    write(id, length, { usage });
+    response.end("data: [DONE]\n\n");
+  }
+
+  function misbehave(
+    { kind }: Mischief,
+    { id, offset, response, write }: {
+      id: string;
+      offset: number;
+      response: ServerResponse;
+      write(id: string, offset: number): boolean;
+    },
+  ): void {
+    if (kind === "broken_json") response.write("data: {not json\n\n");
+    if (kind === "foreign_id") write(`${id}-other`, offset);
+    if (kind === "duplicate") write(id, offset - 1);
+    if (kind === "gap") write(id, offset + 1);
+  }
+
+  const app = createApp()
+    .get(
+      "/status",
+      (_request, response) =>
+        answerJson(response, 200, { body: currentStatus() }),
+    )
+    .post("/orders", takeOrder)
+    .post("/v1/chat/completions", complete)
+    .get("/cache_events", (request, response) => {
+      const from = Number(
+        new URL(request.url ?? "", "http://engine").searchParams.get("from") ??
+          0,
+      );
+      const changes = cache.changes.slice(Math.max(0, from - 1));
+      answerJson(response, 200, {
+        body: { sequence: cache.sequence, changes },
+      });
+    });
+  const listener = await startListener(app, { ...options, faults });
+  return {
+    ...listener,
+    vm,
+    faults,
+    status,
+    received,
+    cancelled,
+    orders,
+    restart() {
+      restarts += 1;
+      status.incarnation = `${vm}-${restarts}`;
+      status.state = "empty";
+      status.epoch = 0;
+      status.fence = 0;
+      delete status.group;
+    },
+  };
+}
--- /dev/null
+++ b/packages/stand_ins/src/http/listener.ts
@@ -0,0 +1,124 @@
+/**
+ * Shared plumbing of the stand-ins: a server that can be told to be down, slow, paused or to lose answers.
+ *
+ * @module
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import polka, { type Polka } from "polka";
+
+/** How a stand-in misbehaves. */
+export interface Faults {
+  /** Connections are reset. */
+  down: boolean;
+  /** Requests hang until this is lifted. */
+  paused: boolean;
+  /** Delay before a request is handled, ms. */
+  slowMs: number;
+  /** Requests take effect, but their answers are lost. */
+  loseAnswers: boolean;
+}
+
+/** A running stand-in server. */
+export interface Listener {
+  address: string;
+  faults: Faults;
+  /** Closes the port, so that connections are refused. */
+  close(): Promise<void>;
+}
+
+const PAUSE_STEP_MS = 20;
+
+/** Faults of a stand-in that behaves. */
+export function createFaults(): Faults {
+  return { down: false, paused: false, slowMs: 0, loseAnswers: false };
+}
+
+async function applyFaults(
+  faults: Faults,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<boolean> {
+  if (faults.down) {
+    request.socket.destroy();
+    return false;
+  }
+  if (faults.slowMs > 0) await sleep(faults.slowMs);
+  while (faults.paused && !request.socket.destroyed) await sleep(PAUSE_STEP_MS);
+  if (faults.loseAnswers) response.end = response.write = loseAnswer(request);
+  return !request.socket.destroyed;
+}
+
+function loseAnswer(
+  request: IncomingMessage,
+): ServerResponse["end"] & ServerResponse["write"] {
+  return (() => {
+    request.socket.destroy();
+    return false;
+  }) as unknown as ServerResponse["end"] & ServerResponse["write"];
+}
+
+/** Starts a server for `app` on an IP address; port 0 picks a free one. */
+export async function startListener(
+  app: Polka,
+  { host = "127.0.0.1", port = 0, faults = createFaults() }: {
+    host?: string;
+    port?: number;
+    faults?: Faults;
+  } = {},
+): Promise<Listener> {
+  const server: Server = createServer((request, response) => {
+    if (
+      !faults.down && !faults.paused && faults.slowMs === 0 &&
+      !faults.loseAnswers
+    ) {
+      return app.handler(request as never, response);
+    }
+    void applyFaults(faults, request, response).then((goesOn) => {
+      if (goesOn) app.handler(request as never, response);
+    });
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, resolve);
+  });
+  const address = `http://${host}:${
+    (server.address() as { port: number }).port
+  }`;
+  return {
+    address,
+    faults,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
+
+/** Creates a router. */
+export function createApp(): Polka {
+  return polka();
+}
+
+/** Sends JSON. */
+export function answerJson(
+  response: ServerResponse,
+  status: number,
+  { body }: { body: unknown },
+): void {
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(body));
+}
+
+/** Reads a whole JSON body. */
+export async function readJson<T>(request: IncomingMessage): Promise<T> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return JSON.parse(Buffer.concat(chunks).toString("utf8") || "null") as T;
+}
--- /dev/null
+++ b/packages/stand_ins/src/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * Stand-ins for everything outside the system, for tests, benches and the demo.
+ *
+ * @module
+ */
+export * from "./http/listener.ts";
+export * from "./log/log_service.ts";
+export * from "./vms/vm_service.ts";
+export * from "./engine/engine.ts";
+export * from "./engine/text.ts";
+export * from "./service/lending.ts";
+export * from "./demo/settings.ts";
+export * from "./demo/demo.ts";
--- /dev/null
+++ b/packages/stand_ins/src/service/lending.ts
@@ -0,0 +1,117 @@
+/**
+ * Stand-in for a plain service with calls that may not be repeated: the lending service.
+ *
+ * @module
+ */
+import type { MemberStatus } from "@primroseshed/core";
+import {
+  answerJson,
+  createApp,
+  type Faults,
+  type Listener,
+  readJson,
+  startListener,
+} from "../http/listener.ts";
+
+/** A booking that ran. */
+export interface Booking {
+  id: number;
+  item: string;
+  request: string;
+}
+
+/** How the service misbehaves beyond its listener's faults. */
+export interface LendingFaults extends Faults {
+  /** Resets the connection after the booking ran. */
+  resetAfterRun: boolean;
+  /** Answers this status without running anything. */
+  refuseStatus: number | undefined;
+  /** Sends part of the body, then resets. */
+  cutBody: boolean;
+  /** Delay after a booking ran, ms. */
+  answerDelayMs: number;
+}
+
+/** A running lending backend server. */
+export interface Lending extends Listener {
+  faults: LendingFaults;
+  status: MemberStatus;
+}
+
+/** Starts a backend server; several may share one list of bookings, as they share a database. */
+export async function startLending(
+  { vm, host, port, bookings }: {
+    vm: string;
+    host?: string;
+    port?: number;
+    bookings: Booking[];
+  },
+): Promise<Lending> {
+  const faults: LendingFaults = {
+    down: false,
+    paused: false,
+    slowMs: 0,
+    loseAnswers: false,
+    resetAfterRun: false,
+    refuseStatus: undefined,
+    cutBody: false,
+    answerDelayMs: 0,
+  };
+  const status: MemberStatus = { vm, incarnation: `${vm}-0`, state: "ready" };
+  const app = createApp()
+    .get(
+      "/status",
+      (_request, response) => answerJson(response, 200, { body: status }),
+    )
+    .get("/bookings", (request, response) => {
+      if (!faults.cutBody) {
+        return answerJson(response, 200, { body: { bookings } });
+      }
+      response.writeHead(200, {
+        "content-type": "application/json",
+        "content-length": "1000",
+      });
+      response.write('{"bookings":');
+      setTimeout(() => request.socket.destroy(), 5);
+    })
+    .post("/bookings", async (request, response) => {
+      if (faults.refuseStatus !== undefined) {
+        return answerJson(response, faults.refuseStatus, {
+          body: { error: "not run" },
+        });
+      }
+      const body = await readJson<{ item?: unknown } | null>(request).catch(
+        () => null,
+      );
+      if (typeof body?.item !== "string") {
+        return answerJson(response, 422, {
+          body: { error: "item is missing" },
+        });
+      }
+      const booking = {
+        id: bookings.length + 1,
+        item: body.item,
+        request: String(request.headers["x-request-id"]),
+      };
+      bookings.push(booking);
+      if (faults.resetAfterRun) return void request.socket.destroy();
+      if (faults.answerDelayMs > 0) {
+        await new Promise((resolve) =>
+          setTimeout(resolve, faults.answerDelayMs)
+        );
+      }
+      answerJson(response, 201, { body: booking });
+    })
+    .post("/echo", (request, response) => {
+      response.writeHead(200, {
+        "content-type": String(request.headers["content-type"] ?? "text/plain"),
+      });
+      request.pipe(response);
+    });
+  const listener = await startListener(app, {
+    ...(host && { host }),
+    ...(port && { port }),
+    faults,
+  });
+  return { ...listener, faults, status };
+}
