--- /dev/null
+++ b/packages/cli/src/commands/config.ts
@@ -0,0 +1,240 @@
+/**
+ * `config validate|show|diff|apply|history`.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import { readFileSync } from "node:fs";
+import { basename, extname } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  checkDocument,
+  type ConfigDocument,
+  type ConfigHistoryEntry,
+  formatProblems,
+  parseJsonc,
+  type Resolution,
+  resolveConfig,
+  type SourceText,
+  SUPPORTED_LEVEL,
+} from "@primroseshed/core";
+import { type Access, callAll, callAny } from "../daemon_client.ts";
+import { CommandError } from "../exit_codes.ts";
+import { appendRecord, readLog } from "../log_access.ts";
+import { formatTable, type Output, print } from "../output.ts";
+import { diffValues } from "./diff.ts";
+
+/** Files of a configuration. */
+export interface ConfigFiles {
+  base: string;
+  overlays: string[];
+}
+
+interface ConfigAnswer {
+  node: string;
+  offset?: number;
+  document?: ConfigDocument;
+  history: ConfigHistoryEntry[];
+  log: string;
+}
+
+const WAIT_STEP_MS = 100;
+
+function readSource(file: string): SourceText {
+  try {
+    return { file, text: readFileSync(file, "utf8") };
+  } catch (error) {
+    throw new CommandError(
+      "invalid",
+      `Cannot read ${file}: ${(error as Error).message}`,
+    );
+  }
+}
+
+function unwrap<T>(resolution: Resolution<T>): T {
+  if (resolution.ok) return resolution.value;
+  throw new CommandError("invalid", formatProblems(resolution.problems));
+}
+
+/** Reads a base and overlays; an overlay's file name is its site. */
+export function readDocument({ base, overlays }: ConfigFiles): ConfigDocument {
+  const baseSource = readSource(base);
+  const document: ConfigDocument = {
+    base: unwrap(parseJsonc(baseSource)),
+    overlays: {},
+  };
+  unwrap(resolveConfig(document, "", { sources: [baseSource] }));
+  for (const file of overlays) {
+    const source = readSource(file);
+    const site = basename(file, extname(file));
+    document.overlays[site] = unwrap(parseJsonc(source));
+    unwrap(resolveConfig(document, site, { sources: [baseSource, source] }));
+  }
+  const problems = checkDocument(document);
+  if (problems.length > 0) {
+    throw new CommandError("invalid", formatProblems(problems));
+  }
+  return document;
+}
+
+/** Checks files and says what is wrong. */
+export function validateConfig(files: ConfigFiles, output: Output): void {
+  const document = readDocument(files);
+  const sites = Object.keys(document.overlays);
+  print(
+    output,
+    { valid: true, sites },
+    () => `Valid for the base and ${sites.length} sites: ${sites.join(", ")}`,
+  );
+}
+
+async function readInForce(access: Access): Promise<ConfigAnswer> {
+  return await callAny<ConfigAnswer>(access, "/config");
+}
+
+/** Shows the configuration in force, or files, as merged for a site. */
+export async function showConfig(
+  access: Access,
+  output: Output,
+  { site, files }: { site: string | undefined; files: ConfigFiles | undefined },
+): Promise<void> {
+  const document = files
+    ? readDocument(files)
+    : (await readInForce(access)).document;
+  if (document === undefined) {
+    throw new CommandError(
+      "failed",
+      "Cannot show a configuration: none is in force",
+    );
+  }
+  if (site === undefined) {
+    return output.write(JSON.stringify(document, null, 2));
+  }
+  output.write(JSON.stringify(unwrap(resolveConfig(document, site)), null, 2));
+}
+
+/** Shows how files differ from what is in force. */
+export async function diffConfig(
+  access: Access,
+  output: Output,
+  { files }: { files: ConfigFiles },
+): Promise<void> {
+  const document = readDocument(files);
+  const inForce = await readInForce(access);
+  const changes = diffValues(inForce.document ?? {}, document);
+  print(
+    output,
+    { offset: inForce.offset, changes },
+    () =>
+      changes.length === 0
+        ? `No difference from offset ${inForce.offset}`
+        : changes.map(({ path, from, to }) =>
+          `${path}: ${JSON.stringify(from)} -> ${JSON.stringify(to)}`
+        ).join("\n"),
+  );
+}
+
+/** Shows accepted configurations, newest first. */
+export async function showHistory(
+  access: Access,
+  output: Output,
+): Promise<void> {
+  const { history } = await readInForce(access);
+  const newest = history.toReversed();
+  print(output, newest, (entries) =>
+    formatTable(
+      ["offset", "accepted", "author"],
+      entries.map((
+        { offset, at, author },
+      ) => [offset, new Date(at).toISOString(), author]),
+    ));
+}
+
+/** How a publication is to be made. */
+export interface ApplyOptions {
+  files: ConfigFiles;
+  author: string;
+  /** Offset the change is based on; the one in force by default. */
+  basedOn: number | undefined;
+  waitMs: number;
+}
+
+/** Publishes a configuration and waits until every daemon has it in force. */
+export async function applyConfig(
+  access: Access,
+  output: Output,
+  { files, author, basedOn, waitMs }: ApplyOptions,
+): Promise<void> {
+  const document = readDocument(files);
+  const { log, offset: inForce = 0 } = await readInForce(access);
+  const id = `primrosectl/${randomUUID()}`;
+  const based = basedOn ?? inForce;
+  await appendRecord(log, {
+    type: "config",
+    basedOn: based,
+    document,
+    author,
+    id,
+    level: SUPPORTED_LEVEL,
+  });
+  const offset = await findAccepted(log, id, based);
+  const nodes = await waitInForce(access, { offset, waitMs });
+  const late = nodes.filter(({ offset: seen }) => (seen ?? -1) < offset);
+  print(
+    output,
+    { offset, inForce: late.length === 0, nodes },
+    () =>
+      `Accepted at offset ${offset}\n${
+        formatTable(
+          ["daemon", "offset"],
+          nodes.map((node) => [node.daemon, node.offset]),
+        )
+      }`,
+  );
+  if (late.length > 0) {
+    const names = late.map(({ daemon }) => daemon).join(", ");
+    throw new CommandError(
+      "incomplete",
+      `Accepted at offset ${offset}, but not yet in force at: ${names}`,
+    );
+  }
+}
+
+async function findAccepted(
+  log: string,
+  id: string,
+  basedOn: number,
+): Promise<number> {
+  const { decided, fold } = await readLog(log);
+  const own = decided.find(({ stored }) => stored.record.id === id);
+  if (own?.result.accepted) return own.stored.offset;
+  if (own?.result.accepted === false && own.result.cause === "stale_base") {
+    const winner =
+      `offset ${fold.config?.offset} by ${fold.config?.author} won`;
+    throw new CommandError(
+      "conflict",
+      `Cannot apply a change based on offset ${basedOn}: ${winner}; compare with config diff and apply again`,
+    );
+  }
+  const detail = own?.result.accepted === false
+    ? own.result.detail ?? own.result.cause
+    : "it is not in the log";
+  throw new CommandError("failed", `Cannot apply the configuration: ${detail}`);
+}
+
+async function waitInForce(
+  access: Access,
+  { offset, waitMs }: { offset: number; waitMs: number },
+): Promise<{ daemon: string; offset: number | undefined }[]> {
+  const endsAt = performance.now() + waitMs;
+  while (true) {
+    const answers = await callAll<ConfigAnswer>(access, "/config");
+    const nodes = answers.map((answer) => ({
+      daemon: answer.daemon,
+      offset: answer.ok ? answer.value.offset : undefined,
+    }));
+    const isDone = nodes.every(({ offset: seen }) => (seen ?? -1) >= offset);
+    if (isDone || performance.now() >= endsAt) return nodes;
+    await sleep(WAIT_STEP_MS);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/status.ts
@@ -0,0 +1,207 @@
+/**
+ * `status`, `groups`, `dump` and `drain`.
+ *
+ * @module
+ */
+import {
+  type Access,
+  type Answer,
+  callAll,
+  callDaemon,
+} from "../daemon_client.ts";
+import { CommandError } from "../exit_codes.ts";
+import { formatTable, type Output, print } from "../output.ts";
+
+interface StatusAnswer {
+  node: string;
+  zone: string;
+  phase: string;
+  ready: boolean;
+  configOffset?: number;
+  foldNext: number;
+  logReachable: boolean;
+  requests: number;
+  peers: unknown[];
+  problems: string[];
+}
+
+interface TargetAnswer {
+  name: string;
+  deployment: string;
+  phase: string;
+  epoch: number | null;
+  limit: number;
+  attempts: unknown[];
+  members: { member: { vm: string; zone: string; domain: string } }[];
+}
+
+function failuresOf<T>(answers: readonly Answer<T>[]): string[] {
+  return answers.flatMap((answer) => answer.ok ? [] : [answer.error.message]);
+}
+
+function throwIfUnreachable<T>(answers: readonly Answer<T>[]): void {
+  const failed = failuresOf(answers);
+  if (failed.length > 0) {
+    throw new CommandError("unreachable", failed.join("\n"));
+  }
+}
+
+function formatStatus(answers: readonly Answer<StatusAnswer>[]): string {
+  const head = [
+    "node",
+    "zone",
+    "phase",
+    "ready",
+    "config",
+    "fold",
+    "log",
+    "requests",
+    "peers",
+  ];
+  const rows = answers.flatMap((answer) => {
+    if (!answer.ok) return [];
+    const {
+      node,
+      zone,
+      phase,
+      ready,
+      configOffset,
+      foldNext,
+      logReachable,
+      requests,
+      peers,
+    } = answer.value;
+    return [[
+      node,
+      zone,
+      phase,
+      ready,
+      configOffset,
+      foldNext,
+      logReachable ? "up" : "down",
+      requests,
+      peers.length,
+    ]];
+  });
+  const problems = answers.flatMap((answer) =>
+    answer.ok
+      ? answer.value.problems.map((problem) =>
+        `${answer.value.node}: ${problem}`
+      )
+      : []
+  );
+  const wrong = [...failuresOf(answers), ...problems];
+  const summary = wrong.length === 0
+    ? "Nothing is wrong."
+    : `Wrong:\n${wrong.map((line) => `  ${line}`).join("\n")}`;
+  return `${formatTable(head, rows)}\n\n${summary}`;
+}
+
+/** Shows each daemon and everything that is wrong. */
+export async function showStatus(
+  access: Access,
+  output: Output,
+): Promise<void> {
+  const answers = await callAll<StatusAnswer>(access, "/status");
+  const view = answers.map((answer) =>
+    answer.ok
+      ? answer
+      : { daemon: answer.daemon, ok: false as const, error: answer.error }
+  );
+  if (output.json) {
+    const plain = view.map((answer) =>
+      answer.ok
+        ? { daemon: answer.daemon, ...answer.value }
+        : { daemon: answer.daemon, error: answer.error.message }
+    );
+    output.write(JSON.stringify(plain, null, 2));
+  } else {
+    output.write(formatStatus(view));
+  }
+  throwIfUnreachable(answers);
+}
+
+/** Lists replica groups and backend servers as each daemon sees them. */
+export async function showGroups(
+  access: Access,
+  output: Output,
+): Promise<void> {
+  const answers = await callAll<TargetAnswer[]>(access, "/groups");
+  const rows = answers.flatMap((answer) =>
+    answer.ok
+      ? answer.value.map((target) => ({ daemon: answer.daemon, ...target }))
+      : []
+  );
+  print(output, rows, (targets) =>
+    formatTable(
+      [
+        "daemon",
+        "group",
+        "deployment",
+        "phase",
+        "epoch",
+        "limit",
+        "in flight",
+        "members",
+      ],
+      targets.map((
+        { daemon, name, deployment, phase, epoch, limit, attempts, members },
+      ) => [
+        daemon,
+        name,
+        deployment,
+        phase,
+        epoch ?? undefined,
+        limit,
+        attempts.length,
+        members.map(({ member }) => member.vm).join(" "),
+      ]),
+    ));
+  throwIfUnreachable(answers);
+}
+
+/** Dumps the whole state of each daemon. */
+export async function dumpStates(
+  access: Access,
+  output: Output,
+): Promise<void> {
+  const answers = await callAll<unknown>(access, "/state");
+  const states = answers.flatMap((answer) =>
+    answer.ok ? [{ daemon: answer.daemon, state: answer.value }] : []
+  );
+  output.write(JSON.stringify(states, null, 2));
+  throwIfUnreachable(answers);
+}
+
+/** Drains a daemon or a VM. */
+export async function drain(
+  access: Access,
+  output: Output,
+  { what, name }: { what: "node" | "vm"; name: string },
+): Promise<void> {
+  const statuses = await callAll<StatusAnswer>(access, "/status");
+  const reached = statuses.filter((answer) => answer.ok);
+  const chosen = what === "vm"
+    ? reached
+    : reached.filter((answer) => answer.value.node === name);
+  if (chosen.length === 0) {
+    throwIfUnreachable(statuses);
+    const known = reached.map((answer) => answer.value.node).join(", ");
+    throw new CommandError(
+      "failed",
+      `Cannot find a daemon named "${name}"; the daemons asked are: ${known}`,
+    );
+  }
+  for (const { daemon } of chosen) {
+    await callDaemon(daemon, "/drain", {
+      key: access.key,
+      body: { what, name },
+    });
+  }
+  const told = chosen.map(({ daemon }) => daemon);
+  print(
+    output,
+    { draining: { what, name }, told },
+    () => `Draining ${what} ${name}; told ${told.join(", ")}`,
+  );
+}
--- /dev/null
+++ b/packages/cli/src/exit_codes.ts
@@ -0,0 +1,33 @@
+/**
+ * Exit codes of `primrosectl`, as documented in docs/api/cli.md.
+ *
+ * @module
+ */
+
+import VError from "verror";
+
+/** Exit codes by meaning. */
+export const EXIT_CODES = {
+  ok: 0,
+  failed: 1,
+  usage: 2,
+  invalid: 3,
+  unreachable: 4,
+  conflict: 5,
+  incomplete: 6,
+} as const;
+
+/** Meaning of an exit code. */
+export type ExitReason = keyof typeof EXIT_CODES;
+
+/** Raised to end a command with a message and an exit code. */
+export class CommandError extends VError {
+  /** Decides the exit code. */
+  readonly reason: ExitReason;
+
+  /** Creates an error that ends the command. */
+  constructor(reason: ExitReason, message: string) {
+    super({ name: "CommandError" }, "%s", message);
+    this.reason = reason;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/run.ts
@@ -0,0 +1,226 @@
+/**
+ * Builds the command line of `primrosectl`.
+ *
+ * @module
+ */
+import yargs, { type Argv } from "yargs";
+import {
+  applyConfig,
+  type ConfigFiles,
+  diffConfig,
+  showConfig,
+  showHistory,
+  validateConfig,
+} from "./commands/config.ts";
+import {
+  drain,
+  dumpStates,
+  showGroups,
+  showStatus,
+} from "./commands/status.ts";
+import { showUsage, verifyUsage } from "./commands/usage.ts";
+import type { Access } from "./daemon_client.ts";
+import { CommandError, EXIT_CODES } from "./exit_codes.ts";
+import type { Output } from "./output.ts";
+
+/** Surroundings of a run, so that tests need no process. */
+export interface Surroundings {
+  env: Readonly<Record<string, string | undefined>>;
+  stdout(text: string): void;
+  stderr(text: string): void;
+}
+
+interface Common {
+  daemon: string[];
+  key: string;
+  json: boolean;
+}
+
+const DEFAULT_DAEMONS = "http://127.0.0.1:9090,http://127.0.0.2:9090";
+const DEFAULT_WAIT_MS = 16_000;
+
+function withFiles<T>(args: Argv<T>, { required }: { required: boolean }) {
+  return args
+    .option("base", {
+      type: "string",
+      demandOption: required,
+      describe: "Base file",
+    })
+    .option("overlay", {
+      type: "string",
+      array: true,
+      default: [] as string[],
+      describe: "Overlay files, each named after its site",
+    });
+}
+
+function filesOf(
+  { base, overlay }: { base: string | undefined; overlay: string[] },
+): ConfigFiles {
+  return { base: base ?? "", overlays: overlay };
+}
+
+/** Runs one command line and returns its exit code. */
+export async function run(
+  args: readonly string[],
+  surroundings: Surroundings,
+): Promise<number> {
+  const { env, stdout, stderr } = surroundings;
+  const accessOf = ({ daemon, key }: Common): Access => ({
+    daemons: daemon,
+    key,
+  });
+  const outputOf = ({ json }: Common): Output => ({ json, write: stdout });
+  const parser = yargs([...args])
+    .scriptName("primrosectl")
+    .option("daemon", {
+      type: "string",
+      array: true,
+      default: (env.PRIMROSE_DAEMONS ?? DEFAULT_DAEMONS).split(","),
+      describe: "Operator listeners, http://IP:PORT",
+    })
+    .option("key", {
+      type: "string",
+      default: env.PRIMROSE_OPERATOR_KEY ?? "",
+      describe: "Operators' bearer key",
+    })
+    .option("json", { type: "boolean", default: false, describe: "Print JSON" })
+    .command(
+      "status",
+      "Show each daemon and what is wrong",
+      (inner) => inner,
+      (argv) => showStatus(accessOf(argv), outputOf(argv)),
+    )
+    .command(
+      "groups",
+      "List replica groups and backend servers",
+      (inner) => inner,
+      (argv) => showGroups(accessOf(argv), outputOf(argv)),
+    )
+    .command(
+      "dump",
+      "Dump the state of each daemon",
+      (inner) => inner,
+      (argv) => dumpStates(accessOf(argv), outputOf(argv)),
+    )
+    .command(
+      "drain <what> <name>",
+      "Drain a daemon or a VM",
+      (builder) =>
+        builder
+          .positional("what", {
+            choices: ["node", "vm"] as const,
+            demandOption: true,
+          })
+          .positional("name", { type: "string", demandOption: true }),
+      (argv) => drain(accessOf(argv), outputOf(argv), argv),
+    )
+    .command(
+      "config",
+      "Work with the configuration",
+      (builder) => addConfigCommands(builder as Argv<Common>),
+    )
+    .command(
+      "usage",
+      "Show and check use",
+      (builder) => addUsageCommands(builder as Argv<Common>),
+    )
+    .demandCommand(1, "Name a command; see --help")
+    .strict()
+    .version("0.1.0")
+    .exitProcess(false)
+    .fail((message, error) => {
+      throw error ?? new CommandError("usage", message);
+    });
+
+  function addConfigCommands(builder: Argv<Common>) {
+    return builder
+      .command(
+        "validate",
+        "Check files",
+        (inner) => withFiles(inner, { required: true }),
+        (argv) => validateConfig(filesOf(argv), outputOf(argv)),
+      )
+      .command(
+        "show",
+        "Show what is in force, or files, merged for a site",
+        (inner) =>
+          withFiles(inner, { required: false }).option("site", {
+            type: "string",
+          }),
+        (argv) =>
+          showConfig(accessOf(argv), outputOf(argv), {
+            site: argv.site,
+            files: argv.base === undefined ? undefined : filesOf(argv),
+          }),
+      )
+      .command(
+        "diff",
+        "Compare files with what is in force",
+        (inner) => withFiles(inner, { required: true }),
+        (argv) =>
+          diffConfig(accessOf(argv), outputOf(argv), { files: filesOf(argv) }),
+      )
+      .command(
+        "apply",
+        "Publish files and wait until they are in force",
+        (inner) =>
+          withFiles(inner, { required: true })
+            .option("author", {
+              type: "string",
+              default: env.USER ?? "operator",
+            })
+            .option("based-on", {
+              type: "number",
+              describe: "Offset the change is based on",
+            })
+            .option("wait-ms", { type: "number", default: DEFAULT_WAIT_MS }),
+        (argv) =>
+          applyConfig(accessOf(argv), outputOf(argv), {
+            files: filesOf(argv),
+            author: argv.author,
+            basedOn: argv.basedOn,
+            waitMs: argv.waitMs,
+          }),
+      )
+      .command(
+        "history",
+        "List accepted configurations",
+        (inner) => inner,
+        (argv) => showHistory(accessOf(argv), outputOf(argv)),
+      )
+      .demandCommand(1, "Name a config command; see --help");
+  }
+
+  function addUsageCommands(builder: Argv<Common>) {
+    return builder
+      .command(
+        "show",
+        "Show the bill by owner",
+        (inner) =>
+          inner.option("csv", {
+            type: "boolean",
+            default: false,
+            describe: "Print CSV",
+          }),
+        (argv) => showUsage(accessOf(argv), outputOf(argv), argv),
+      )
+      .command(
+        "verify",
+        "Check signatures and sequence",
+        (inner) => inner,
+        (argv) => verifyUsage(accessOf(argv), outputOf(argv)),
+      )
+      .demandCommand(1, "Name a usage command; see --help");
+  }
+
+  try {
+    await parser.parseAsync();
+    return EXIT_CODES.ok;
+  } catch (error) {
+    stderr(error instanceof Error ? error.message : String(error));
+    return error instanceof CommandError
+      ? EXIT_CODES[error.reason]
+      : EXIT_CODES.usage;
+  }
+}
--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -65,6 +65,7 @@
   ),
   lease_taken: event(1401, "info", "lease taken"),
   lease_lost: event(1402, "warn", "lease lost"),
+  lease_released: event(1406, "info", "lease released"),
   order_dropped: event(1403, "warn", "order dropped, lease no longer held"),
   group_planned: event(1404, "info", "replica group change planned"),
   order_failed: event(1405, "warn", "order to an engine failed"),
--- a/packages/core/src/lease/lease.ts
+++ b/packages/core/src/lease/lease.ts
@@ -119,7 +119,13 @@
       state,
       createRecord(state, { type: "lease_release", ...body }),
     );
-    return yield* loseLease(lease, { cause: "released" });
+    forgetLease(lease);
+    yield {
+      kind: "log",
+      event: "lease_released",
+      fields: { lease: lease.name },
+    };
+    return;
   }
   const lastSentAt = Math.max(lease.confirmedSentAt, ...lease.sent.values());
   if (state.now - lastSentAt < LEASE_RENEW_MS) return;
@@ -130,10 +136,14 @@
   yield* appendRecord(state, record);
 }
 
-function* loseLease(lease: Lease, { cause }: { cause: string }): Effects {
+function forgetLease(lease: Lease): void {
   lease.grant = undefined;
   lease.sent.clear();
   advanceLease(lease, "lost");
+}
+
+function* loseLease(lease: Lease, { cause }: { cause: string }): Effects {
+  forgetLease(lease);
   yield {
     kind: "log",
     event: "lease_lost",
@@ -155,6 +165,7 @@
   const sentAt = lease?.sent.get(record.id);
   if (lease === undefined || sentAt === undefined) return;
   lease.sent.delete(record.id);
+  if (!result.accepted && lease.grant === undefined) return forgetLease(lease);
   if (!result.accepted) return yield* loseLease(lease, { cause: result.cause });
   lease.confirmedSentAt = sentAt;
   if (record.type === "lease_renew") return void advanceLease(lease, "renewed");
--- a/packages/daemon/src/driver/driver.ts
+++ b/packages/daemon/src/driver/driver.ts
@@ -87,6 +87,7 @@
   }
 
   function dispatch(event: EventBody): void {
+    if (stopped) return;
     waiting.push(event);
     if (busy) return;
     busy = true;
