--- a/packages/core/src/drain/drain.ts
+++ b/packages/core/src/drain/drain.ts
@@ -14,8 +14,6 @@
 import { nextState } from "../util/machine.ts";
 import { schedule } from "../util/timer_queue.ts";
 
-/** The balancer may still send new requests for this long after readiness went off. */
-export const BALANCER_LAG_MS = 2_000;
 const DRAIN_CHECK_MS = 50;
 /** Time for the last records to reach the log before exit. */
 const LAST_APPENDS_MS = 3_000;
@@ -48,7 +46,7 @@
     fields: { requests: state.requests.size },
   };
   yield* judgeReadiness(state);
-  schedule(state.timers, state.now + BALANCER_LAG_MS, {
+  schedule(state.timers, state.now + state.node.balancerLagMs, {
     timer: { kind: "drain_check" },
   });
 }
--- a/packages/core/src/lease/lease.ts
+++ b/packages/core/src/lease/lease.ts
@@ -167,7 +167,7 @@
   lease.sent.delete(record.id);
   if (!result.accepted && lease.grant === undefined) return forgetLease(lease);
   if (!result.accepted) return yield* loseLease(lease, { cause: result.cause });
-  lease.confirmedSentAt = sentAt;
+  lease.confirmedSentAt = Math.max(lease.confirmedSentAt, sentAt);
   if (record.type === "lease_renew") return void advanceLease(lease, "renewed");
   lease.grant = offset;
   advanceLease(lease, "granted");
--- a/packages/core/src/planner/planner.ts
+++ b/packages/core/src/planner/planner.ts
@@ -198,10 +198,15 @@
   }
 }
 
-function isSettling({ state, planner }: Scope, subject: string): boolean {
-  for (const change of planner.pending.values()) {
-    if (change.subject === subject) return true;
-  }
+function hasPending({ planner }: Scope, subject: string): boolean {
+  return [...planner.pending.values()].some((change) =>
+    change.subject === subject
+  );
+}
+
+function isSettling(scope: Scope, subject: string): boolean {
+  const { state, planner } = scope;
+  if (hasPending(scope, subject)) return true;
   return state.now - (planner.changedAt.get(subject) ?? -Infinity) <
     CHANGE_PAUSE_MS;
 }
@@ -286,7 +291,7 @@
 function* balanceReplicas(scope: Scope): Effects {
   const groups = ownGroups(scope).filter(({ phase }) => phase === "formed");
   const { replicas } = scope.deployment;
-  if (isSettling(scope, scope.name)) return;
+  if (hasPending(scope, scope.name)) return;
   if (groups.length > replicas) yield* drainSurplus(scope, groups);
   for (let missing = replicas - groups.length; missing > 0; missing--) {
     if (!(yield* formGroup(scope, groups))) return;
--- a/packages/core/src/state/create_state.ts
+++ b/packages/core/src/state/create_state.ts
@@ -33,7 +33,7 @@
  *
  * @example
  * ```ts
- * const state = createState({ name: "entry-1", zone: "suva-a", site: "suva-a", incarnation: "i1" }, { seed: 1, now: 0 });
+ * const state = createState({ name: "entry-1", zone: "suva-a", site: "suva-a", incarnation: "i1", balancerLagMs: 2_000 }, { seed: 1, now: 0 });
  * const effects = reduce(state, { kind: "config_loaded", document, at: 0 });
  * ```
  */
--- a/packages/core/src/state/types.ts
+++ b/packages/core/src/state/types.ts
@@ -35,6 +35,8 @@
   zone: string;
   site: string;
   incarnation: string;
+  /** The balancer may still send requests for this long after readiness went off, ms. */
+  balancerLagMs: number;
 }
 
 /** What is known of one VM behind a target. */
--- a/packages/daemon/src/http/caller_app.ts
+++ b/packages/daemon/src/http/caller_app.ts
@@ -93,10 +93,10 @@
     const id = arrival.request;
     exchanges.set(id, exchange);
     response.on("close", () => {
-      exchanges.delete(id);
       if (!response.writableFinished) {
         dispatch({ kind: "caller_gone", request: id });
       }
+      exchanges.delete(id);
     });
     if (state.phase !== "serving") response.setHeader("connection", "close");
     dispatch({ kind: "request_arrived", ...arrival });
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -73,6 +73,7 @@
     firstByteTimeoutMs: milliseconds.default(30_000),
     logPollMs: milliseconds.default(5_000),
     groupCommitMs: milliseconds.default(20),
+    balancerLagMs: milliseconds.default(2_000),
   }).prefault({}),
   log: z.strictObject({
     level: z.enum(["error", "warn", "info"]).default("info"),
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -129,10 +129,11 @@
 ): Promise<Daemon> {
   const { settings, document, peerKey, usageKey } = loaded;
   const { name, zone, site } = settings.node;
+  const { balancerLagMs } = settings.timing;
   const incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
   const seed = settings.seed ??
     randomBytes(INCARNATION_BYTES).readUInt32LE() % SEED_RANGE;
-  const state = createState({ name, zone, site, incarnation }, {
+  const state = createState({ name, zone, site, incarnation, balancerLagMs }, {
     seed,
     now: monotonicNow(),
   });
--- a/packages/stand_ins/src/demo/main.ts
+++ b/packages/stand_ins/src/demo/main.ts
@@ -4,9 +4,16 @@
  * @module
  */
 import process from "node:process";
-import { startDemo } from "./demo.ts";
+import { DEMO_PORTS, startSystem } from "./system.ts";
 
-const starting = startDemo();
+const DEMO_STEP_MS = 15;
+const DEMO_LOAD_MS = 200;
+
+const starting = startSystem({
+  ports: DEMO_PORTS,
+  stepMs: DEMO_STEP_MS,
+  loadMs: DEMO_LOAD_MS,
+});
 let signals = 0;
 
 async function stop(): Promise<void> {
--- /dev/null
+++ b/packages/stand_ins/src/demo/system.ts
@@ -0,0 +1,238 @@
+/**
+ * A whole system on loopback: stand-ins of the platform, engines and a lending service, and real daemons.
+ *
+ * @module
+ */
+import { generateKeyPairSync } from "node:crypto";
+import { createDaemon, type Daemon, type Logger } from "@primroseshed/daemon";
+import { type Engine, startEngine } from "../engine/engine.ts";
+import { type LogService, startLogService } from "../log/log_service.ts";
+import {
+  type Booking,
+  type Lending,
+  startLending,
+} from "../service/lending.ts";
+import { startVmService, type VmService } from "../vms/vm_service.ts";
+import { createDemoDocument, createDemoSettings } from "./settings.ts";
+
+/** Zones of the demo; each is one fabric domain. */
+export const ZONES = ["suva-a", "nausori-b", "lautoka-c"] as const;
+
+/** Size and pace of a system. */
+export interface SystemOptions {
+  daemons?: number;
+  /** Engine VMs in each zone. */
+  enginesPerZone?: number;
+  lendings?: number;
+  replicas?: number;
+  vmsPerReplica?: number;
+  /** Pause between an engine's tokens, ms. */
+  stepMs?: number;
+  loadMs?: number;
+  /** Fixed ports; free ones by default. */
+  ports?: { callers: number; operators: number; peers: number };
+  policy?: Record<string, unknown>;
+  /** Extra settings of the lending deployment. */
+  lending?: Record<string, unknown>;
+  /** Extra settings of each daemon. */
+  overrides?: Record<string, unknown>;
+  logger?: Logger;
+}
+
+/** A running system. */
+export interface System {
+  daemons: Daemon[];
+  engines: Engine[];
+  log: LogService;
+  vms: VmService;
+  lendings: Lending[];
+  bookings: Booking[];
+  /** Starts one more daemon, as a replaced entry VM would. */
+  addDaemon(): Promise<Daemon>;
+  /** Stops the daemons gracefully, then the stand-ins. */
+  stop(): Promise<void>;
+  /** Stops everything at once. */
+  kill(): Promise<void>;
+}
+
+const READY_POLL_MS = 10;
+const FIRST_PEERS_PORT = 7070;
+
+function listEngines(
+  vms: VmService,
+  engines: readonly Engine[],
+  perZone: number,
+): void {
+  engines.forEach(({ vm, address, status }, index) => {
+    const zone = ZONES[Math.floor(index / perZone)] ?? ZONES[0];
+    vms.vms.set(vm, {
+      vm,
+      address,
+      zone,
+      domain: `${zone}-fabric`,
+      incarnation: status.incarnation,
+      state: "live",
+      role: "engine",
+      accelerators: 8,
+    });
+  });
+}
+
+/** Resolves once `isTrue` holds; the caller's own timeout is the limit. */
+export async function waitUntil(isTrue: () => boolean): Promise<void> {
+  while (!isTrue()) {
+    await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS));
+  }
+}
+
+/** Whether a daemon serves every deployment in full. */
+export function servesAll({ state }: Daemon): boolean {
+  return state.ready &&
+    [...state.pools.values()].every(({ targets, deployment }) => {
+      const serving = [...targets].filter((name) =>
+        state.targets.get(name)?.phase === "serving"
+      );
+      return serving.length >=
+        (deployment.kind === "model"
+          ? deployment.replicas
+          : deployment.backends.length);
+    });
+}
+
+function createUsageKeys() {
+  const { publicKey, privateKey } = generateKeyPairSync("ed25519");
+  return {
+    publicKey: publicKey.export({ type: "spki", format: "pem" }).toString(),
+    privateKey: privateKey.export({ type: "pkcs8", format: "pem" }).toString(),
+  };
+}
+
+/** Starts a system; resolves once every daemon serves everything. */
+export async function startSystem(
+  options: SystemOptions = {},
+): Promise<System> {
+  const {
+    daemons: daemonCount = 2,
+    enginesPerZone = 2,
+    lendings: lendingCount = 1,
+    stepMs = 1,
+    loadMs = 10,
+  } = options;
+  const log = await startLogService();
+  const vms = await startVmService();
+  const names = ZONES.flatMap((zone) =>
+    Array.from(
+      { length: enginesPerZone },
+      (_, index) => `engine-${zone}-${index}`,
+    )
+  );
+  const engines = await Promise.all(
+    names.map((vm) => startEngine({ vm, stepMs, loadMs })),
+  );
+  const bookings: Booking[] = [];
+  const lendings = await Promise.all(
+    Array.from(
+      { length: lendingCount },
+      (_, index) => startLending({ vm: `lending-${index + 1}`, bookings }),
+    ),
+  );
+  listEngines(vms, engines, enginesPerZone);
+  const keys = createUsageKeys();
+  const backends = lendings.map(({ address, status }) => ({
+    vm: status.vm,
+    address,
+    zone: ZONES[0],
+  }));
+  const { replicas = 2, vmsPerReplica = 2, policy = {}, lending = {} } =
+    options;
+  const document = createDemoDocument({
+    backends,
+    replicas,
+    vmsPerReplica,
+    policy,
+    lending,
+    usagePublicKey: keys.publicKey,
+  });
+  log.append("control", [{
+    type: "config",
+    basedOn: 0,
+    document,
+    author: "demo",
+    id: "demo/config",
+    level: 1,
+  }]);
+  const daemons: Daemon[] = [];
+
+  async function addDaemon(): Promise<Daemon> {
+    const number = daemons.length + 1;
+    const name = `entry-${number}`;
+    const host = `127.0.0.${number}`;
+    const zone = ZONES[(number - 1) % ZONES.length] ?? ZONES[0];
+    const settings = createDemoSettings({
+      name,
+      document,
+      log: log.address,
+      vms: vms.address,
+      host,
+      zone,
+      usageKey: keys.privateKey,
+      ...(options.ports && { ports: options.ports }),
+      overrides: { log: { level: "warn" }, ...options.overrides },
+    });
+    const daemon = await createDaemon(
+      settings,
+      options.logger ? { logger: options.logger } : {},
+    );
+    daemons.push(daemon);
+    const { incarnation } = daemon.state.node;
+    const address = `http://${daemon.addresses.peers}`;
+    vms.vms.set(name, {
+      vm: name,
+      address,
+      zone,
+      domain: "",
+      incarnation,
+      state: "live",
+      role: "entry",
+      accelerators: 0,
+    });
+    return daemon;
+  }
+
+  async function closeAll(): Promise<void> {
+    await Promise.all(daemons.map(({ stopped }) => stopped));
+    await Promise.all(
+      [...engines, ...lendings, log, vms].map((standIn) => standIn.close()),
+    );
+  }
+
+  for (let number = 0; number < daemonCount; number++) await addDaemon();
+  await waitUntil(() => daemons.every(servesAll));
+  return {
+    daemons,
+    engines,
+    log,
+    vms,
+    lendings,
+    bookings,
+    addDaemon,
+    async stop() {
+      for (const daemon of daemons) daemon.stop();
+      await closeAll();
+    },
+    async kill() {
+      for (const daemon of daemons) {
+        daemon.stop();
+        daemon.stop();
+      }
+      await closeAll();
+    },
+  };
+}
+
+/** Ports of `npm start`. */
+export const DEMO_PORTS = {
+  callers: 8080,
+  operators: 9090,
+  peers: FIRST_PEERS_PORT,
+} as const;
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -10,4 +10,4 @@
 export * from "./engine/text.ts";
 export * from "./service/lending.ts";
 export * from "./demo/settings.ts";
-export * from "./demo/demo.ts";
+export * from "./demo/system.ts";
--- /dev/null
+++ b/packages/system_tests/src/bad_input_test.ts
@@ -0,0 +1,230 @@
+import { connect } from "node:net";
+import { CALLER_KEYS, type System } from "@primroseshed/stand_ins";
+import { expect } from "chai";
+import { chatBody, type ErrorBody, headersOf } from "./client.ts";
+import { startTestSystem } from "./fixture.ts";
+
+interface Row {
+  name: string;
+  path?: string;
+  method?: string;
+  headers?: Record<string, string>;
+  body?: string;
+  status: number;
+  code: string;
+  says: string;
+}
+
+const CHAT = "/v1/chat/completions";
+
+const ROWS: Row[] = [
+  {
+    name: "malformed JSON",
+    body: "{",
+    status: 400,
+    code: "invalid_request",
+    says: "Cannot parse the body as JSON",
+  },
+  {
+    name: "a body that is no object",
+    body: "3",
+    status: 400,
+    code: "invalid_request",
+    says: "not valid",
+  },
+  {
+    name: "messages of a wrong type",
+    body: '{"model":"assistant","messages":"hi"}',
+    status: 400,
+    code: "invalid_request",
+    says: "messages",
+  },
+  {
+    name: "an unknown role of a message",
+    body: '{"model":"assistant","messages":[{"role":"uesr","content":"x"}]}',
+    status: 400,
+    code: "invalid_request",
+    says: "messages.0.role",
+  },
+  {
+    name: "too many tokens asked for",
+    body: chatBody("x", { max_tokens: 1_000_000 }),
+    status: 400,
+    code: "invalid_request",
+    says: "ask for at most 4096",
+  },
+  {
+    name: "an oversize body",
+    body: chatBody("x".repeat(5 * 1024 * 1024)),
+    status: 413,
+    code: "body_too_large",
+    says: "bytes",
+  },
+  {
+    name: "an unknown model",
+    body: chatBody("x", { model: "asistant" }),
+    status: 404,
+    code: "not_found",
+    says: 'did you mean "assistant"?',
+  },
+  {
+    name: "an unknown service",
+    path: "/services/lendin/bookings",
+    method: "GET",
+    status: 404,
+    code: "not_found",
+    says: 'did you mean "lending"?',
+  },
+  {
+    name: "an unknown rank",
+    headers: { "primrose-rank": "urgnt" },
+    status: 400,
+    code: "invalid_request",
+    says: 'did you mean "urgent"?',
+  },
+  {
+    name: "a deadline that is no number",
+    headers: { "primrose-deadline-ms": "soon" },
+    status: 400,
+    code: "invalid_request",
+    says: "primrose-deadline-ms",
+  },
+  {
+    name: "a deadline of zero",
+    headers: { "primrose-deadline-ms": "0" },
+    status: 400,
+    code: "invalid_request",
+    says: "primrose-deadline-ms",
+  },
+  {
+    name: "a key with spaces",
+    headers: { "idempotency-key": "a b" },
+    status: 400,
+    code: "invalid_request",
+    says: "Idempotency-Key",
+  },
+  {
+    name: "a wrong bearer key",
+    headers: { authorization: "Bearer nobody" },
+    status: 401,
+    code: "unauthorized",
+    says: "Cannot accept this key",
+  },
+  {
+    name: "a missing bearer key",
+    headers: { authorization: "" },
+    status: 401,
+    code: "unauthorized",
+    says: "Authorization: Bearer",
+  },
+  {
+    name: "an unknown path",
+    path: "/v2/chat",
+    status: 404,
+    code: "not_found",
+    says: "docs/api.md",
+  },
+];
+
+describe("bad input", () => {
+  let system: System;
+  before(async () => {
+    system = await startTestSystem({
+      daemons: 1,
+      lending: { ranks: ["urgent", "standard"] },
+    });
+  });
+  after(() => system.kill());
+
+  const address = () => system.daemons[0]!.addresses.callers;
+  const port = () => Number(new URL(address()).port);
+
+  for (
+    const {
+      name,
+      path = CHAT,
+      method = "POST",
+      headers,
+      body = chatBody("x"),
+      status,
+      code,
+      says,
+    } of ROWS
+  ) {
+    it(`answers ${name} with ${status} ${code}, not run`, async () => {
+      const response = await fetch(`${address()}${path}`, {
+        method,
+        headers: headersOf(headers),
+        ...(method === "POST" && { body }),
+      });
+      const { error } = await response.json() as ErrorBody;
+      expect(response.status).to.equal(status);
+      expect(error).to.include({ code, verdict: "not_run" });
+      expect(error.message).to.include(says);
+      expect(response.headers.get("primrose-verdict")).to.equal("not_run");
+    });
+  }
+
+  it("refuses with 403 a rank that a deployment does not declare", async () => {
+    const response = await fetch(`${address()}/services/lending/bookings`, {
+      headers: headersOf({ "primrose-rank": "batch" }),
+    });
+    expect(response.status).to.equal(403);
+    expect((await response.json() as ErrorBody).error).to.include({
+      code: "not_declared",
+      verdict: "not_run",
+    });
+  });
+
+  async function sendRaw(text: string): Promise<string> {
+    const socket = connect(port(), "127.0.0.1");
+    let received = "";
+    socket.on("data", (chunk) => received += chunk);
+    socket.write(text);
+    await new Promise((resolve) => socket.once("close", resolve));
+    return received;
+  }
+
+  it("answers oversize headers with 431", async () => {
+    const answer = await sendRaw(
+      `GET /v1/models HTTP/1.1\r\nhost: x\r\nx-big: ${
+        "a".repeat(20_000)
+      }\r\n\r\n`,
+    );
+    expect(answer).to.match(/^HTTP\/1\.1 431 /);
+    expect(answer).to.include("headers_too_large");
+  });
+
+  it("answers a flood of headers with 431", async () => {
+    const flood = Array.from({ length: 150 }, (_, index) => `x-${index}: 1\r\n`)
+      .join("");
+    const answer = await sendRaw(
+      `GET /v1/models HTTP/1.1\r\nhost: x\r\nconnection: close\r\n${flood}\r\n`,
+    );
+    expect(answer).to.match(/^HTTP\/1\.1 431 /);
+  });
+
+  it("answers what is not HTTP with 400", async () => {
+    expect(await sendRaw("hello there\r\n\r\n")).to.match(/^HTTP\/1\.1 400 /);
+  });
+
+  it("runs nothing for a chunked body that is cut off", async () => {
+    const before = system.bookings.length;
+    const socket = connect(port(), "127.0.0.1");
+    const head = [
+      "POST /services/lending/bookings HTTP/1.1",
+      "host: x",
+      `authorization: Bearer ${CALLER_KEYS.tavua}`,
+      "transfer-encoding: chunked",
+    ];
+    socket.write(`${head.join("\r\n")}\r\n\r\n12\r\n{"item":"sling-1"\r\n`);
+    await new Promise((resolve) => setTimeout(resolve, 30));
+    socket.destroy();
+    const alive = await fetch(`${address()}/v1/models`, {
+      headers: headersOf(),
+    });
+    expect(alive.status).to.equal(200);
+    expect(system.bookings.length).to.equal(before);
+    expect(system.daemons[0]!.state.requests.size).to.equal(0);
+  });
+});
--- /dev/null
+++ b/packages/system_tests/src/chat_test.ts
@@ -0,0 +1,212 @@
+import {
+  answerLength,
+  answerText,
+  type Mischief,
+  type System,
+  waitUntil,
+} from "@primroseshed/stand_ins";
+import { expect } from "chai";
+import { startTestSystem } from "./fixture.ts";
+import {
+  chat,
+  enginePrompt,
+  type ErrorBody,
+  headersOf,
+  readStream,
+} from "./client.ts";
+
+const PROMPT = "How do I wrap a newborn?";
+const EXPECTED = answerText(enginePrompt(PROMPT), 4_096);
+
+interface ChatAnswer {
+  choices: { message: { content: string } }[];
+  usage: {
+    prompt_tokens: number;
+    completion_tokens: number;
+    total_tokens: number;
+  };
+}
+
+describe("chat completions", () => {
+  let system: System;
+  beforeEach(async () =>
+    system = await startTestSystem({ policy: { stallMs: 300 } })
+  );
+  afterEach(() => system.kill());
+
+  const servingEngines = () =>
+    system.engines.filter(({ status }) => status.state === "ready");
+  const receivers = () =>
+    system.engines.filter(({ received }) => received.length > 0);
+
+  it("streams the whole answer with usage and an end mark", async () => {
+    const response = await chat(system.daemons[0]!, PROMPT, { stream: true });
+    const { text, done, usage } = readStream(await response.text());
+    expect(text).to.equal(EXPECTED);
+    expect(done).to.equal(true);
+    expect(usage?.completion_tokens).to.equal(
+      answerLength(enginePrompt(PROMPT), 4_096),
+    );
+  });
+
+  it("sends usage in a chunk of its own when asked to", async () => {
+    const response = await chat(system.daemons[0]!, PROMPT, {
+      stream: true,
+      stream_options: { include_usage: true },
+    });
+    const chunks = (await response.text()).split("\n").filter((line) =>
+      line.startsWith("data: {")
+    );
+    const last = JSON.parse(chunks.at(-1)!.slice(6));
+    expect(last.choices).to.deep.equal([]);
+    expect(last.usage.completion_tokens).to.equal(
+      answerLength(enginePrompt(PROMPT), 4_096),
+    );
+  });
+
+  it("answers whole with usage and a verdict", async () => {
+    const response = await chat(system.daemons[1]!, PROMPT);
+    const body = await response.json() as ChatAnswer;
+    expect(response.headers.get("primrose-verdict")).to.equal("ran");
+    expect(body.choices[0]!.message.content).to.equal(EXPECTED);
+    expect(body.usage.total_tokens).to.equal(
+      body.usage.prompt_tokens + body.usage.completion_tokens,
+    );
+  });
+
+  it("lists only the models declared for a caller", async () => {
+    const response = await fetch(
+      `${system.daemons[0]!.addresses.callers}/v1/models`,
+      { headers: headersOf() },
+    );
+    expect(
+      (await response.json() as { data: { id: string }[] }).data.map(({ id }) =>
+        id
+      ),
+    ).to
+      .deep.equal(["assistant"]);
+  });
+
+  it("resumes a cut stream on another group without a gap or a repeat", async () => {
+    for (const engine of servingEngines()) engine.faults.cutAfterTokens = 5;
+    const response = await chat(system.daemons[0]!, PROMPT, { stream: true });
+    const content = readStream(await response.text());
+    const resumed = system.engines.flatMap(({ received }) => received).filter((
+      { resumeFrom },
+    ) => resumeFrom > 0);
+    expect(resumed.length).to.be.greaterThan(0);
+    expect(EXPECTED.startsWith(content.text)).to.equal(true);
+    expect(content.done || content.error !== undefined).to.equal(true);
+  });
+
+  it("moves a stream off a group as soon as one of its members is gone", async () => {
+    for (const engine of system.engines) engine.faults.slowMs = 0;
+    const pending = chat(system.daemons[0]!, PROMPT, { stream: true }).then((
+      response,
+    ) => response.text());
+    await waitUntil(() => receivers().length === 1);
+    const leader = receivers()[0]!;
+    leader.faults.paused = true;
+    const content = readStream(await pending);
+    expect(content.text).to.equal(EXPECTED);
+    expect(content.done).to.equal(true);
+    expect(receivers().length).to.equal(2);
+    leader.faults.paused = false;
+  });
+
+  it("never serves from a group while a member is missing", async () => {
+    const group = [...system.daemons[0]!.state.targets.values()].find((
+      { epoch },
+    ) => epoch !== undefined)!;
+    const second = system.engines.find(({ vm }) =>
+      vm === group.members[1]!.member.vm
+    )!;
+    const leader = system.engines.find(({ vm }) =>
+      vm === group.members[0]!.member.vm
+    )!;
+    await second.close();
+    await waitUntil(() => group.phase !== "serving");
+    const before = leader.received.length;
+    for (let count = 0; count < 10; count++) {
+      await chat(system.daemons[0]!, `${PROMPT} ${count}`);
+    }
+    expect(leader.received.length).to.equal(before);
+  });
+
+  it("cancels the engine's work when the caller leaves", async () => {
+    const abort = new AbortController();
+    const request = fetch(
+      `${system.daemons[0]!.addresses.callers}/v1/chat/completions`,
+      {
+        method: "POST",
+        headers: headersOf(),
+        body: JSON.stringify({
+          model: "assistant",
+          stream: true,
+          messages: [{ role: "user", content: PROMPT }],
+        }),
+        signal: abort.signal,
+      },
+    );
+    await waitUntil(() => receivers().length === 1);
+    abort.abort();
+    await request.then((response) => response.text()).catch(() => undefined);
+    await waitUntil(() => receivers()[0]!.cancelled.length === 1);
+    await waitUntil(() => system.daemons[0]!.state.requests.size === 0);
+  });
+
+  const MISCHIEF: { kind: Mischief["kind"]; resumes: boolean }[] = [
+    { kind: "broken_json", resumes: true },
+    { kind: "foreign_id", resumes: true },
+    { kind: "gap", resumes: true },
+    { kind: "duplicate", resumes: false },
+  ];
+  for (const { kind, resumes } of MISCHIEF) {
+    it(`delivers the right answer despite ${kind} from an engine`, async () => {
+      const [first] = [...system.daemons[0]!.state.targets.values()].filter((
+        { epoch },
+      ) => epoch !== undefined);
+      const leader = system.engines.find(({ vm }) =>
+        vm === first!.members[0]!.member.vm
+      )!;
+      leader.faults.mischief = { kind, atToken: 3 };
+      for (let count = 0; count < 8; count++) {
+        const prompt = `${PROMPT} ${count}`;
+        const content = readStream(
+          await (await chat(system.daemons[0]!, prompt, { stream: true }))
+            .text(),
+        );
+        expect(content.text).to.equal(answerText(enginePrompt(prompt), 4_096));
+        expect(content.done).to.equal(true);
+      }
+      expect(leader.received.length).to.be.greaterThan(0);
+      const others = system.engines.filter((engine) => engine !== leader)
+        .flatMap(({ received }) => received);
+      expect(others.some(({ resumeFrom }) => resumeFrom > 0)).to.equal(resumes);
+    });
+  }
+
+  it("ends a stream that no group can finish with an error and a verdict", async () => {
+    for (const engine of system.engines) engine.faults.cutAfterTokens = 1;
+    const content = readStream(
+      await (await chat(system.daemons[0]!, PROMPT, { stream: true })).text(),
+    );
+    expect(content.done).to.equal(false);
+    expect(content.error).to.include({
+      code: "stream_lost",
+      verdict: "may_have_run",
+    });
+    expect(EXPECTED.startsWith(content.text)).to.equal(true);
+  });
+
+  it("tells a caller whose work was refused everywhere that it did not run", async () => {
+    for (const engine of system.engines) engine.faults.refuses = true;
+    const response = await chat(system.daemons[0]!, PROMPT);
+    const { error } = await response.json() as ErrorBody;
+    expect(error.verdict).to.equal("not_run");
+    expect(response.headers.get("primrose-verdict")).to.equal("not_run");
+    expect(system.engines.flatMap(({ received }) => received)).to.deep.equal(
+      [],
+    );
+  });
+});
--- /dev/null
+++ b/packages/system_tests/src/client.ts
@@ -0,0 +1,95 @@
+/**
+ * A caller of a daemon under test.
+ *
+ * @module
+ */
+import type { Daemon } from "@primroseshed/daemon";
+import { CALLER_KEYS } from "@primroseshed/stand_ins";
+
+/** Body of an error. */
+export interface ErrorBody {
+  error: { code: string; message: string; verdict: string };
+}
+
+/** Headers of a caller. */
+export function headersOf(
+  extra: Record<string, string> = {},
+  key: string = CALLER_KEYS.tavua,
+): Record<string, string> {
+  return {
+    authorization: `Bearer ${key}`,
+    "content-type": "application/json",
+    ...extra,
+  };
+}
+
+/** Body of a chat completion for one prompt. */
+export function chatBody(
+  prompt: string,
+  extra: Record<string, unknown> = {},
+): string {
+  return JSON.stringify({
+    model: "assistant",
+    messages: [{ role: "user", content: prompt }],
+    ...extra,
+  });
+}
+
+/** Prompt as the engine sees it. */
+export function enginePrompt(prompt: string): string {
+  return `user\n${prompt}\n`;
+}
+
+/** Asks for a chat completion. */
+export function chat(
+  daemon: Daemon,
+  prompt: string,
+  { headers = {}, ...extra }:
+    & { headers?: Record<string, string> }
+    & Record<string, unknown> = {},
+): Promise<Response> {
+  return fetch(`${daemon.addresses.callers}/v1/chat/completions`, {
+    method: "POST",
+    headers: headersOf(headers),
+    body: chatBody(prompt, extra),
+  });
+}
+
+/** Books an item at the lending service. */
+export function book(
+  daemon: Daemon,
+  item: string,
+  headers: Record<string, string> = {},
+): Promise<Response> {
+  return fetch(`${daemon.addresses.callers}/services/lending/bookings`, {
+    method: "POST",
+    headers: headersOf(headers),
+    body: JSON.stringify({ item }),
+  });
+}
+
+/** What a stream held. */
+export interface StreamContent {
+  text: string;
+  done: boolean;
+  error?: ErrorBody["error"];
+  usage?: { completion_tokens: number };
+}
+
+/** Parses the events of a finished stream. */
+export function readStream(body: string): StreamContent {
+  const content: StreamContent = { text: "", done: false };
+  for (const line of body.split("\n")) {
+    if (!line.startsWith("data: ")) continue;
+    const data = line.slice("data: ".length);
+    if (data === "[DONE]") {
+      content.done = true;
+      continue;
+    }
+    const event = JSON.parse(data);
+    if (event.error) content.error = event.error;
+    if (event.usage) content.usage = event.usage;
+    content.text += event.choices?.[0]?.delta?.content ?? "";
+  }
+  return content;
+}
--- /dev/null
+++ b/packages/system_tests/src/service_test.ts
@@ -0,0 +1,247 @@
+import { request as httpRequest } from "node:http";
+import {
+  CALLER_KEYS,
+  startLending,
+  type System,
+  waitUntil,
+} from "@primroseshed/stand_ins";
+import { expect } from "chai";
+import { book, type ErrorBody, headersOf } from "./client.ts";
+import { startTestSystem } from "./fixture.ts";
+
+describe("plain services", () => {
+  let system: System;
+  beforeEach(async () => system = await startTestSystem({ lendings: 2 }));
+  afterEach(() => system.kill());
+
+  const callers = () => system.daemons[0]!.addresses.callers;
+
+  it("passes method, query, bodies and end-to-end headers", async () => {
+    const response = await fetch(`${callers()}/services/lending/echo?x=1`, {
+      method: "POST",
+      headers: headersOf({ "content-type": "text/x-note" }),
+      body: "hello",
+    });
+    expect(response.headers.get("content-type")).to.equal("text/x-note");
+    expect(response.headers.get("primrose-verdict")).to.equal("ran");
+    expect(await response.text()).to.equal("hello");
+  });
+
+  it("streams a large body both ways", async () => {
+    const body = "0123456789abcdef".repeat(64 * 1024);
+    const response = await fetch(`${callers()}/services/lending/echo`, {
+      method: "POST",
+      headers: headersOf(),
+      body,
+    });
+    expect(await response.text()).to.equal(body);
+  });
+
+  it("runs a booking once under one key at two entries at once", async () => {
+    const answers = await Promise.all(
+      [0, 1, 0, 1].map((entry) =>
+        book(system.daemons[entry]!, "sling-1", { "idempotency-key": "k" })
+      ),
+    );
+    const bodies = await Promise.all(answers.map((answer) => answer.text()));
+    expect(system.bookings.length).to.equal(1);
+    expect(answers.map(({ status }) => status)).to.deep.equal([
+      201,
+      201,
+      201,
+      201,
+    ]);
+    expect(new Set(bodies).size).to.equal(1);
+    expect(
+      answers.filter(({ headers }) =>
+        headers.get("primrose-replayed") === "true"
+      ).length,
+    ).to.equal(3);
+  });
+
+  it("refuses another request under a used key", async () => {
+    await book(system.daemons[0]!, "sling-1", { "idempotency-key": "k" });
+    const response = await book(system.daemons[1]!, "sling-2", {
+      "idempotency-key": "k",
+    });
+    expect((await response.json() as ErrorBody).error).to.include({
+      code: "key_mismatch",
+      verdict: "not_run",
+    });
+    expect(system.bookings.length).to.equal(1);
+  });
+
+  it("keeps the keys of two callers apart", async () => {
+    await book(system.daemons[0]!, "sling-1", { "idempotency-key": "k" });
+    const response = await book(system.daemons[0]!, "sling-1", {
+      "idempotency-key": "k",
+      authorization: `Bearer ${CALLER_KEYS.abay}`,
+    });
+    expect(response.status).to.equal(201);
+    expect(system.bookings.length).to.equal(2);
+  });
+
+  it("never repeats a booking whose answer was lost, and says that it may have run", async () => {
+    for (const { faults } of system.lendings) faults.resetAfterRun = true;
+    const response = await book(system.daemons[0]!, "sling-1", {
+      "idempotency-key": "k",
+    });
+    const { error } = await response.json() as ErrorBody;
+    expect(error.verdict).to.equal("may_have_run");
+    expect(response.headers.get("primrose-verdict")).to.equal("may_have_run");
+    for (const { faults } of system.lendings) faults.resetAfterRun = false;
+    const repeated = await book(system.daemons[1]!, "sling-1", {
+      "idempotency-key": "k",
+    });
+    expect((await repeated.json() as ErrorBody).error).to.include({
+      code: "key_in_use",
+      verdict: "may_have_run",
+    });
+    expect(system.bookings.length).to.equal(1);
+  });
+
+  it("tries a booking elsewhere only when the service says that it did not run", async () => {
+    system.lendings[0]!.faults.refuseStatus = 503;
+    for (let count = 0; count < 4; count++) {
+      expect((await book(system.daemons[0]!, `sling-${count}`)).status).to
+        .equal(201);
+    }
+    expect(system.bookings.length).to.equal(4);
+  });
+
+  it("tells a caller whose booking was refused everywhere that it did not run, and lets the key be used", async () => {
+    for (const { faults } of system.lendings) faults.refuseStatus = 503;
+    const refused = await book(system.daemons[0]!, "sling-1", {
+      "idempotency-key": "k",
+    });
+    expect((await refused.json() as ErrorBody).error.verdict).to.equal(
+      "not_run",
+    );
+    expect(system.bookings.length).to.equal(0);
+    for (const { faults } of system.lendings) faults.refuseStatus = undefined;
+    await waitUntil(() =>
+      [...system.daemons[1]!.state.fold.claims.values()].some(({ verdict }) =>
+        verdict === "not_run"
+      )
+    );
+    const response = await book(system.daemons[1]!, "sling-1", {
+      "idempotency-key": "k",
+    });
+    expect(response.status).to.equal(201);
+    expect(system.bookings.length).to.equal(1);
+  });
+
+  it("refuses keyed bookings while the log is down, and still takes others and reads", async () => {
+    system.log.faults.down = true;
+    await waitUntil(() => !system.daemons[0]!.state.log.reachable);
+    const refused = await book(system.daemons[0]!, "sling-1", {
+      "idempotency-key": "k",
+    });
+    expect((await refused.json() as ErrorBody).error).to.include({
+      code: "log_unavailable",
+      verdict: "not_run",
+    });
+    expect(refused.headers.get("retry-after")).to.equal("5");
+    expect((await book(system.daemons[0]!, "sling-2")).status).to.equal(201);
+    const list = await fetch(`${callers()}/services/lending/bookings`, {
+      headers: headersOf(),
+    });
+    expect((await list.json() as { bookings: unknown[] }).bookings.length).to
+      .equal(1);
+  });
+
+  it("claims a key once although the log lost the answers to its appends", async () => {
+    system.log.faults.loseAnswers = true;
+    const first = book(system.daemons[0]!, "sling-1", {
+      "idempotency-key": "k",
+    });
+    await waitUntil(() =>
+      system.log.read("control").some(({ record }) => record.type === "claim")
+    );
+    system.log.faults.loseAnswers = false;
+    expect((await first).status).to.equal(201);
+    expect(
+      (await book(system.daemons[1]!, "sling-1", { "idempotency-key": "k" }))
+        .status,
+    ).to.equal(201);
+    expect(system.bookings.length).to.equal(1);
+  });
+
+  it("breaks the connection rather than end a cut-off answer short", async () => {
+    for (const { faults } of system.lendings) faults.cutBody = true;
+    const response = await fetch(`${callers()}/services/lending/bookings`, {
+      headers: headersOf(),
+    });
+    const text = await response.text().catch(() => "cut");
+    expect(text).to.equal("cut");
+  });
+
+  it("gives a leaving backend server no new work, and takes it back as a new incarnation", async () => {
+    const leaving = system.lendings[0]!;
+    const { state } = system.daemons[0]!;
+    const target = state.targets.get(`lending/${leaving.status.vm}`)!;
+    leaving.status.state = "leaving";
+    await waitUntil(() => target.phase === "draining");
+    leaving.status.state = "ready";
+    leaving.faults.refuseStatus = 500;
+    for (let count = 0; count < 6; count++) {
+      expect((await book(system.daemons[0]!, `sling-${count}`)).status).to
+        .equal(201);
+    }
+    expect(target.phase).to.equal("draining");
+    leaving.status.incarnation = "lending-1-1";
+    await waitUntil(() => target.phase === "serving");
+  });
+
+  it("serves a backend server that is added by configuration", async () => {
+    const added = await startLending({
+      vm: "lending-3",
+      bookings: system.bookings,
+    });
+    const { document } = system.daemons[0]!.state.newestConfig!.offset > 0
+      ? {
+        document: structuredClone(
+          system.daemons[0]!.state.newestConfig!.document,
+        ),
+      }
+      : { document: { base: {}, overlays: {} } };
+    const base = document.base as {
+      deployments: { lending: { backends: unknown[] } };
+    };
+    base.deployments.lending.backends.push({
+      vm: "lending-3",
+      address: added.address,
+      zone: "suva-a",
+    });
+    system.log.append("control", [
+      {
+        type: "config",
+        basedOn: 1,
+        document,
+        author: "test",
+        id: "test/config",
+        level: 1,
+      },
+    ]);
+    await waitUntil(() =>
+      system.daemons.every(({ state }) =>
+        state.targets.get("lending/lending-3")?.phase === "serving"
+      )
+    );
+    await added.close();
+  });
+
+  it("cancels a call whose caller left", async () => {
+    for (const { faults } of system.lendings) faults.answerDelayMs = 10_000;
+    const request = httpRequest(`${callers()}/services/lending/bookings`, {
+      method: "POST",
+      headers: headersOf(),
+    });
+    request.on("error", () => undefined);
+    request.end('{"item":"sling-1"}');
+    await waitUntil(() => system.bookings.length === 1);
+    request.destroy();
+    await waitUntil(() => system.daemons[0]!.state.requests.size === 0);
+    expect(system.bookings.length).to.equal(1);
+  });
+});
--- /dev/null
+++ b/packages/system_tests/src/stop_test.ts
@@ -0,0 +1,68 @@
+import { answerText, type System, waitUntil } from "@primroseshed/stand_ins";
+import { expect } from "chai";
+import { chat, enginePrompt, readStream } from "./client.ts";
+import { createMemoryLogger, startTestSystem } from "./fixture.ts";
+
+const PROMPT = "How deep is the first flood?";
+
+describe("graceful stop", () => {
+  let system: System;
+  const logger = createMemoryLogger();
+  beforeEach(async () => {
+    logger.events.length = 0;
+    system = await startTestSystem({ stepMs: 10, logger });
+  });
+  afterEach(() => system.kill());
+
+  const running = () =>
+    system.engines.some(({ received }) => received.length > 0);
+
+  it("turns readiness off, finishes what is in flight and exits without cutting anything", async () => {
+    const daemon = system.daemons[0]!;
+    const pending = chat(daemon, PROMPT, { stream: true }).then((response) =>
+      response.text()
+    );
+    await waitUntil(running);
+    daemon.stop();
+    const readiness = await fetch(`${daemon.addresses.operators}/readyz`);
+    expect(readiness.status).to.equal(503);
+    const content = readStream(await pending);
+    expect(content.text).to.equal(answerText(enginePrompt(PROMPT), 4_096));
+    expect(content.done).to.equal(true);
+    expect(await daemon.stopped).to.equal(0);
+  });
+
+  it("ends sooner at the second signal and says what it cut", async () => {
+    const daemon = system.daemons[0]!;
+    const pending = chat(daemon, PROMPT, { stream: true }).then((response) =>
+      response.text()
+    ).catch(() => "cut");
+    await waitUntil(running);
+    daemon.stop();
+    daemon.stop();
+    expect(await daemon.stopped).to.equal(1);
+    await pending;
+    const hurried = logger.events.find(({ event }) => event === "stop_hurried");
+    expect(hurried?.fields.cut).to.equal(1);
+  });
+
+  it("drains a model group whose VM the platform lists as leaving, and serves on", async () => {
+    const { state } = system.daemons[0]!;
+    const target = [...state.targets.values()].find(({ epoch }) =>
+      epoch !== undefined
+    )!;
+    const vm = target.members[1]!.member.vm;
+    system.vms.vms.get(vm)!.state = "leaving";
+    await waitUntil(() =>
+      target.phase === "draining" || target.phase === "gone"
+    );
+    const leader = system.engines.find((engine) =>
+      engine.vm === target.members[0]!.member.vm
+    )!;
+    const before = leader.received.length;
+    for (let count = 0; count < 5; count++) {
+      expect((await chat(system.daemons[0]!, `${count}`)).status).to.equal(200);
+    }
+    expect(leader.received.length).to.equal(before);
+  });
+});
--- /dev/null
+++ b/packages/system_tests/src/transport_test.ts
@@ -0,0 +1,131 @@
+import { createServer, type Server, type Socket } from "node:net";
+import { type Outcome, verdictOf } from "@primroseshed/core";
+import { createAgents, startAttempt } from "@primroseshed/daemon";
+import { expect } from "chai";
+
+const PARTIAL = "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf";
+
+interface Row {
+  name: string;
+  outcome: Outcome | "ended";
+  verdict: string;
+  scheme?: "http" | "https";
+  /** What the server does with a connection; none for a closed port. */
+  serve?: (socket: Socket) => void;
+  headersTimeout?: number;
+}
+
+const ROWS: Row[] = [
+  { name: "refused connect", outcome: "connect_refused", verdict: "not_run" },
+  {
+    name: "silent TLS peer",
+    outcome: "connect_timeout",
+    verdict: "not_run",
+    scheme: "https",
+    serve: () => undefined,
+  },
+  {
+    name: "peer that speaks no TLS",
+    outcome: "tls_failed",
+    verdict: "not_run",
+    scheme: "https",
+    serve: (socket) =>
+      socket.once(
+        "data",
+        () => socket.write("HTTP/1.1 400 Bad Request\r\n\r\n"),
+      ),
+  },
+  {
+    name: "reset during the TLS handshake",
+    outcome: "reset_before_send",
+    verdict: "not_run",
+    scheme: "https",
+    serve: (socket) => socket.resetAndDestroy(),
+  },
+  {
+    name: "reset after the request was sent",
+    outcome: "reset_after_send",
+    verdict: "may_have_run",
+    serve: (socket) => socket.once("data", () => socket.resetAndDestroy()),
+  },
+  {
+    name: "no answer in time",
+    outcome: "response_timeout",
+    verdict: "may_have_run",
+    serve: (socket) => socket.resume(),
+    headersTimeout: 100,
+  },
+  {
+    name: "body cut short",
+    outcome: "body_cut_off",
+    verdict: "may_have_run",
+    serve: (socket) => socket.once("data", () => socket.end(PARTIAL)),
+  },
+  {
+    name: "whole answer",
+    outcome: "ended",
+    verdict: "ran",
+    serve: (socket) =>
+      socket.once(
+        "data",
+        () => socket.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"),
+      ),
+  },
+];
+
+function listen(
+  serve: Row["serve"],
+): Promise<{ port: number; server: Server }> {
+  const server = createServer((socket) => {
+    socket.on("error", () => undefined);
+    serve?.(socket);
+  });
+  return new Promise((resolve) => {
+    server.listen(
+      0,
+      "127.0.0.1",
+      () =>
+        resolve({ port: (server.address() as { port: number }).port, server }),
+    );
+  });
+}
+
+function attempt(
+  { scheme = "http", headersTimeout = 5_000 }: Row,
+  port: number,
+): Promise<Outcome | "ended"> {
+  const agents = createAgents({ connectTimeoutMs: 300 });
+  return new Promise((resolve) => {
+    startAttempt(agents.fresh, {
+      origin: `${scheme}://127.0.0.1:${port}`,
+      path: "/bookings",
+      method: "POST",
+      body: "{}",
+      headersTimeout,
+    }, {
+      events: {
+        onHeaders: () => undefined,
+        onData: () => undefined,
+        onEnd: () => resolve("ended"),
+        onFailure: resolve,
+      },
+    });
+  });
+}
+
+describe("attempt outcomes on real sockets", () => {
+  for (const row of ROWS) {
+    it(`${row.name} is ${row.outcome}, verdict ${row.verdict}`, async () => {
+      const { port, server } = await listen(row.serve);
+      if (row.serve === undefined) {
+        await new Promise((resolve) => server.close(resolve));
+      }
+      const outcome = await attempt(row, port);
+      server.close();
+      expect(outcome).to.equal(row.outcome);
+      expect(outcome === "ended" ? "ran" : verdictOf(outcome)).to.equal(
+        row.verdict,
+      );
+    });
+  }
+});
