Tune admission against a fake fleet in virtual time

Change: an integrating batch limit, failures counted apart from attempts, floors as running credit, and shedding of what fairness would serve last.

--- /dev/null
+++ b/packages/bench/src/fleet/engine.ts
@@ -0,0 +1,239 @@
+/**
+ * A small fake of a replica group's engine: continuous batching with prefill and decode, a KV limit, a prefix cache.
+ *
+ * @module
+ */
+import {
+  type CacheChange,
+  type LoadReport,
+  type Rank,
+  RANKS,
+} from "@primroseshed/core";
+import type { Clock } from "./clock.ts";
+
+/** Speed and size of an engine. */
+export interface EngineProfile {
+  baseStepMs: number;
+  stepMsPerSequence: number;
+  prefillTokensPerMs: number;
+  /** Prompt tokens prefilled in one step at most. */
+  prefillChunk: number;
+  maxBatch: number;
+  kvTokens: number;
+  cacheBlocks: number;
+}
+
+/** Profile used by every scenario. */
+export const PROFILE: EngineProfile = {
+  baseStepMs: 9,
+  stepMsPerSequence: 0.35,
+  prefillTokensPerMs: 24,
+  prefillChunk: 192,
+  maxBatch: 64,
+  kvTokens: 60_000,
+  cacheBlocks: 400,
+};
+
+/** Prompt tokens that one prefix block covers. */
+export const BLOCK_TOKENS = 64;
+
+/** Work handed to an engine. */
+export interface Job {
+  id: string;
+  rank: Rank;
+  promptTokens: number;
+  outputTokens: number;
+  prefixes: readonly number[];
+  resumeFrom: number;
+  onToken(): void;
+  onEnd(outcome: "completed" | "reset_after_send" | "status_not_run"): void;
+}
+
+interface Running extends Job {
+  prefillLeft: number;
+  cachedTokens: number;
+  produced: number;
+}
+
+/** A running engine. */
+export interface Engine {
+  name: string;
+  /** 1 is full speed; 4 takes four times as long for each step. */
+  slowness: number;
+  dead: boolean;
+  submit(job: Job): void;
+  cancel(id: string): void;
+  kill(): void;
+  report(): LoadReport;
+  /** Cache changes since the last call. */
+  takeCacheChanges(): CacheChange[];
+  prefill: { asked: number; saved: number };
+}
+
+const REPORT_STEPS = 40;
+const P95 = 0.95;
+
+/** Creates an idle engine. */
+export function createEngine(
+  name: string,
+  clock: Clock,
+  profile: EngineProfile = PROFILE,
+): Engine {
+  const waiting: Record<Rank, Running[]> = {
+    urgent: [],
+    standard: [],
+    batch: [],
+  };
+  let running: Running[] = [];
+  let isStepping = false;
+  let kvUsed = 0;
+  const steps: number[] = [];
+  const cache = new Set<number>();
+  let changes: CacheChange[] = [];
+  const prefill = { asked: 0, saved: 0 };
+
+  function kvOf({ promptTokens, outputTokens }: Job): number {
+    return promptTokens + outputTokens;
+  }
+
+  function touch(prefix: number): void {
+    if (!cache.delete(prefix)) changes.push({ kind: "stored", prefix });
+    cache.add(prefix);
+    if (cache.size <= profile.cacheBlocks) return;
+    const oldest = cache.values().next().value as number;
+    cache.delete(oldest);
+    changes.push({ kind: "evicted", prefix: oldest });
+  }
+
+  function lookUp(job: Running): void {
+    const total = job.promptTokens + job.resumeFrom;
+    let blocks = 0;
+    while (
+      blocks < job.prefixes.length && cache.has(job.prefixes[blocks] as number)
+    ) blocks++;
+    job.cachedTokens = Math.min(total - 1, blocks * BLOCK_TOKENS);
+    job.prefillLeft = total - job.cachedTokens;
+    prefill.asked += total;
+    prefill.saved += job.cachedTokens;
+    for (const prefix of job.prefixes) touch(prefix);
+  }
+
+  function admit(): void {
+    for (const rank of RANKS) {
+      while (waiting[rank].length > 0 && running.length < profile.maxBatch) {
+        const job = waiting[rank][0] as Running;
+        if (kvUsed + kvOf(job) > profile.kvTokens) return;
+        waiting[rank].shift();
+        kvUsed += kvOf(job);
+        lookUp(job);
+        running.push(job);
+      }
+    }
+  }
+
+  function prefillStep(): number {
+    let budget = profile.prefillChunk;
+    for (const rank of RANKS) {
+      for (const job of running) {
+        if (job.rank !== rank || job.prefillLeft === 0 || budget === 0) {
+          continue;
+        }
+        const part = Math.min(budget, job.prefillLeft);
+        job.prefillLeft -= part;
+        budget -= part;
+      }
+    }
+    return profile.prefillChunk - budget;
+  }
+
+  function step(): void {
+    admit();
+    if (running.length === 0 || engine.dead) {
+      isStepping = false;
+      return;
+    }
+    isStepping = true;
+    const decoding =
+      running.filter(({ prefillLeft }) => prefillLeft === 0).length;
+    const prefilled = prefillStep();
+    const stepMs = (profile.baseStepMs + profile.stepMsPerSequence * decoding +
+      prefilled / profile.prefillTokensPerMs) *
+      engine.slowness;
+    clock.after(stepMs, () => finishStep(stepMs));
+  }
+
+  function finishStep(stepMs: number): void {
+    if (engine.dead) return;
+    steps.push(stepMs);
+    if (steps.length > REPORT_STEPS) steps.shift();
+    const ended: Running[] = [];
+    for (const job of running) {
+      if (job.prefillLeft > 0) continue;
+      job.produced += 1;
+      job.onToken();
+      if (job.produced >= job.outputTokens) ended.push(job);
+    }
+    for (const job of ended) {
+      release(job);
+      job.onEnd("completed");
+    }
+    step();
+  }
+
+  function release(job: Running): void {
+    const index = running.indexOf(job);
+    if (index < 0) return;
+    running.splice(index, 1);
+    kvUsed -= kvOf(job);
+  }
+
+  const engine: Engine = {
+    name,
+    slowness: 1,
+    dead: false,
+    prefill,
+    submit(job) {
+      if (engine.dead) return job.onEnd("status_not_run");
+      waiting[job.rank].push({
+        ...job,
+        prefillLeft: 0,
+        cachedTokens: 0,
+        produced: job.resumeFrom,
+      });
+      if (!isStepping) step();
+    },
+    cancel(id) {
+      const job = running.find((candidate) => candidate.id === id);
+      if (job !== undefined) release(job);
+      for (const rank of RANKS) {
+        waiting[rank] = waiting[rank].filter((candidate) =>
+          candidate.id !== id
+        );
+      }
+    },
+    kill() {
+      engine.dead = true;
+      const lost = [...running, ...RANKS.flatMap((rank) => waiting[rank])];
+      running = [];
+      for (const rank of RANKS) waiting[rank] = [];
+      for (const job of lost) job.onEnd("reset_after_send");
+    },
+    report() {
+      const sorted = steps.toSorted((left, right) => left - right);
+      return {
+        running: running.length,
+        queued: RANKS.reduce((sum, rank) => sum + waiting[rank].length, 0),
+        stepMs: sorted[Math.floor(sorted.length * P95)] ?? profile.baseStepMs,
+        prefillPerMs: profile.prefillTokensPerMs / 2,
+        kvUsedShare: kvUsed / profile.kvTokens,
+        maxBatch: profile.maxBatch,
+      };
+    },
+    takeCacheChanges() {
+      const taken = changes;
+      changes = [];
+      return taken;
+    },
+  };
+  return engine;
+}
--- /dev/null
+++ b/packages/bench/src/fleet/fleet.ts
@@ -0,0 +1,422 @@
+/**
+ * Drives several real cores over fake engines in virtual time.
+ *
+ * @module
+ */
+import {
+  type Arrival,
+  type ConfigDocument,
+  createState,
+  type Effect,
+  type EventBody,
+  type LogRecord,
+  type MemberStatus,
+  nextTimerAt,
+  reduce,
+  type State,
+  type StoredRecord,
+} from "@primroseshed/core";
+import { type Clock, createClock } from "./clock.ts";
+import { createEngine, type Engine } from "./engine.ts";
+import type { Offer } from "./load.ts";
+import { createRecords, noteToken, type Records } from "./record.ts";
+
+/** Anything that takes offers and hands them to engines: a core, or a baseline. */
+export interface Entry {
+  name: string;
+  dead: boolean;
+  offer(offer: Offer): void;
+}
+
+/** Shape and faults of a fleet. */
+export interface FleetOptions {
+  seed: number;
+  entries: number;
+  groups: number;
+  document: ConfigDocument;
+  /** Age of an engine's report when it arrives, ms. */
+  reportLagMs?: number;
+  /** Share of cache event batches that are lost. */
+  cacheLoss?: number;
+  cacheLagMs?: number;
+  /** Whether the entries hear of caches at all beyond their own sends. */
+  perfectCache?: boolean;
+  /** Decides whether a send fails before it reaches the engine. */
+  failsSend?(group: string, now: number): boolean;
+}
+
+/** A fleet under way. */
+export interface Fleet {
+  clock: Clock;
+  engines: Engine[];
+  records: Records;
+  cores: Core[];
+  /** Runs all offers and stops at `untilMs`. */
+  run(untilMs: number): void;
+  addEntry(): Core;
+  killEntry(core: Core): void;
+}
+
+/** A real core under the bench. */
+export interface Core extends Entry {
+  state: State;
+  feed(event: EventBody): void;
+  steps: number;
+}
+
+const CALL_MS = 0.5;
+const PEER_MS = 1;
+const LOG_MS = 20;
+const REPORT_EVERY_MS = 250;
+const MEMBERS = 2;
+const DEPLOYMENT = "assistant";
+
+/** Name of a group by its number. */
+export function groupName(index: number): string {
+  return `group-${index}`;
+}
+
+function membersOf(group: string) {
+  return Array.from({ length: MEMBERS }, (_, index) => ({
+    vm: `${group}-vm${index}`,
+    address: `http://${group}:${index + 1}`,
+    zone: "suva-a",
+    domain: `${group}-fabric`,
+  }));
+}
+
+function startRecords(options: FleetOptions): StoredRecord[] {
+  const records: LogRecord[] = [
+    {
+      type: "config",
+      basedOn: 0,
+      document: options.document,
+      author: "bench",
+      id: "config",
+      level: 1,
+    },
+  ];
+  for (let index = 0; index < options.groups; index++) {
+    const group = groupName(index);
+    const members = membersOf(group);
+    records.push({
+      type: "group_form",
+      group,
+      deployment: DEPLOYMENT,
+      members,
+      fence: "operator",
+      id: group,
+      level: 1,
+    });
+  }
+  return records.map((record, index) => ({ offset: index + 1, at: 0, record }));
+}
+
+/** Creates a fleet for a list of offers. */
+export function createFleet(
+  offers: readonly Offer[],
+  options: FleetOptions,
+): Fleet {
+  const clock = createClock();
+  const records = createRecords(offers);
+  const engines = Array.from(
+    { length: options.groups },
+    (_, index) => createEngine(groupName(index), clock),
+  );
+  const byName = new Map(engines.map((engine) => [engine.name, engine]));
+  const log = startRecords(options);
+  const epochs = new Map(engines.map(({ name }, index) => [name, index + 2]));
+  const cores: Core[] = [];
+
+  function statusOf(engine: Engine, index: number): MemberStatus {
+    const vm = `${engine.name}-vm${index}`;
+    const epoch = epochs.get(engine.name) ?? 0;
+    const load = index === 0 ? { load: engine.report() } : {};
+    return {
+      vm,
+      incarnation: vm,
+      state: "ready",
+      group: engine.name,
+      epoch,
+      ...load,
+    };
+  }
+
+  function tellCores(event: EventBody, lagMs: number): void {
+    for (const core of cores) {
+      clock.after(lagMs, () => core.dead || core.feed(event));
+    }
+  }
+
+  function reportEngine(engine: Engine): void {
+    membersOf(engine.name).forEach(({ address, vm }, index) => {
+      if (engine.dead) {
+        tellCores(
+          { kind: "member_unreachable", address, vm, cause: "refused" },
+          PEER_MS,
+        );
+      } else {
+        const status = statusOf(engine, index);
+        const { load, ...presence } = status;
+        tellCores(
+          { kind: "member_reported", address, status: presence },
+          PEER_MS,
+        );
+        if (load !== undefined) {
+          tellCores(
+            { kind: "member_reported", address, status },
+            PEER_MS + (options.reportLagMs ?? 0),
+          );
+        }
+      }
+    });
+    clock.after(REPORT_EVERY_MS, () => reportEngine(engine));
+  }
+
+  let cacheDraw = options.seed;
+  function feedCache(engine: Engine, sequence: number): void {
+    const changes = engine.takeCacheChanges();
+    cacheDraw = (cacheDraw * 1_103_515_245 + 12_345) % 2 ** 31;
+    const isLost = cacheDraw / 2 ** 31 < (options.cacheLoss ?? 0);
+    const lagMs = options.perfectCache
+      ? PEER_MS
+      : options.cacheLagMs ?? PEER_MS;
+    if (changes.length > 0 && !isLost) {
+      tellCores({
+        kind: "cache_changed",
+        target: engine.name,
+        sequence,
+        changes,
+      }, lagMs);
+    }
+    clock.after(
+      options.perfectCache ? 10 : REPORT_EVERY_MS,
+      () => feedCache(engine, sequence + (changes.length > 0 ? 1 : 0)),
+    );
+  }
+
+  function appendToLog(core: Core, appended: readonly LogRecord[]): void {
+    clock.after(LOG_MS, () => {
+      const from = log.length;
+      for (const record of appended) {
+        log.push({ offset: log.length + 1, at: clock.now, record });
+      }
+      core.feed({
+        kind: "append_settled",
+        ids: appended.map(({ id }) => id),
+        stored: true,
+      });
+      tellCores({
+        kind: "log_read",
+        records: log.slice(from),
+        head: log.length,
+        horizon: 1,
+      }, PEER_MS);
+    });
+  }
+
+  function send(
+    core: Core,
+    { request: id, attempt, target, resumeFrom, rank }: Extract<
+      Effect,
+      { kind: "send" }
+    >,
+  ): void {
+    const fate = records.fates.get(id);
+    const engine = byName.get(target);
+    if (fate === undefined || engine === undefined) return;
+    records.sends.push({ at: clock.now, first: fate.sends === 0 });
+    fate.sends += 1;
+    const end = (
+      outcome:
+        | "completed"
+        | "reset_after_send"
+        | "status_not_run"
+        | "reset_before_send",
+    ) =>
+      clock.after(
+        CALL_MS,
+        () =>
+          core.dead ||
+          core.feed({ kind: "attempt_ended", request: id, attempt, outcome }),
+      );
+    if (options.failsSend?.(target, clock.now)) return end("reset_before_send");
+    const { promptTokens, outputTokens, prefixes } = fate.offer;
+    const job = {
+      id: `${id}/${attempt}`,
+      rank,
+      promptTokens,
+      outputTokens,
+      prefixes,
+      resumeFrom,
+      onEnd: end,
+      onToken: () =>
+        clock.after(CALL_MS, () => {
+          const request = core.state.requests.get(id);
+          if (
+            core.dead || request?.attempt !== attempt ||
+            request.phase !== "running"
+          ) return;
+          noteToken(records, fate, clock.now);
+          core.feed({
+            kind: "attempt_progress",
+            request: id,
+            attempt,
+            tokens: 1,
+          });
+        }),
+    };
+    clock.after(CALL_MS, () => engine.submit(job));
+  }
+
+  function carryOut(core: Core, effect: Effect): void {
+    switch (effect.kind) {
+      case "send":
+        return send(core, effect);
+      case "cancel": {
+        const id = `${effect.request}/${effect.attempt}`;
+        return clock.after(
+          CALL_MS,
+          () => engines.forEach((engine) => engine.cancel(id)),
+        );
+      }
+      case "refuse":
+      case "finish": {
+        const fate = records.fates.get(effect.request);
+        if (fate === undefined) return;
+        fate.outcomes.push(effect.kind === "finish" ? "ok" : effect.code);
+        fate.verdict = effect.kind === "finish" ? "ran" : effect.verdict;
+        fate.endedAt = clock.now;
+        return;
+      }
+      case "append":
+        return appendToLog(core, effect.records);
+      case "peer_send": {
+        const peer = cores.find(({ name }) => name === effect.peer);
+        if (peer === undefined) return;
+        return clock.after(PEER_MS, () => {
+          if (!peer.dead && !core.dead) {
+            peer.feed({
+              kind: "peer_received",
+              peer: core.name,
+              message: effect.message,
+            });
+          }
+        });
+      }
+    }
+  }
+
+  function createCore(): Core {
+    const index = cores.length;
+    const name = `entry-${index}`;
+    const node = {
+      name,
+      zone: "suva-a",
+      site: "suva-a",
+      incarnation: "1",
+      balancerLagMs: 2_000,
+    };
+    const state = createState(node, {
+      seed: options.seed + index,
+      now: clock.now,
+    });
+    let wakeAt = Infinity;
+    const core: Core = {
+      name,
+      dead: false,
+      state,
+      steps: 0,
+      feed(event) {
+        if (core.dead) return;
+        core.steps += 1;
+        for (const effect of reduce(state, { ...event, at: clock.now })) {
+          carryOut(core, effect);
+        }
+        wake();
+      },
+      offer(offer) {
+        const arrival: Arrival = {
+          request: offer.id,
+          deployment: DEPLOYMENT,
+          principal: offer.principal,
+          rank: offer.rank,
+          promptTokens: offer.promptTokens,
+          maxOutputTokens: 4_096,
+          prefixes: offer.prefixes,
+          idempotent: true,
+        };
+        core.feed({ kind: "request_arrived", ...arrival });
+      },
+    };
+    function wake(): void {
+      const next = nextTimerAt(state) ?? Infinity;
+      if (next >= wakeAt) return;
+      wakeAt = next;
+      clock.at(next, () => {
+        if (wakeAt !== next) return;
+        wakeAt = Infinity;
+        core.feed({ kind: "tick" });
+      });
+    }
+    for (const peer of cores) {
+      if (peer.dead) continue;
+      const join = (other: Core) =>
+        ({
+          kind: "peer_joined",
+          peer: other.name,
+          address: "",
+          zone: "suva-a",
+          incarnation: "1",
+        }) as const;
+      peer.feed(join(core));
+      core.feed(join(peer));
+    }
+    cores.push(core);
+    core.feed({
+      kind: "log_read",
+      records: log.slice(),
+      head: log.length,
+      horizon: 1,
+    });
+    return core;
+  }
+
+  for (let count = 0; count < options.entries; count++) createCore();
+  for (const engine of engines) {
+    reportEngine(engine);
+    feedCache(engine, 1);
+  }
+  return {
+    clock,
+    engines,
+    records,
+    cores,
+    addEntry: createCore,
+    killEntry(core) {
+      core.dead = true;
+      for (const peer of cores) {
+        if (!peer.dead) {
+          clock.after(PEER_MS, () =>
+            peer.feed({
+              kind: "peer_lost",
+              peer: core.name,
+              incarnation: "1",
+            }));
+        }
+      }
+    },
+    run(untilMs) {
+      for (const offer of offers) {
+        clock.at(offer.at, () => {
+          const alive = cores.filter(({ dead }) => !dead);
+          const core = cores[offer.entry]?.dead === false
+            ? cores[offer.entry]
+            : alive[offer.entry % alive.length];
+          core?.offer(offer);
+        });
+      }
+      clock.runUntil(untilMs);
+    },
+  };
+}
--- a/packages/core/src/admission/fair_queue.ts
+++ b/packages/core/src/admission/fair_queue.ts
@@ -108,18 +108,6 @@
   return best;
 }
 
-function mostBacklogged(node: FairNode): FairNode | undefined {
-  let best: FairNode | undefined;
-  for (const child of node.children.values()) {
-    if (
-      child.backlog > 0 &&
-      (best === undefined ||
-        child.cost / child.weight > best.cost / best.weight)
-    ) best = child;
-  }
-  return best;
-}
-
 function descend(
   root: FairNode,
   choose: (node: FairNode) => FairNode | undefined,
@@ -158,9 +146,23 @@
   return undefined;
 }
 
-/** Returns the newest request of the caller with the most waiting cost for its weight. */
-export function peekHeaviest(root: FairNode): Request | undefined {
-  const leaf = root.backlog === 0 ? undefined : descend(root, mostBacklogged);
+// Where a node's waiting work would end if it were all served now.
+function finishOf({ served, cost, weight }: FairNode): number {
+  return served + cost / weight;
+}
+
+function lastInLine(node: FairNode): FairNode | undefined {
+  let last: FairNode | undefined;
+  for (const child of node.children.values()) {
+    if (child.backlog === 0) continue;
+    if (last === undefined || finishOf(child) > finishOf(last)) last = child;
+  }
+  return last;
+}
+
+/** Returns the waiting request that fairness would serve last; an over-long queue sheds it. */
+export function peekExcess(root: FairNode): Request | undefined {
+  const leaf = root.backlog === 0 ? undefined : descend(root, lastInLine);
   while (leaf !== undefined && leaf.items.length > 0) {
     const last = leaf.items.at(-1) as Request;
     if (isWaiting(last)) return last;
--- a/packages/core/src/admission/pick.ts
+++ b/packages/core/src/admission/pick.ts
@@ -8,22 +8,21 @@
 import type { Pool, State } from "../state/types.ts";
 import { addAmount, createRate, decayRate } from "../util/ewma.ts";
 import { charge, peekFair } from "./fair_queue.ts";
+import { USE_WINDOW_MS } from "./shed.ts";
 import { rankPolicy, weightOf } from "./weights.ts";
 
-/** Time constant over which an owner's use is set against its paid share. */
-const USE_WINDOW_MS = 2_000;
+/** Floors are of the work done, and some of what is started never gets done. */
+const FLOOR_HEADROOM = 1.25;
 /** Ranks that an owner's paid share protects from the other owner's flood. */
 const PROTECTED_RANKS: readonly Rank[] = ["urgent", "standard"];
-/** Floor credit kept at most, as a multiple of the newest request's cost. */
-const MAX_CREDIT_REQUESTS = 4;
+/** Debt of a rank at most, in requests, so that a floor is back soon after quiet times. */
+const MAX_DEBT_REQUESTS = 2;
 
 function floorPick(pool: Pool): Request | undefined {
   for (const rank of RANKS) {
     if (pool.floorCredit[rank] <= 0) continue;
     const request = peekFair(pool.queues[rank]);
-    if (
-      request !== undefined && pool.floorCredit[rank] >= request.predictedCost
-    ) return request;
+    if (request !== undefined) return request;
   }
   return undefined;
 }
@@ -60,7 +59,9 @@
 
 /** Returns the request to start next, without removing it. */
 export function pickNext(state: State, pool: Pool): Request | undefined {
-  return floorPick(pool) ?? paidPick(state, pool) ?? rankPick(pool);
+  const byFloor = floorPick(pool);
+  if (byFloor !== undefined) byFloor.byFloor = true;
+  return byFloor ?? paidPick(state, pool) ?? rankPick(pool);
 }
 
 /** Charges a started request to its path, its owner's use and the ranks' floors. */
@@ -68,17 +69,24 @@
   const amount = request.predictedCost;
   request.charged = amount;
   chargeAmount(state, pool, { request, amount });
+  creditFloors(state, pool, { rank: request.rank, amount });
+}
+
+// Each rank earns its floor of all started cost and pays for its own; a rank in credit goes first.
+function creditFloors(
+  state: State,
+  pool: Pool,
+  { rank: started, amount }: { rank: Rank; amount: number },
+): void {
   for (const rank of RANKS) {
-    const waiting = pool.queues[rank].backlog > 0;
-    const credit = waiting
-      ? pool.floorCredit[rank] + amount * rankPolicy(state, rank).floor
-      : 0;
-    pool.floorCredit[rank] = Math.min(credit, amount * MAX_CREDIT_REQUESTS);
+    const earned = amount * rankPolicy(state, rank).floor * FLOOR_HEADROOM;
+    const paid = rank === started ? amount : 0;
+    const credit = pool.floorCredit[rank] + earned - paid;
+    pool.floorCredit[rank] = Math.max(
+      -amount * MAX_DEBT_REQUESTS,
+      Math.min(amount, credit),
+    );
   }
-  pool.floorCredit[request.rank] = Math.max(
-    pool.floorCredit[request.rank] - amount,
-    -amount * MAX_CREDIT_REQUESTS,
-  );
 }
 
 /** Charges or gives back cost once more is known of a request. */
--- a/packages/core/src/admission/shed.ts
+++ b/packages/core/src/admission/shed.ts
@@ -3,17 +3,18 @@
  *
  * @module
  */
-import type { Rank } from "../config/types.ts";
+import { type Rank, RANKS } from "../config/types.ts";
 import type { Request } from "../request/types.ts";
 import type { Pool, State } from "../state/types.ts";
 import { decayRate } from "../util/ewma.ts";
-import { peekHeaviest } from "./fair_queue.ts";
+import { peekExcess } from "./fair_queue.ts";
 import { rankPolicy } from "./weights.ts";
 
 /** Time constant of offered arrivals, ms. */
 export const ARRIVAL_WINDOW_MS = 2_000;
-/** Requests that may wait whatever the estimate says, so that a burst is not shed. */
-const MIN_QUEUE = 3;
+const MIN_RATE = 1e-6;
+/** Time constant over which an owner's use is set against its paid share. */
+export const USE_WINDOW_MS = 2_000;
 const MIN_RETRY_AFTER_MS = 1_000;
 const MAX_RETRY_AFTER_MS = 60_000;
 
@@ -64,34 +65,60 @@
     Math.max(1, pool.holdMs[rank].value) * withinMs;
 }
 
-/** Waiting requests of a rank that may still meet its target. */
-export function queueAllowance(state: State, pool: Pool, rank: Rank): number {
-  const withinMs = rankPolicy(state, rank).queueWaitMs;
-  const timely = Math.max(
-    MIN_QUEUE,
-    startsWithin(state, pool, { rank, withinMs }),
-  );
-  return Math.min(
-    timely,
-    state.config?.config.policy.queueMaxRequests ?? timely,
+// More urgent work needs all that the floors leave, so this rank gets its floor and no more.
+function isCrowdedOut(state: State, pool: Pool, rank: Rank): boolean {
+  const above = RANKS.slice(0, RANKS.indexOf(rank));
+  const needed = above.reduce(
+    (sum, other) => sum + neededSlots(state, pool, other),
+    0,
   );
+  const floors = RANKS.filter((other) => !above.includes(other))
+    .reduce((sum, other) => sum + floorSlots(state, pool, other), 0);
+  return above.length > 0 && needed >= ownSlots(pool) - floors;
+}
+
+// While more urgent work waits, a rank is served only as its floor earns.
+function floorWaitMs(state: State, pool: Pool, rank: Rank): number {
+  const options = { now: state.now, windowMs: USE_WINDOW_MS };
+  const earnedPerMs = decayRate(pool.totalUse, options) *
+    rankPolicy(state, rank).floor;
+  const owed = Math.max(0, -pool.floorCredit[rank]);
+  const { cost, backlog } = pool.queues[rank];
+  const ahead = cost * (backlog - 1) / Math.max(1, backlog);
+  return (owed + ahead) / Math.max(earnedPerMs, MIN_RATE);
+}
+
+/** Time that the newest waiting request of a rank is expected to wait, ms. */
+export function expectedWaitMs(state: State, pool: Pool, rank: Rank): number {
+  const perMs = startsWithin(state, pool, { rank, withinMs: 1 });
+  const ahead = Math.max(0, pool.queues[rank].backlog - 1);
+  const queueMs = ahead / Math.max(perMs, MIN_RATE);
+  return isCrowdedOut(state, pool, rank)
+    ? Math.max(queueMs, floorWaitMs(state, pool, rank))
+    : queueMs;
+}
+
+function isOverlong(state: State, pool: Pool, rank: Rank): boolean {
+  const { backlog } = pool.queues[rank];
+  const most = state.config?.config.policy.queueMaxRequests ?? Infinity;
+  if (backlog === 0) return false;
+  return backlog > most ||
+    expectedWaitMs(state, pool, rank) > rankPolicy(state, rank).queueWaitMs;
 }
 
 /** Returns a request to shed from an over-long queue, if any. */
 export function overflowOf(
   state: State,
   pool: Pool,
-  rank: Rank,
+  arrived: Request,
 ): Request | undefined {
-  const queue = pool.queues[rank];
-  if (queue.backlog <= queueAllowance(state, pool, rank)) return undefined;
-  return peekHeaviest(queue);
+  if (!isOverlong(state, pool, arrived.rank)) return undefined;
+  return peekExcess(pool.queues[arrived.rank]);
 }
 
 /** When a refused caller may come back: once the waiting work of its rank has drained. */
 export function retryAfterMs(state: State, pool: Pool, rank: Rank): number {
-  const perMs = startsWithin(state, pool, { rank, withinMs: 1 });
-  const drainMs = pool.queues[rank].backlog / Math.max(perMs, 1e-6);
+  const drainMs = expectedWaitMs(state, pool, rank);
   return Math.round(
     Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, drainMs)),
   );
--- a/packages/core/src/capacity/batch_model.ts
+++ b/packages/core/src/capacity/batch_model.ts
@@ -1,95 +1,87 @@
 /**
- * Learns how the time between tokens grows with an engine's batch, and the batch that still meets the target.
+ * Learns how large an engine's batch may grow before the time between tokens misses its target.
  *
  * @module
  */
+import { addSample, type Average, createAverage } from "../util/ewma.ts";
 
-/** Weighted sums of a straight-line fit of step time over batch size. */
+/** What the reports of a deployment's engines taught. */
 export interface BatchModel {
-  weight: number;
-  batch: number;
-  step: number;
-  batchSquared: number;
-  batchStep: number;
+  /** Largest batch that is thought to keep the target; undefined until a first report. */
+  limit: number | undefined;
+  /** Step time by batch size, in buckets of {@link BUCKET} sequences. */
+  steps: Map<number, Average>;
 }
 
-const DECAY = 0.995;
-const MIN_SPREAD = 4;
-const MIN_SLOPE_MS = 0.02;
-/** Share of the between-token target that the limit aims at; the rest absorbs prefill bursts. */
-const TARGET_HEADROOM = 0.97;
+/** One load report as the model sees it. */
+export interface StepSample {
+  running: number;
+  stepMs: number;
+  targetMs: number;
+  maxBatch: number;
+}
+
+const BUCKET = 4;
+const BUCKET_WEIGHT = 0.05;
+/** Samples a bucket needs before it is trusted. */
+const MIN_SAMPLES = 5;
+/** Share of the between-token target that the limit aims at. */
+const TARGET_HEADROOM = 0.985;
+/** Sequences by which the limit moves for each millisecond of error in one report. */
+const GAIN_PER_MS = 0.04;
+/** Largest move for one report, sequences. */
+const MAX_MOVE = 0.25;
+/** Reports teach the limit only where the batch is within this share of it. */
+const NEAR_LIMIT = 0.15;
+const FIRST_LIMIT_SHARE = 0.5;
 
 /** Creates a model that has seen nothing. */
 export function createBatchModel(): BatchModel {
-  return { weight: 0, batch: 0, step: 0, batchSquared: 0, batchStep: 0 };
+  return { limit: undefined, steps: new Map() };
 }
 
-/** Adds one report of `stepMs` at batch size `batch`. */
-export function learnStep(
-  model: BatchModel,
-  batch: number,
-  { stepMs }: { stepMs: number },
-): void {
-  model.weight = model.weight * DECAY + 1;
-  model.batch = model.batch * DECAY + batch;
-  model.step = model.step * DECAY + stepMs;
-  model.batchSquared = model.batchSquared * DECAY + batch * batch;
-  model.batchStep = model.batchStep * DECAY + batch * stepMs;
+function bucketOf(batch: number): number {
+  return Math.floor(batch / BUCKET);
 }
 
-/** The fitted line, or undefined while the samples do not spread enough. */
-export function fitLine(
+/** Adds one report of an engine that is not a straggler. */
+export function learnStep(
   model: BatchModel,
-): { baseMs: number; slopeMs: number } | undefined {
-  if (model.weight < 2) return undefined;
-  const meanBatch = model.batch / model.weight;
-  const meanStep = model.step / model.weight;
-  const spread = model.batchSquared / model.weight - meanBatch * meanBatch;
-  if (spread < MIN_SPREAD) return undefined;
-  const slope = (model.batchStep / model.weight - meanBatch * meanStep) /
-    spread;
-  const slopeMs = Math.max(MIN_SLOPE_MS, slope);
-  return { baseMs: meanStep - slopeMs * meanBatch, slopeMs };
+  { running, stepMs, targetMs, maxBatch }: StepSample,
+): void {
+  const bucket = model.steps.get(bucketOf(running)) ?? createAverage(stepMs);
+  model.steps.set(bucketOf(running), bucket);
+  addSample(bucket, stepMs, { weight: BUCKET_WEIGHT });
+  const limit = model.limit ?? maxBatch * FIRST_LIMIT_SHARE;
+  const isNear = Math.abs(running - limit) <= limit * NEAR_LIMIT;
+  const move = (targetMs * TARGET_HEADROOM - stepMs) * GAIN_PER_MS;
+  const bounded = Math.max(-MAX_MOVE, Math.min(MAX_MOVE, move));
+  const moved = isNear ? limit + bounded : limit;
+  model.limit = Math.max(1, Math.min(maxBatch, moved));
 }
 
-/** Step time expected at a batch size, ms. */
+/** Step time expected of a healthy engine at a batch size, ms. */
 export function expectedStep(
   model: BatchModel,
   batch: number,
 ): number | undefined {
-  const line = fitLine(model);
-  return line === undefined ? undefined : line.baseMs + line.slopeMs * batch;
+  const bucket = model.steps.get(bucketOf(batch));
+  if (bucket === undefined || bucket.samples < MIN_SAMPLES) return undefined;
+  return bucket.value;
 }
 
 /**
- * Largest batch expected to stay within the between-token target.
+ * Largest batch to allow at an engine whose steps take `factor` times the expected.
  *
  * @example
  * ```ts
- * batchLimit(model, { targetMs: 29, maxBatch: 64, factor: 1 });
+ * batchLimit(createBatchModel(), { maxBatch: 64, factor: 1 }); // 32
  * ```
  */
 export function batchLimit(
   model: BatchModel,
-  { targetMs, maxBatch, factor }: {
-    targetMs: number;
-    maxBatch: number;
-    factor: number;
-  },
-): number {
-  const goalMs = targetMs * TARGET_HEADROOM / factor;
-  const line = fitLine(model);
-  if (line === undefined) return unfittedLimit(model, { goalMs, maxBatch });
-  const batch = Math.floor((goalMs - line.baseMs) / line.slopeMs);
-  return Math.max(1, Math.min(maxBatch, batch));
-}
-
-function unfittedLimit(
-  model: BatchModel,
-  { goalMs, maxBatch }: { goalMs: number; maxBatch: number },
+  { maxBatch, factor }: { maxBatch: number; factor: number },
 ): number {
-  if (model.weight === 0) return Math.ceil(maxBatch / 2);
-  const meanStep = model.step / model.weight;
-  const scale = Math.min(1, goalMs / Math.max(meanStep, 1));
-  return Math.max(1, Math.ceil(maxBatch / 2 * scale));
+  const limit = model.limit ?? maxBatch * FIRST_LIMIT_SHARE;
+  return Math.max(1, Math.min(maxBatch, Math.floor(limit / factor)));
 }
--- a/packages/core/src/capacity/targets.ts
+++ b/packages/core/src/capacity/targets.ts
@@ -14,6 +14,8 @@
 const LENT_SHARE = 0.5;
 /** Above this use of the KV cache a group takes nothing new. */
 const KV_FULL_SHARE = 0.95;
+/** Engines slower than this against their peers get a smaller batch. */
+const SLOW_FACTOR = 1.3;
 /** Requests allowed at a target that is probed back in. */
 const PROBE_ALLOWANCE = 1;
 
@@ -21,17 +23,15 @@
   return target.phase === "serving" || target.phase === "probing";
 }
 
-function limitOf(state: State, pool: Pool, target: Target): number {
+function limitOf(pool: Pool, target: Target): number {
   if (pool.deployment.kind === "service") return pool.deployment.concurrency;
-  const targetMs = state.config?.config.policy.betweenTokensMs ?? 29;
   const maxBatch = Math.min(
     pool.deployment.maxBatch,
     target.report?.maxBatch ?? pool.deployment.maxBatch,
   );
   return batchLimit(pool.model, {
-    targetMs,
     maxBatch,
-    factor: Math.max(1, target.factor),
+    factor: target.factor > SLOW_FACTOR ? target.factor : 1,
   });
 }
 
@@ -59,7 +59,7 @@
   const pool = state.pools.get(target.deployment);
   if (pool === undefined) return;
   const before = target.limit;
-  target.limit = takesWork(target) ? limitOf(state, pool, target) : 0;
+  target.limit = takesWork(target) ? limitOf(pool, target) : 0;
   pool.slots += target.limit - before;
   target.allowance = allowanceOf(state, pool, target);
   setFree(pool.free, target.name, {
--- a/packages/core/src/claim/claim.ts
+++ b/packages/core/src/claim/claim.ts
@@ -79,7 +79,7 @@
 
 /** Makes a request wait for whoever holds its key. */
 export function waitForClaim(state: State, request: Request): void {
-  delete request.claim;
+  request.claim = undefined;
   advance(request, "wait");
   const key = scopedKey(request);
   const waiters = state.waiters.get(key) ?? new Set<string>();
@@ -104,7 +104,7 @@
   if (request.claim === undefined) return;
   const key = scopedKey(request);
   const claim = request.claim;
-  delete request.claim;
+  request.claim = undefined;
   const body: RecordBody = {
     type: "claim_end",
     key,
--- a/packages/core/src/health/members.ts
+++ b/packages/core/src/health/members.ts
@@ -5,13 +5,13 @@
  */
 import { learnStep } from "../capacity/batch_model.ts";
 import { refreshTarget } from "../capacity/targets.ts";
-import type { EventOf, MemberStatus } from "../event/types.ts";
+import type { EventOf, LoadReport, MemberStatus } from "../event/types.ts";
 import type { Member } from "../fold/types.ts";
 import type { Effects } from "../reduce_types.ts";
 import { dispatchPool } from "../request/dispatch.ts";
 import { failOver } from "../request/progress.ts";
 import { setFree } from "../routing/free_list.ts";
-import type { MemberState, State, Target } from "../state/types.ts";
+import type { MemberState, Pool, State, Target } from "../state/types.ts";
 import { schedule } from "../util/timer_queue.ts";
 import { judgeReport, settleEjection } from "./ejection.ts";
 import { advanceTarget, type TargetStep } from "./machine.ts";
@@ -214,6 +214,12 @@
   }
 }
 
+function learnReport(state: State, pool: Pool, load: LoadReport): void {
+  const targetMs = state.config?.config.policy.betweenTokensMs ?? Infinity;
+  const { running, stepMs, maxBatch } = load;
+  learnStep(pool.model, { running, stepMs, targetMs, maxBatch });
+}
+
 function* takeReport(
   state: State,
   target: Target,
@@ -228,9 +234,7 @@
     yield* judgeReport(state, pool, target);
     const isNormal = target.phase === "serving" &&
       target.factor < LEARN_MAX_FACTOR;
-    if (isNormal && load.running > 0) {
-      learnStep(pool.model, load.running, { stepMs: load.stepMs });
-    }
+    if (isNormal && load.running > 0) learnReport(state, pool, load);
   }
   refreshTarget(state, target);
   yield* dispatchPool(state, pool);
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -30,6 +30,7 @@
 } from "./reduce_types.ts";
 import { arriveRequest } from "./request/arrive.ts";
 import { dispatchPool } from "./request/dispatch.ts";
+import { checkPreemption } from "./request/preempt.ts";
 import {
   acceptAttempt,
   checkStall,
@@ -95,6 +96,7 @@
   housekeeping: keepHouse,
   peer_digest: tellPeers,
   append_retry: retryAppends,
+  preempt_check: checkPreemption,
   drain_check: checkDrain,
 };
 
--- a/packages/core/src/request/arrive.ts
+++ b/packages/core/src/request/arrive.ts
@@ -57,7 +57,6 @@
   pool: Pool,
   event: EventOf<"request_arrived">,
 ): Request {
-  const { kind: _kind, at: _at, ...arrival } = event;
   const policy = rankPolicy(state, event.rank);
   const deadlineAt = state.now +
     Math.min(event.deadlineMs ?? policy.deadlineMs, policy.deadlineMs);
@@ -67,7 +66,17 @@
     ? state.now + policy.firstTokenMs - PREFILL_RESERVE_MS
     : deadlineAt;
   return {
-    ...arrival,
+    request: event.request,
+    deployment: event.deployment,
+    principal: event.principal,
+    rank: event.rank,
+    promptTokens: event.promptTokens,
+    maxOutputTokens: event.maxOutputTokens,
+    prefixes: event.prefixes,
+    idempotent: event.idempotent,
+    key: event.key,
+    digest: event.digest,
+    adapter: event.adapter,
     phase: "claiming",
     arrivedAt: state.now,
     deadlineAt,
@@ -76,8 +85,15 @@
     charged: 0,
     predictedOutput: output,
     attempt: 0,
+    target: undefined,
+    startedAt: undefined,
+    firstTokenAt: undefined,
+    lastTokenAt: undefined,
+    claim: undefined,
+    failures: 0,
     committed: false,
     preemptions: 0,
+    byFloor: false,
     avoid: [],
     delivered: 0,
     verdict: "not_run",
--- a/packages/core/src/request/attempt.ts
+++ b/packages/core/src/request/attempt.ts
@@ -10,7 +10,7 @@
 /** Takes a request's attempt off its target. */
 export function releaseTarget(state: State, request: Request): void {
   const target = state.targets.get(request.target ?? "");
-  delete request.target;
+  request.target = undefined;
   if (target === undefined) return;
   target.attempts.delete(request.request);
   state.pools.get(target.deployment)?.runningBatch.delete(request.request);
--- a/packages/core/src/request/dispatch.ts
+++ b/packages/core/src/request/dispatch.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { overflowOf, queueAllowance } from "../admission/shed.ts";
+import { overflowOf } from "../admission/shed.ts";
 import { chargeStart, pickNext } from "../admission/pick.ts";
 import { enqueue, removeWaiting } from "../admission/fair_queue.ts";
 import { weightOf } from "../admission/weights.ts";
@@ -37,19 +37,17 @@
 }
 
 function* shedOverflow(state: State, pool: Pool, arrived: Request): Effects {
-  let excess = overflowOf(state, pool, arrived.rank);
+  let excess = overflowOf(state, pool, arrived);
   while (excess !== undefined) {
     yield* refuseRequest(state, excess, {
       refusal: {
         code: "overloaded",
         message:
-          `More ${excess.rank} work than "${pool.name}" can start in time (queue of ${
-            Math.floor(queueAllowance(state, pool, excess.rank))
-          })`,
+          `More ${excess.rank} work than "${pool.name}" can start in time`,
         verdict: excess.verdict,
       },
     });
-    excess = overflowOf(state, pool, arrived.rank);
+    excess = overflowOf(state, pool, arrived);
   }
 }
 
--- a/packages/core/src/request/preempt.ts
+++ b/packages/core/src/request/preempt.ts
@@ -4,41 +4,65 @@
  * @module
  */
 import { enqueue } from "../admission/fair_queue.ts";
-import { ownSlots } from "../admission/shed.ts";
 import { rankPolicy, weightOf } from "../admission/weights.ts";
 import type { Effect } from "../effect/types.ts";
-import type { Pool, State, Target } from "../state/types.ts";
+import type { Pool, State } from "../state/types.ts";
 import { releaseTarget } from "./attempt.ts";
+import type { Effects } from "../reduce_types.ts";
+import { schedule } from "../util/timer_queue.ts";
+import { dispatchPool } from "./dispatch.ts";
 import { advance } from "./machine.ts";
 import type { Request } from "./types.ts";
 
 /** Pause between two preemptions in one pool, so that a slot freed is seen before the next is taken. */
 const PREEMPT_PAUSE_MS = 10;
+/** Part of a rank's queue wait after which its work may take a batch slot. */
+const PATIENCE_SHARE = 0.7;
 /** A batch request that gave way this often runs to its end. */
 const MAX_PREEMPTIONS = 3;
 
-function batchRequestAt(state: State, target: Target): Request | undefined {
+function mayGiveWay({ rank, byFloor, preemptions }: Request): boolean {
+  return rank === "batch" && !byFloor && preemptions < MAX_PREEMPTIONS;
+}
+
+// The newest has the least to lose.
+function findVictim(state: State, pool: Pool): Request | undefined {
   let newest: Request | undefined;
-  for (const id of target.attempts) {
+  for (const id of pool.runningBatch) {
     const request = state.requests.get(id);
-    if (request?.rank !== "batch" || request.preemptions >= MAX_PREEMPTIONS) {
-      continue;
+    if (request === undefined || !mayGiveWay(request)) continue;
+    const target = state.targets.get(request.target ?? "");
+    if (target?.phase !== "serving" || target.allowance === 0) continue;
+    const startedAt = request.startedAt ?? 0;
+    if (newest === undefined || startedAt > (newest.startedAt ?? 0)) {
+      newest = request;
     }
-    if (
-      newest === undefined || (request.startedAt ?? 0) > (newest.startedAt ?? 0)
-    ) newest = request;
   }
   return newest;
 }
 
-function findVictim(state: State, pool: Pool): Request | undefined {
-  for (const id of pool.runningBatch) {
-    const target = state.targets.get(state.requests.get(id)?.target ?? "");
-    if (target?.phase !== "serving" || target.allowance === 0) continue;
-    const victim = batchRequestAt(state, target);
-    if (victim !== undefined) return victim;
+// Slots free up by themselves all the time; only work that none of them reached in time takes one.
+function hasWaitedEnough(state: State, pool: Pool, request: Request): boolean {
+  const patienceMs = rankPolicy(state, request.rank).queueWaitMs *
+    PATIENCE_SHARE;
+  const at = request.arrivedAt + patienceMs;
+  if (state.now >= at) return true;
+  if (pool.preemptCheckAt <= state.now || at < pool.preemptCheckAt) {
+    pool.preemptCheckAt = at;
+    schedule(state.timers, at, {
+      timer: { kind: "preempt_check", pool: pool.name },
+    });
   }
-  return undefined;
+  return false;
+}
+
+/** Handles the time at which waiting work may take a slot. */
+export function* checkPreemption(
+  state: State,
+  { pool: name }: { pool: string },
+): Effects {
+  const pool = state.pools.get(name);
+  if (pool !== undefined) yield* dispatchPool(state, pool);
 }
 
 function mayPreempt(state: State, pool: Pool, request: Request): boolean {
@@ -46,8 +70,7 @@
     return false;
   }
   if (state.now - pool.preemptedAt < PREEMPT_PAUSE_MS) return false;
-  return pool.runningBatch.size >
-    ownSlots(pool) * rankPolicy(state, "batch").floor;
+  return pool.runningBatch.size > 0 && hasWaitedEnough(state, pool, request);
 }
 
 /** Cancels one batch request, which keeps its tokens and resumes later; returns whether one gave way. */
--- a/packages/core/src/request/progress.ts
+++ b/packages/core/src/request/progress.ts
@@ -173,6 +173,7 @@
   const pool = state.pools.get(request.deployment);
   if (pool === undefined) return;
   const target = state.targets.get(request.target ?? "");
+  request.failures += 1;
   request.verdict = combineVerdicts(request.verdict, verdictOf(outcome));
   yield {
     kind: "log",
@@ -195,7 +196,7 @@
   }
   addAmount(pool.retries, 1, { now: state.now, windowMs: RETRY_WINDOW_MS });
   advance(request, "back_off");
-  const ceiling = Math.min(RETRY_MAX_MS, RETRY_BASE_MS * 2 ** request.attempt);
+  const ceiling = Math.min(RETRY_MAX_MS, RETRY_BASE_MS * 2 ** request.failures);
   const pauseMs = request.delivered > 0 ? 0 : nextFloat(state.random) * ceiling;
   if (request.delivered > 0) {
     yield {
@@ -226,7 +227,7 @@
   if (!request.idempotent && request.verdict !== "not_run") {
     return "not_idempotent";
   }
-  if (request.attempt >= (policy?.maxAttempts ?? 1)) return "attempts_spent";
+  if (request.failures >= (policy?.maxAttempts ?? 1)) return "attempts_spent";
   if (state.now >= request.deadlineAt) return "deadline_passed";
   if (request.delivered > 0) return undefined;
   const options = { now: state.now, windowMs: RETRY_WINDOW_MS };
--- a/packages/core/src/request/types.ts
+++ b/packages/core/src/request/types.ts
@@ -17,7 +17,7 @@
   | "done";
 
 /** A request and all that was decided about it. */
-export interface Request extends Arrival {
+export interface Request extends Omit<Arrival, "deadlineMs"> {
   phase: RequestPhase;
   arrivedAt: number;
   deadlineAt: number;
@@ -29,22 +29,26 @@
   charged: number;
   predictedOutput: number;
   attempt: number;
-  target?: string;
-  startedAt?: number;
+  /** Attempts that failed; work that gave way does not count. */
+  failures: number;
+  target: string | undefined;
+  startedAt: number | undefined;
   /** Part of an answer that cannot be resumed has reached the caller. */
   committed: boolean;
   preemptions: number;
+  /** Started on its rank's floor, so it does not give way. */
+  byFloor: boolean;
   /** Targets already tried. */
   avoid: string[];
   /** Whole tokens delivered to the caller. */
   delivered: number;
-  firstTokenAt?: number;
-  lastTokenAt?: number;
+  firstTokenAt: number | undefined;
+  lastTokenAt: number | undefined;
   /** Strongest verdict of the attempts so far. */
   verdict: Verdict;
   lastProgressAt: number;
   /** Id of this request's claim record, while it holds the claim. */
-  claim?: string;
+  claim: string | undefined;
   promptTokensSeen: number;
   cachedTokensSeen: number;
 }
--- a/packages/core/src/state/create_state.ts
+++ b/packages/core/src/state/create_state.ts
@@ -119,6 +119,7 @@
     ejected: 0,
     prefixes: createPrefixIndex(),
     preemptedAt: 0,
+    preemptCheckAt: 0,
     runningBatch: new Set(),
   };
 }
--- a/packages/core/src/state/types.ts
+++ b/packages/core/src/state/types.ts
@@ -100,6 +100,8 @@
   ejected: number;
   prefixes: PrefixIndex;
   preemptedAt: number;
+  /** Time of the pending check whether waiting work may take a batch slot. */
+  preemptCheckAt: number;
   /** Batch requests in flight from this entry. */
   runningBatch: Set<string>;
 }
--- a/packages/core/src/util/timer_queue.ts
+++ b/packages/core/src/util/timer_queue.ts
@@ -15,6 +15,7 @@
   | { kind: "housekeeping" }
   | { kind: "peer_digest" }
   | { kind: "append_retry" }
+  | { kind: "preempt_check"; pool: string }
   | { kind: "drain_check" };
 
 interface Entry {
