--- a/packages/bench/src/fleet/baselines.ts
+++ b/packages/bench/src/fleet/baselines.ts
@@ -66,6 +66,7 @@
     engine.submit({
       id: offer.id,
       rank: "standard",
+      light: false,
       promptTokens: offer.promptTokens,
       outputTokens: offer.outputTokens,
       prefixes: offer.prefixes,
--- a/packages/bench/src/fleet/capacity.ts
+++ b/packages/bench/src/fleet/capacity.ts
@@ -40,6 +40,7 @@
     engine.submit({
       ...offer,
       rank: "urgent",
+      light: false,
       resumeFrom: 0,
       onToken() {
         noteToken(records, fate, clock.now);
--- a/packages/bench/src/fleet/engine.ts
+++ b/packages/bench/src/fleet/engine.ts
@@ -41,6 +41,8 @@
 export interface Job {
   id: string;
   rank: Rank;
+  /** Goes before other work of its rank. */
+  light: boolean;
   promptTokens: number;
   outputTokens: number;
   prefixes: readonly number[];
@@ -73,6 +75,14 @@
 const REPORT_STEPS = 40;
 const P95 = 0.95;
 
+function priorityOf({ rank, light }: Job): number {
+  return RANKS.indexOf(rank) * 2 + (light ? 0 : 1);
+}
+
+function comparePriority(left: Job, right: Job): number {
+  return priorityOf(left) - priorityOf(right);
+}
+
 /** Creates an idle engine. */
 export function createEngine(
   name: string,
@@ -133,15 +143,12 @@
 
   function prefillStep(): number {
     let budget = profile.prefillChunk;
-    for (const rank of RANKS) {
-      for (const job of running) {
-        if (job.rank !== rank || job.prefillLeft === 0 || budget === 0) {
-          continue;
-        }
-        const part = Math.min(budget, job.prefillLeft);
-        job.prefillLeft -= part;
-        budget -= part;
-      }
+    for (const job of running.toSorted(comparePriority)) {
+      if (job.prefillLeft === 0) continue;
+      const part = Math.min(budget, job.prefillLeft);
+      job.prefillLeft -= part;
+      budget -= part;
+      if (budget === 0) break;
     }
     return profile.prefillChunk - budget;
   }
@@ -155,7 +162,7 @@
     isStepping = true;
     const decoding =
       running.filter(({ prefillLeft }) => prefillLeft === 0).length;
-    const prefilled = prefillStep();
+    const prefilled = decoding < running.length ? prefillStep() : 0;
     const stepMs = (profile.baseStepMs + profile.stepMsPerSequence * decoding +
       prefilled / profile.prefillTokensPerMs) *
       engine.slowness;
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -41,6 +41,8 @@
   cacheLagMs?: number;
   /** Whether the entries hear of caches at all beyond their own sends. */
   perfectCache?: boolean;
+  /** Whether routing is kept from seeing prefixes at all. */
+  ignoresPrefixes?: boolean;
   /** Decides whether a send fails before it reaches the engine. */
   failsSend?(group: string, now: number): boolean;
 }
@@ -217,7 +219,7 @@
 
   function send(
     core: Core,
-    { request: id, attempt, target, resumeFrom, rank }: Extract<
+    { request: id, attempt, target, resumeFrom, rank, light }: Extract<
       Effect,
       { kind: "send" }
     >,
@@ -226,6 +228,7 @@
     const engine = byName.get(target);
     if (fate === undefined || engine === undefined) return;
     records.sends.push({ at: clock.now, first: fate.sends === 0 });
+    fate.firstSendAt ??= clock.now;
     fate.sends += 1;
     const end = (
       outcome:
@@ -245,6 +248,7 @@
     const job = {
       id: `${id}/${attempt}`,
       rank,
+      light,
       promptTokens,
       outputTokens,
       prefixes,
@@ -343,7 +347,7 @@
           rank: offer.rank,
           promptTokens: offer.promptTokens,
           maxOutputTokens: 4_096,
-          prefixes: offer.prefixes,
+          prefixes: options.ignoresPrefixes ? [] : offer.prefixes,
           idempotent: true,
         };
         core.feed({ kind: "request_arrived", ...arrival });
--- a/packages/bench/src/fleet/record.ts
+++ b/packages/bench/src/fleet/record.ts
@@ -12,6 +12,7 @@
   offer: Offer;
   /** Sends to engines, first tries and repeats. */
   sends: number;
+  firstSendAt?: number;
   firstTokenAt?: number;
   lastTokenAt?: number;
   endedAt?: number;
@@ -145,6 +146,17 @@
   return percentileOf(times, percentile);
 }
 
+/** Percentile of the time from offer to the first send, ms. */
+export function waitPercentile(
+  fates: readonly Fate[],
+  percentile: number,
+): number {
+  const waits = fates.flatMap(({ offer, firstSendAt }) =>
+    firstSendAt === undefined ? [] : [firstSendAt - offer.at]
+  );
+  return percentileOf(waits, percentile);
+}
+
 /** Percentile of the time from offer to refusal, ms. */
 export function refusalPercentile(
   fates: readonly Fate[],
--- /dev/null
+++ b/packages/core/src/admission/overdraft.ts
@@ -0,0 +1,60 @@
+/**
+ * Lets light work start at once although all slots are taken.
+ *
+ * Slots free up every few tens of milliseconds, but that wait alone would multiply a small caller's first-token time
+ * while a large one fills the fleet. A few sequences over the limit cost everyone little, and the learned limit already
+ * allows for them, since it is set by the step times that engines report.
+ *
+ * @module
+ */
+import type { Request } from "../request/types.ts";
+import { pathOf } from "../request/types.ts";
+import type { Pool, State, Target } from "../state/types.ts";
+import { decayRate } from "../util/ewma.ts";
+import { outranksBatch, ownSlots, USE_WINDOW_MS } from "./shed.ts";
+
+/** Part of this entry's slots that light work may use on top. */
+const OVERDRAFT_SHARE = 0.1;
+/** A caller below this part of an even share is light. */
+const LIGHT_SHARE = 0.9;
+
+function isLightCaller(state: State, pool: Pool, request: Request): boolean {
+  const options = { now: state.now, windowMs: USE_WINDOW_MS };
+  const use = pool.callerUse.get(pathOf(request).join("/"));
+  if (use === undefined) return true;
+  const even = decayRate(pool.totalUse, options) / pool.callerUse.size;
+  return decayRate(use, options) < even * LIGHT_SHARE;
+}
+
+/** Whether a request is light: its caller is below its share, or only batch work stands in its way. */
+export function isLight(state: State, pool: Pool, request: Request): boolean {
+  if (request.rank === "batch" || pool.deployment.kind === "service") {
+    return false;
+  }
+  return outranksBatch(state, pool) || isLightCaller(state, pool, request);
+}
+
+/** Whether this entry may start one more light request over its allowance. */
+export function mayOverdraw(pool: Pool): boolean {
+  return pool.overdrawn < Math.max(1, ownSlots(pool) * OVERDRAFT_SHARE);
+}
+
+/** Whether a target can bear one more sequence over its limit, by its newest report and what was sent since. */
+export function canBear(target: Target): boolean {
+  const { report, sentSinceReport, limit, allowance, attempts } = target;
+  const known = report === undefined
+    ? attempts.size
+    : report.running + report.queued;
+  return allowance > 0 &&
+    known + sentSinceReport < limit * (1 + OVERDRAFT_SHARE);
+}
+
+/** Forgets callers that have not used anything of late. */
+export function pruneCallers(state: State, pool: Pool): void {
+  const options = { now: state.now, windowMs: USE_WINDOW_MS };
+  for (const [caller, use] of pool.callerUse) {
+    if (decayRate(use, options) < MIN_USE_PER_MS) pool.callerUse.delete(caller);
+  }
+}
+
+const MIN_USE_PER_MS = 1e-4;
--- a/packages/core/src/admission/pick.ts
+++ b/packages/core/src/admission/pick.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import { type Rank, RANKS } from "../config/types.ts";
-import type { Request } from "../request/types.ts";
+import { pathOf, type Request } from "../request/types.ts";
 import type { Pool, State } from "../state/types.ts";
-import { addAmount, createRate, decayRate } from "../util/ewma.ts";
+import { addAmount, createRate, decayRate, type Rate } from "../util/ewma.ts";
 import { charge, peekFair } from "./fair_queue.ts";
 import { USE_WINDOW_MS } from "./shed.ts";
 import { rankPolicy, weightOf } from "./weights.ts";
@@ -15,6 +15,8 @@
 const FLOOR_HEADROOM = 1.25;
 /** Ranks that an owner's paid share protects from the other owner's flood. */
 const PROTECTED_RANKS: readonly Rank[] = ["urgent", "standard"];
+/** Credit of a rank at most, in requests; it is earned while the rank waits for a slot. */
+const MAX_CREDIT_REQUESTS = 2;
 /** Debt of a rank at most, in requests, so that a floor is back soon after quiet times. */
 const MAX_DEBT_REQUESTS = 2;
 
@@ -84,7 +86,7 @@
     const credit = pool.floorCredit[rank] + earned - paid;
     pool.floorCredit[rank] = Math.max(
       -amount * MAX_DEBT_REQUESTS,
-      Math.min(amount, credit),
+      Math.min(amount * MAX_CREDIT_REQUESTS, credit),
     );
   }
 }
@@ -99,10 +101,17 @@
     amount,
     weightOf: (path) => weightOf(state, path),
   });
-  const options = { now: state.now, windowMs: USE_WINDOW_MS };
-  const owner = request.principal.owner;
-  const use = pool.ownerUse.get(owner) ?? createRate(state.now);
-  pool.ownerUse.set(owner, use);
-  addAmount(use, amount, options);
-  addAmount(pool.totalUse, amount, options);
+  noteUse(state, pool.ownerUse, { name: request.principal.owner, amount });
+  noteUse(state, pool.callerUse, { name: pathOf(request).join("/"), amount });
+  addAmount(pool.totalUse, amount, { now: state.now, windowMs: USE_WINDOW_MS });
+}
+
+function noteUse(
+  state: State,
+  uses: Map<string, Rate>,
+  { name, amount }: { name: string; amount: number },
+): void {
+  const use = uses.get(name) ?? createRate(state.now);
+  uses.set(name, use);
+  addAmount(use, amount, { now: state.now, windowMs: USE_WINDOW_MS });
 }
--- a/packages/core/src/admission/shed.ts
+++ b/packages/core/src/admission/shed.ts
@@ -12,6 +12,8 @@
 
 /** Time constant of offered arrivals, ms. */
 export const ARRIVAL_WINDOW_MS = 2_000;
+/** Urgent and standard work that needs less than this of the slots is not itself a flood. */
+const CALM_SHARE = 0.9;
 const MIN_RATE = 1e-6;
 /** Time constant over which an owner's use is set against its paid share. */
 export const USE_WINDOW_MS = 2_000;
@@ -23,13 +25,25 @@
   return pool.slots * (pool.share.high - pool.share.low);
 }
 
+/**
+ * Time a request holds its slot, ms.
+ *
+ * For models it comes from the output, not from measured times: an entry that is crowded would measure shorter times
+ * for work that gave way, ask for less, and be crowded further.
+ */
+export function holdMsOf(state: State, pool: Pool, rank: Rank): number {
+  if (pool.deployment.kind === "service") return pool.holdMs[rank].value;
+  const stepMs = state.config?.config.policy.betweenTokensMs ?? 0;
+  return Math.max(1, pool.outputTokens[rank].value * stepMs);
+}
+
 /** Concurrency that a rank's offered work needs at this entry. */
 export function neededSlots(state: State, pool: Pool, rank: Rank): number {
   const perMs = decayRate(pool.arrivals[rank], {
     now: state.now,
     windowMs: ARRIVAL_WINDOW_MS,
   });
-  return perMs * pool.holdMs[rank].value;
+  return perMs * holdMsOf(state, pool, rank);
 }
 
 function floorSlots(state: State, pool: Pool, rank: Rank): number {
@@ -62,7 +76,7 @@
   { rank, withinMs }: { rank: Rank; withinMs: number },
 ): number {
   return slotsForRank(state, pool, rank) /
-    Math.max(1, pool.holdMs[rank].value) * withinMs;
+    holdMsOf(state, pool, rank) * withinMs;
 }
 
 // More urgent work needs all that the floors leave, so this rank gets its floor and no more.
@@ -98,10 +112,25 @@
     : queueMs;
 }
 
+/** Whether only batch work stands in the way of the other ranks, which are no flood themselves. */
+export function outranksBatch(state: State, pool: Pool): boolean {
+  if (pool.runningBatch.size === 0) return false;
+  const needed = neededSlots(state, pool, "urgent") +
+    neededSlots(state, pool, "standard");
+  return needed < ownSlots(pool) * CALM_SHARE;
+}
+
+// Batch work gives way within a rank's queue wait, so a burst above it is never too long.
+function givesWay(state: State, pool: Pool, rank: Rank): boolean {
+  const waiting = pool.queues.urgent.backlog + pool.queues.standard.backlog;
+  return rank !== "batch" && pool.runningBatch.size >= waiting &&
+    outranksBatch(state, pool);
+}
+
 function isOverlong(state: State, pool: Pool, rank: Rank): boolean {
   const { backlog } = pool.queues[rank];
   const most = state.config?.config.policy.queueMaxRequests ?? Infinity;
-  if (backlog === 0) return false;
+  if (backlog === 0 || givesWay(state, pool, rank)) return false;
   return backlog > most ||
     expectedWaitMs(state, pool, rank) > rankPolicy(state, rank).queueWaitMs;
 }
--- a/packages/core/src/capacity/targets.ts
+++ b/packages/core/src/capacity/targets.ts
@@ -51,7 +51,8 @@
   if (target.phase === "probing") return PROBE_ALLOWANCE;
   if ((target.report?.kvUsedShare ?? 0) > KV_FULL_SHARE) return 0;
   const own = wholeShare(target.name, target.limit, pool.share);
-  return Math.max(own, target.attempts.size + lentShare(state, pool, target));
+  const lent = lentShare(state, pool, target);
+  return lent > 0 ? Math.max(own, target.attempts.size + lent) : own;
 }
 
 /** Recomputes a target's limit, allowance and place among the free ones. */
@@ -62,6 +63,12 @@
   target.limit = takesWork(target) ? limitOf(pool, target) : 0;
   pool.slots += target.limit - before;
   target.allowance = allowanceOf(state, pool, target);
+  const over = Math.max(0, target.attempts.size - target.allowance);
+  pool.overdrawn += over - target.overdrawn;
+  target.overdrawn = over;
+  setFree(pool.serving, target.name, {
+    free: target.phase === "serving" && target.allowance > 0,
+  });
   setFree(pool.free, target.name, {
     free: target.attempts.size < target.allowance,
   });
--- a/packages/core/src/config/schema.ts
+++ b/packages/core/src/config/schema.ts
@@ -113,13 +113,13 @@
   urgent: rankSchema({
     floor: 0,
     firstTokenMs: 730,
-    queueWaitMs: 180,
+    queueWaitMs: 160,
     deadlineMs: 60_000,
   }),
   standard: rankSchema({
     floor: 0.1,
     firstTokenMs: 730,
-    queueWaitMs: 250,
+    queueWaitMs: 200,
     deadlineMs: 120_000,
   }),
   batch: rankSchema({
--- a/packages/core/src/effect/types.ts
+++ b/packages/core/src/effect/types.ts
@@ -59,6 +59,8 @@
     target: string;
     address: string;
     rank: Rank;
+    /** Goes before other work of its rank. */
+    light: boolean;
     group?: string;
     epoch?: number;
     /** Whole tokens the caller already has. */
--- a/packages/core/src/health/members.ts
+++ b/packages/core/src/health/members.ts
@@ -79,6 +79,7 @@
     limit: 0,
     allowance: 0,
     attempts: new Set(),
+    overdrawn: 0,
     sentSinceReport: 0,
     report: undefined,
     reportedAt: -Infinity,
@@ -144,7 +145,10 @@
   state.targets.delete(target.name);
   const pool = state.pools.get(target.deployment);
   pool?.targets.delete(target.name);
-  if (pool !== undefined) setFree(pool.free, target.name, { free: false });
+  if (pool !== undefined) {
+    setFree(pool.free, target.name, { free: false });
+    setFree(pool.serving, target.name, { free: false });
+  }
   for (const { member } of target.members) {
     if (state.byAddress.get(member.address) === target.name) {
       state.byAddress.delete(member.address);
--- a/packages/core/src/peer/digest.ts
+++ b/packages/core/src/peer/digest.ts
@@ -32,9 +32,9 @@
 /** Leaving VMs told in one digest at most. */
 const MAX_LEAVING = 32;
 /** Relative change of a need below which it is told as before. */
-const NEED_GRAIN = 8;
+const NEED_GRAIN = 24;
 
-// Rounds to an eighth of the value's own size, so that noise does not make every digest a new one.
+// Rounds to a fixed share of the value's own size, so that noise does not make every digest a new one.
 function coarse(value: number): number {
   if (value < 0.01) return 0;
   const grain = 2 ** Math.floor(Math.log2(value)) / NEED_GRAIN;
--- a/packages/core/src/request/arrive.ts
+++ b/packages/core/src/request/arrive.ts
@@ -93,6 +93,7 @@
     failures: 0,
     committed: false,
     preemptions: 0,
+    light: false,
     byFloor: false,
     avoid: [],
     delivered: 0,
--- a/packages/core/src/request/attempt.ts
+++ b/packages/core/src/request/attempt.ts
@@ -13,6 +13,7 @@
   request.target = undefined;
   if (target === undefined) return;
   target.attempts.delete(request.request);
-  state.pools.get(target.deployment)?.runningBatch.delete(request.request);
+  const pool = state.pools.get(target.deployment);
+  pool?.runningBatch.delete(request.request);
   refreshTarget(state, target);
 }
--- a/packages/core/src/request/dispatch.ts
+++ b/packages/core/src/request/dispatch.ts
@@ -5,6 +5,7 @@
  */
 import { overflowOf } from "../admission/shed.ts";
 import { chargeStart, pickNext } from "../admission/pick.ts";
+import { isLight } from "../admission/overdraft.ts";
 import { enqueue, removeWaiting } from "../admission/fair_queue.ts";
 import { weightOf } from "../admission/weights.ts";
 import { refreshTarget } from "../capacity/targets.ts";
@@ -57,6 +58,7 @@
   while (true) {
     const request = pool.resumptions[0] ?? pickNext(state, pool);
     if (request === undefined) return;
+    request.light = isLight(state, pool, request);
     const target = chooseTarget(state, pool, request);
     if (target === undefined) {
       if (yield* preemptFor(state, pool, request)) continue;
@@ -105,6 +107,7 @@
     target: target.name,
     address: leader.member.address,
     rank: request.rank,
+    light: request.light,
     ...(target.epoch !== undefined &&
       { group: target.name, epoch: target.epoch }),
     resumeFrom: request.delivered,
--- a/packages/core/src/request/progress.ts
+++ b/packages/core/src/request/progress.ts
@@ -23,7 +23,7 @@
 import type { Request } from "./types.ts";
 
 const HOLD_WEIGHT = 0.02;
-const OUTPUT_WEIGHT = 0.02;
+const OUTPUT_WEIGHT = 0.005;
 /** Time constant of the retry budget. */
 const RETRY_WINDOW_MS = 10_000;
 /** Retries allowed in a window whatever the share says, so that a quiet entry can retry at all. */
--- a/packages/core/src/request/types.ts
+++ b/packages/core/src/request/types.ts
@@ -36,6 +36,8 @@
   /** Part of an answer that cannot be resumed has reached the caller. */
   committed: boolean;
   preemptions: number;
+  /** Its caller uses less than a fair share, so it may overdraw and goes first at the engine. */
+  light: boolean;
   /** Started on its rank's floor, so it does not give way. */
   byFloor: boolean;
   /** Targets already tried. */
--- a/packages/core/src/routing/route.ts
+++ b/packages/core/src/routing/route.ts
@@ -3,10 +3,11 @@
  *
  * @module
  */
+import { canBear, mayOverdraw } from "../admission/overdraft.ts";
 import { expectedStep } from "../capacity/batch_model.ts";
 import type { Request } from "../request/types.ts";
 import type { Pool, State, Target } from "../state/types.ts";
-import { sampleFree } from "./free_list.ts";
+import { type FreeList, sampleFree } from "./free_list.ts";
 import { matchPrefixes } from "./prefix_index.ts";
 
 /** Candidates drawn at random; with the affinity ones this bounds the work of a decision. */
@@ -66,21 +67,22 @@
   return queueDelay(pool, target) + uncached / prefillPerMs + zone + adapter;
 }
 
-function hasRoom(target: Target | undefined): target is Target {
-  return target !== undefined && target.attempts.size < target.allowance;
+type Bears = (target: Target) => boolean;
+
+function hasRoom({ attempts, allowance }: Target): boolean {
+  return attempts.size < allowance;
 }
 
 function candidatesOf(
   state: State,
   pool: Pool,
-  request: Request,
+  { request, list }: { request: Request; list: FreeList },
 ): Map<string, number> {
   const candidates = new Map<string, number>();
-  for (
-    const name of sampleFree(pool.free, RANDOM_CANDIDATES, {
-      random: state.random,
-    })
-  ) candidates.set(name, 0);
+  const { random } = state;
+  for (const name of sampleFree(list, RANDOM_CANDIDATES, { random })) {
+    candidates.set(name, 0);
+  }
   const matches = matchPrefixes(pool.prefixes, request.prefixes, {
     now: state.now,
     most: AFFINITY_CANDIDATES,
@@ -92,17 +94,36 @@
 /**
  * Returns the best target with room, or undefined where none has any.
  *
- * Targets already tried are used again only when no other has room.
+ * The work of a decision is bounded: a few targets at random, and those thought to hold the prompt's prefix.
  */
 export function chooseTarget(
   state: State,
   pool: Pool,
   request: Request,
+): Target | undefined {
+  return bestOf(state, pool, { request, list: pool.free, bears: hasRoom }) ??
+    overdraw(state, pool, request);
+}
+
+function overdraw(
+  state: State,
+  pool: Pool,
+  request: Request,
+): Target | undefined {
+  if (!request.light || !mayOverdraw(pool)) return undefined;
+  return bestOf(state, pool, { request, list: pool.serving, bears: canBear });
+}
+
+function bestOf(
+  state: State,
+  pool: Pool,
+  { request, list, bears }: { request: Request; list: FreeList; bears: Bears },
 ): Target | undefined {
   let best: ScoredTarget | undefined;
-  for (const [name, blocks] of candidatesOf(state, pool, request)) {
+  for (const [name, blocks] of candidatesOf(state, pool, { request, list })) {
     const target = state.targets.get(name);
-    if (!hasRoom(target) || request.avoid.includes(name)) continue;
+    if (target === undefined || !bears(target)) continue;
+    if (request.avoid.includes(name)) continue;
     const score = scoreTarget(state, { pool, request, target, blocks });
     if (best === undefined || score < best.score) best = { target, score };
   }
--- a/packages/core/src/state/types.ts
+++ b/packages/core/src/state/types.ts
@@ -61,6 +61,8 @@
   allowance: number;
   /** Requests in flight from this entry. */
   attempts: Set<string>;
+  /** Attempts over the allowance. */
+  overdrawn: number;
   sentSinceReport: number;
   report: LoadReport | undefined;
   reportedAt: number;
@@ -84,6 +86,8 @@
   resumptions: Request[];
   floorCredit: Record<Rank, number>;
   ownerUse: Map<string, Rate>;
+  /** Cost rate of each caller, by its path. */
+  callerUse: Map<string, Rate>;
   totalUse: Rate;
   holdMs: Record<Rank, Average>;
   outputTokens: Record<Rank, Average>;
@@ -96,7 +100,12 @@
   share: ShareInterval;
   entries: number;
   targets: Set<string>;
+  /** Targets with room within this entry's allowance. */
   free: FreeList;
+  /** Targets that take work at all. */
+  serving: FreeList;
+  /** Attempts over the allowances of their targets, summed. */
+  overdrawn: number;
   ejected: number;
   prefixes: PrefixIndex;
   preemptedAt: number;
--- a/packages/daemon/src/http/chat_exchange.ts
+++ b/packages/daemon/src/http/chat_exchange.ts
@@ -173,8 +173,16 @@
   }
 
   function send(
-    { attempt: number, address, rank, group, epoch, resumeFrom, remainingMs }:
-      SendEffect,
+    {
+      attempt: number,
+      address,
+      rank,
+      light,
+      group,
+      epoch,
+      resumeFrom,
+      remainingMs,
+    }: SendEffect,
   ): void {
     current?.attempt.cancel();
     let status = 0;
@@ -202,7 +210,7 @@
       headers: {
         "content-type": "application/json",
         "x-request-id": id,
-        "x-priority": rank,
+        "x-priority": light ? `${rank}-first` : rank,
         "x-group": group ?? "",
         "x-epoch": String(epoch ?? ""),
         "x-remaining-ms": String(remainingMs),
