Count own work exactly and trust reports half

Cause: with reports 2 s old the entries kept lending themselves the same idle slots at every report, so engines swung between 0 and 64 sequences and first-token p95 was 12 times that with fresh reports. Change: others' work is the report less this entry's own average over the lag, lending is capped at half of the own part, and the score counts the own part's use.

--- a/packages/core/src/admission/fair_queue.ts
+++ b/packages/core/src/admission/fair_queue.ts
@@ -2,7 +2,8 @@
  * Max-min fair queueing by cost over a tree of owner, team and caller.
  *
  * Start-time fair queueing: each node carries the cost it was served over its weight; the backlogged child that was
- * served least goes next, and a child that becomes active starts level with the others, so idle time earns nothing.
+ * served least goes next. A child that becomes active starts level with the others but for a few requests of credit, so
+ * that a small caller's burst goes first while idle time earns nothing more.
  *
  * @module
  */
@@ -26,6 +27,11 @@
   cost: number;
 }
 
+/** Requests that a caller below its share may send at once and still go first. */
+const BURST_REQUESTS = 6;
+/** Two nodes that end within this many requests of each other are level. */
+const NEAR_REQUESTS = 1;
+
 /** Gives the weight of a node by its path of names. */
 export type WeightOf = (path: readonly string[]) => number;
 
@@ -47,7 +53,7 @@
   const existing = node.children.get(name);
   if (existing !== undefined) return existing;
   const child = createFairNode(name, weight());
-  child.served = node.level;
+  child.served = -Infinity;
   node.children.set(name, child);
   return child;
 }
@@ -77,7 +83,8 @@
   nodes.forEach((node, depth) => {
     const parent = nodes[depth - 1];
     if (parent !== undefined && node.backlog === 0) {
-      node.served = Math.max(node.served, parent.level);
+      const credit = BURST_REQUESTS * request.predictedCost / node.weight;
+      node.served = Math.max(node.served, parent.level - credit);
     }
     node.backlog += 1;
     node.cost += request.predictedCost;
@@ -151,26 +158,63 @@
   return served + cost / weight;
 }
 
-function lastInLine(node: FairNode): FairNode | undefined {
+function lastInLine(
+  node: FairNode,
+  isSpared?: (name: string) => boolean,
+): FairNode | undefined {
   let last: FairNode | undefined;
   for (const child of node.children.values()) {
-    if (child.backlog === 0) continue;
+    if (child.backlog === 0 || isSpared?.(child.name)) continue;
     if (last === undefined || finishOf(child) > finishOf(last)) last = child;
   }
   return last;
 }
 
-/** Returns the waiting request that fairness would serve last; an over-long queue sheds it. */
-export function peekExcess(root: FairNode): Request | undefined {
-  const leaf = root.backlog === 0 ? undefined : descend(root, lastInLine);
-  while (leaf !== undefined && leaf.items.length > 0) {
-    const last = leaf.items.at(-1) as Request;
+/** Options of {@link peekExcess}. */
+export interface ExcessOptions {
+  /** The request that made the queue too long. */
+  arrived: Request;
+  /** Owners whose work is not to be shed. */
+  isSpared(owner: string): boolean;
+}
+
+// Of two that end at nearly the same place the arrived one is shed, so that it hears of it at once.
+function isNearlyLast(
+  own: FairNode,
+  last: FairNode,
+  { predictedCost }: Request,
+): boolean {
+  return finishOf(own) + NEAR_REQUESTS * predictedCost / own.weight >=
+    finishOf(last);
+}
+
+function lastWaiting({ items }: FairNode): Request | undefined {
+  while (items.length > 0) {
+    const last = items.at(-1) as Request;
     if (isWaiting(last)) return last;
-    leaf.items.pop();
+    items.pop();
   }
   return undefined;
 }
 
+/** Returns the waiting request that fairness would serve last; an over-long queue sheds it. */
+export function peekExcess(
+  root: FairNode,
+  { arrived, isSpared }: ExcessOptions,
+): Request | undefined {
+  const path = pathOf(arrived);
+  let node = root;
+  for (let depth = 0; node.children.size > 0; depth++) {
+    const last = lastInLine(node, depth === 0 ? isSpared : undefined);
+    if (last === undefined) return undefined;
+    const own = node.children.get(path[depth] ?? "");
+    const canShedOwn = own !== undefined && own.backlog > 0 &&
+      (depth > 0 || !isSpared(own.name));
+    node = canShedOwn && isNearlyLast(own, last, arrived) ? own : last;
+  }
+  return lastWaiting(node);
+}
+
 /** Charges served cost to a request's path; negative amounts give back an over-estimate. */
 export function charge(
   root: FairNode,
--- a/packages/core/src/admission/overdraft.ts
+++ b/packages/core/src/admission/overdraft.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import { estimateLoad } from "../capacity/load_estimate.ts";
 import type { Request } from "../request/types.ts";
 import { pathOf } from "../request/types.ts";
 import type { Pool, State, Target } from "../state/types.ts";
@@ -14,7 +15,7 @@
 import { outranksBatch, ownSlots, USE_WINDOW_MS } from "./shed.ts";
 
 /** Part of this entry's slots that light work may use on top. */
-const OVERDRAFT_SHARE = 0.1;
+const OVERDRAFT_SHARE = 0.15;
 /** A caller below this part of an even share is light. */
 const LIGHT_SHARE = 0.9;
 
@@ -41,12 +42,8 @@
 
 /** Whether a target can bear one more sequence over its limit, by its newest report and what was sent since. */
 export function canBear(target: Target): boolean {
-  const { report, sentSinceReport, limit, allowance, attempts } = target;
-  const known = report === undefined
-    ? attempts.size
-    : report.running + report.queued;
-  return allowance > 0 &&
-    known + sentSinceReport < limit * (1 + OVERDRAFT_SHARE);
+  return target.allowance > 0 &&
+    estimateLoad(target) < target.limit * (1 + OVERDRAFT_SHARE);
 }
 
 /** Forgets callers that have not used anything of late. */
--- a/packages/core/src/admission/pick.ts
+++ b/packages/core/src/admission/pick.ts
@@ -6,15 +6,13 @@
 import { type Rank, RANKS } from "../config/types.ts";
 import { pathOf, type Request } from "../request/types.ts";
 import type { Pool, State } from "../state/types.ts";
-import { addAmount, createRate, decayRate, type Rate } from "../util/ewma.ts";
+import { addAmount, createRate, type Rate } from "../util/ewma.ts";
 import { charge, peekFair } from "./fair_queue.ts";
-import { USE_WINDOW_MS } from "./shed.ts";
+import { isBelowPaidShare, PROTECTED_RANKS, USE_WINDOW_MS } from "./shed.ts";
 import { rankPolicy, weightOf } from "./weights.ts";
 
 /** Floors are of the work done, and some of what is started never gets done. */
 const FLOOR_HEADROOM = 1.25;
-/** Ranks that an owner's paid share protects from the other owner's flood. */
-const PROTECTED_RANKS: readonly Rank[] = ["urgent", "standard"];
 /** Credit of a rank at most, in requests; it is earned while the rank waits for a slot. */
 const MAX_CREDIT_REQUESTS = 2;
 /** Debt of a rank at most, in requests, so that a floor is back soon after quiet times. */
@@ -29,16 +27,6 @@
   return undefined;
 }
 
-function isBelowPaidShare(state: State, pool: Pool, owner: string): boolean {
-  const rate = pool.ownerUse.get(owner);
-  const options = { now: state.now, windowMs: USE_WINDOW_MS };
-  const total = decayRate(pool.totalUse, options);
-  if (rate === undefined || total <= 0) return true;
-  const owners = Object.values(state.config?.config.owners ?? {});
-  const shares = owners.reduce((sum, { share }) => sum + share, 0);
-  return decayRate(rate, options) / total < weightOf(state, [owner]) / shares;
-}
-
 function paidPick(state: State, pool: Pool): Request | undefined {
   for (const rank of PROTECTED_RANKS) {
     for (const owner of pool.queues[rank].children.values()) {
--- a/packages/core/src/admission/shed.ts
+++ b/packages/core/src/admission/shed.ts
@@ -8,12 +8,14 @@
 import type { Pool, State } from "../state/types.ts";
 import { decayRate } from "../util/ewma.ts";
 import { peekExcess } from "./fair_queue.ts";
-import { rankPolicy } from "./weights.ts";
+import { rankPolicy, weightOf } from "./weights.ts";
 
 /** Time constant of offered arrivals, ms. */
 export const ARRIVAL_WINDOW_MS = 2_000;
 /** Urgent and standard work that needs less than this of the slots is not itself a flood. */
 const CALM_SHARE = 0.9;
+/** An owner is below its paid share only if clearly so; two floods at par shed each other's work alike. */
+const PAID_MARGIN = 0.95;
 const MIN_RATE = 1e-6;
 /** Time constant over which an owner's use is set against its paid share. */
 export const USE_WINDOW_MS = 2_000;
@@ -127,6 +129,30 @@
     outranksBatch(state, pool);
 }
 
+/** Ranks that an owner's paid share protects from the other owner's flood. */
+export const PROTECTED_RANKS: readonly Rank[] = ["urgent", "standard"];
+
+function isProtected(rank: Rank): boolean {
+  return PROTECTED_RANKS.includes(rank);
+}
+
+/** Whether an owner uses less of the pool than it paid for, while others use it too. */
+export function isBelowPaidShare(
+  state: State,
+  pool: Pool,
+  owner: string,
+): boolean {
+  const options = { now: state.now, windowMs: USE_WINDOW_MS };
+  const total = decayRate(pool.totalUse, options);
+  const rate = pool.ownerUse.get(owner);
+  if (pool.ownerUse.size < 2) return false;
+  if (rate === undefined || total <= 0) return true;
+  const owners = Object.values(state.config?.config.owners ?? {});
+  const shares = owners.reduce((sum, { share }) => sum + share, 0);
+  return decayRate(rate, options) / total <
+    weightOf(state, [owner]) / shares * PAID_MARGIN;
+}
+
 function isOverlong(state: State, pool: Pool, rank: Rank): boolean {
   const { backlog } = pool.queues[rank];
   const most = state.config?.config.policy.queueMaxRequests ?? Infinity;
@@ -142,7 +168,11 @@
   arrived: Request,
 ): Request | undefined {
   if (!isOverlong(state, pool, arrived.rank)) return undefined;
-  return peekExcess(pool.queues[arrived.rank]);
+  return peekExcess(pool.queues[arrived.rank], {
+    arrived,
+    isSpared: (owner) =>
+      isProtected(arrived.rank) && isBelowPaidShare(state, pool, owner),
+  });
 }
 
 /** When a refused caller may come back: once the waiting work of its rank has drained. */
--- a/packages/core/src/capacity/targets.ts
+++ b/packages/core/src/capacity/targets.ts
@@ -6,12 +6,15 @@
 import type { Pool, State, Target } from "../state/types.ts";
 import { setFree } from "../routing/free_list.ts";
 import { batchLimit } from "./batch_model.ts";
+import { estimateLoad } from "./load_estimate.ts";
 import { wholeShare } from "./share.ts";
 
 /** Reports older than this say nothing of idle room. */
 const REPORT_LIFE_MS = 5_000;
 /** Part of the idle room that all entries together may borrow. */
 const LENT_SHARE = 0.5;
+/** Room borrowed on a report's word at most, as a share of this entry's own; the report may be old. */
+const MAX_LENT_SHARE = 0.5;
 /** Above this use of the KV cache a group takes nothing new. */
 const KV_FULL_SHARE = 0.95;
 /** Engines slower than this against their peers get a smaller batch. */
@@ -36,23 +39,31 @@
 }
 
 function lentShare(state: State, pool: Pool, target: Target): number {
-  const report = target.report;
-  if (report === undefined || state.now - target.reportedAt > REPORT_LIFE_MS) {
+  if (
+    target.report === undefined ||
+    state.now - target.reportedAt > REPORT_LIFE_MS
+  ) {
     return 0;
   }
-  const idle = target.limit - report.running - report.queued -
-    target.sentSinceReport;
+  const idle = target.limit - estimateLoad(target);
   if (idle <= 0) return 0;
   return wholeShare(target.name, idle * LENT_SHARE, pool.share);
 }
 
+/** This entry's own part of a target's limit. */
+export function ownLimit(pool: Pool, { name, limit }: Target): number {
+  return wholeShare(name, limit, pool.share);
+}
+
 function allowanceOf(state: State, pool: Pool, target: Target): number {
   if (!takesWork(target)) return 0;
   if (target.phase === "probing") return PROBE_ALLOWANCE;
   if ((target.report?.kvUsedShare ?? 0) > KV_FULL_SHARE) return 0;
-  const own = wholeShare(target.name, target.limit, pool.share);
+  const own = ownLimit(pool, target);
   const lent = lentShare(state, pool, target);
-  return lent > 0 ? Math.max(own, target.attempts.size + lent) : own;
+  if (lent <= 0) return own;
+  const most = own + Math.max(1, Math.ceil(own * MAX_LENT_SHARE));
+  return Math.min(most, Math.max(own, target.attempts.size + lent));
 }
 
 /** Recomputes a target's limit, allowance and place among the free ones. */
--- a/packages/core/src/health/members.ts
+++ b/packages/core/src/health/members.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { rememberAttempts } from "../capacity/load_estimate.ts";
 import { learnStep } from "../capacity/batch_model.ts";
 import { refreshTarget } from "../capacity/targets.ts";
 import type { EventOf, LoadReport, MemberStatus } from "../event/types.ts";
@@ -80,7 +81,7 @@
     allowance: 0,
     attempts: new Set(),
     overdrawn: 0,
-    sentSinceReport: 0,
+    memory: { average: 0, at: state.now },
     report: undefined,
     reportedAt: -Infinity,
     factor: 1,
@@ -231,9 +232,9 @@
 ): Effects {
   const pool = state.pools.get(target.deployment);
   if (pool === undefined || load === undefined) return;
+  rememberAttempts(target, state.now);
   target.report = load;
   target.reportedAt = state.now;
-  target.sentSinceReport = 0;
   if (pool.deployment.kind === "model") {
     yield* judgeReport(state, pool, target);
     const isNormal = target.phase === "serving" &&
--- a/packages/core/src/request/attempt.ts
+++ b/packages/core/src/request/attempt.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { rememberAttempts } from "../capacity/load_estimate.ts";
 import { refreshTarget } from "../capacity/targets.ts";
 import type { State } from "../state/types.ts";
 import type { Request } from "./types.ts";
@@ -12,6 +13,7 @@
   const target = state.targets.get(request.target ?? "");
   request.target = undefined;
   if (target === undefined) return;
+  rememberAttempts(target, state.now);
   target.attempts.delete(request.request);
   const pool = state.pools.get(target.deployment);
   pool?.runningBatch.delete(request.request);
--- a/packages/core/src/request/dispatch.ts
+++ b/packages/core/src/request/dispatch.ts
@@ -8,6 +8,7 @@
 import { isLight } from "../admission/overdraft.ts";
 import { enqueue, removeWaiting } from "../admission/fair_queue.ts";
 import { weightOf } from "../admission/weights.ts";
+import { rememberAttempts } from "../capacity/load_estimate.ts";
 import { refreshTarget } from "../capacity/targets.ts";
 import type { Effects } from "../reduce_types.ts";
 import { addHolder } from "../routing/prefix_index.ts";
@@ -90,9 +91,9 @@
   request.startedAt = state.now;
   request.lastProgressAt = state.now;
   request.target = target.name;
+  rememberAttempts(target, state.now);
   target.attempts.add(request.request);
   if (request.rank === "batch") pool.runningBatch.add(request.request);
-  target.sentSinceReport += 1;
   for (const prefix of request.prefixes) {
     addHolder(pool.prefixes, prefix, { target: target.name, now: state.now });
   }
--- a/packages/core/src/routing/route.ts
+++ b/packages/core/src/routing/route.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { canBear, mayOverdraw } from "../admission/overdraft.ts";
-import { expectedStep } from "../capacity/batch_model.ts";
+import { estimateLoad } from "../capacity/load_estimate.ts";
+import { ownLimit } from "../capacity/targets.ts";
 import type { Request } from "../request/types.ts";
 import type { Pool, State, Target } from "../state/types.ts";
 import { type FreeList, sampleFree } from "./free_list.ts";
@@ -18,7 +19,9 @@
 /** Prefill speed assumed until a report tells, prompt tokens a millisecond. */
 const DEFAULT_PREFILL_PER_MS = 8;
 /** Delay expected of a fully used batch, ms; rises with the square of its use. */
-const FULL_BATCH_MS = 60;
+const FULL_BATCH_MS = 30;
+/** Delay set on this entry's own part being fully used, ms; rises with the square of its use. */
+const OWN_FULL_MS = 60;
 /** Delay of loading an adapter that is not there, ms. */
 const ADAPTER_LOAD_MS = 400;
 const DEFAULT_STEP_MS = 25;
@@ -33,16 +36,17 @@
   return request.prefixes.length === 0 ? 0 : blocks / request.prefixes.length;
 }
 
+// Own attempts are known exactly and reports may be old, so both count: an idle-looking target that this entry has
+// already filled with its own part draws no more of its work.
 function queueDelay(pool: Pool, target: Target): number {
-  const ahead = (target.report?.running ?? target.attempts.size) +
-    (target.report?.queued ?? 0) +
-    target.sentSinceReport;
   const limit = Math.max(target.limit, 1);
-  const stepMs = (expectedStep(pool.model, limit) ?? DEFAULT_STEP_MS) *
-    Math.max(1, target.factor);
-  const over = Math.max(0, ahead - limit);
-  const use = Math.min(1, ahead / limit);
-  return over * stepMs + use * use * FULL_BATCH_MS;
+  const load = estimateLoad(target);
+  const stepMs = DEFAULT_STEP_MS * Math.max(1, target.factor);
+  const over = Math.max(0, load - limit);
+  const reportedUse = Math.min(1, load / limit);
+  const ownUse = target.attempts.size / Math.max(1, ownLimit(pool, target));
+  return over * stepMs + reportedUse ** 2 * FULL_BATCH_MS +
+    ownUse ** 2 * OWN_FULL_MS;
 }
 
 /** Expected delay of a request's first token at a target, ms. */
--- a/packages/core/src/state/types.ts
+++ b/packages/core/src/state/types.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { FairNode } from "../admission/fair_queue.ts";
+import type { AttemptMemory } from "../capacity/load_estimate.ts";
 import type { BatchModel } from "../capacity/batch_model.ts";
 import type { ShareInterval } from "../capacity/share.ts";
 import type { Config, Deployment, Rank } from "../config/types.ts";
@@ -63,7 +64,7 @@
   attempts: Set<string>;
   /** Attempts over the allowance. */
   overdrawn: number;
-  sentSinceReport: number;
+  memory: AttemptMemory;
   report: LoadReport | undefined;
   reportedAt: number;
   /** Step time against what the deployment's model expects; 1 is normal. */
