Protect small callers and paid shares over noise

Use of owners and callers is averaged over 8 and 20 s, light work may overdraw 30% of an entry's slots, and the last part of a queue is kept for it.

--- a/packages/core/src/admission/fair_queue.ts
+++ b/packages/core/src/admission/fair_queue.ts
@@ -28,7 +28,7 @@
 }
 
 /** Requests that a caller below its share may send at once and still go first. */
-const BURST_REQUESTS = 6;
+const BURST_REQUESTS = 4;
 /** Two nodes that end within this many requests of each other are level. */
 const NEAR_REQUESTS = 1;
 
--- a/packages/core/src/admission/overdraft.ts
+++ b/packages/core/src/admission/overdraft.ts
@@ -12,27 +12,31 @@
 import { pathOf } from "../request/types.ts";
 import type { Pool, State, Target } from "../state/types.ts";
 import { decayRate } from "../util/ewma.ts";
-import { outranksBatch, ownSlots, USE_WINDOW_MS } from "./shed.ts";
+import { isOwed, outranksBatch, ownSlots } from "./shed.ts";
 
+/** Time constant of a caller's use; at one entry a small caller sends only about a request a second. */
+export const CALLER_WINDOW_MS = 20_000;
 /** Part of this entry's slots that light work may use on top. */
-const OVERDRAFT_SHARE = 0.15;
+const OVERDRAFT_SHARE = 0.3;
 /** A caller below this part of an even share is light. */
 const LIGHT_SHARE = 0.9;
 
 function isLightCaller(state: State, pool: Pool, request: Request): boolean {
-  const options = { now: state.now, windowMs: USE_WINDOW_MS };
+  const options = { now: state.now, windowMs: CALLER_WINDOW_MS };
   const use = pool.callerUse.get(pathOf(request).join("/"));
   if (use === undefined) return true;
-  const even = decayRate(pool.totalUse, options) / pool.callerUse.size;
+  const even = decayRate(pool.callerTotal, options) / pool.callerUse.size;
   return decayRate(use, options) < even * LIGHT_SHARE;
 }
 
-/** Whether a request is light: its caller is below its share, or only batch work stands in its way. */
+/** Whether a request is light: its owner or caller is below its share, or only batch work stands in its way. */
 export function isLight(state: State, pool: Pool, request: Request): boolean {
   if (request.rank === "batch" || pool.deployment.kind === "service") {
     return false;
   }
-  return outranksBatch(state, pool) || isLightCaller(state, pool, request);
+  return outranksBatch(state, pool) ||
+    isOwed(state, pool, request.principal.owner) ||
+    isLightCaller(state, pool, request);
 }
 
 /** Whether this entry may start one more light request over its allowance. */
@@ -48,7 +52,7 @@
 
 /** Forgets callers that have not used anything of late. */
 export function pruneCallers(state: State, pool: Pool): void {
-  const options = { now: state.now, windowMs: USE_WINDOW_MS };
+  const options = { now: state.now, windowMs: CALLER_WINDOW_MS };
   for (const [caller, use] of pool.callerUse) {
     if (decayRate(use, options) < MIN_USE_PER_MS) pool.callerUse.delete(caller);
   }
--- a/packages/core/src/admission/pick.ts
+++ b/packages/core/src/admission/pick.ts
@@ -7,12 +7,13 @@
 import { pathOf, type Request } from "../request/types.ts";
 import type { Pool, State } from "../state/types.ts";
 import { addAmount, createRate, type Rate } from "../util/ewma.ts";
+import { CALLER_WINDOW_MS } from "./overdraft.ts";
 import { charge, peekFair } from "./fair_queue.ts";
-import { isBelowPaidShare, PROTECTED_RANKS, USE_WINDOW_MS } from "./shed.ts";
+import { isOwed, PROTECTED_RANKS, USE_WINDOW_MS } from "./shed.ts";
 import { rankPolicy, weightOf } from "./weights.ts";
 
 /** Floors are of the work done, and some of what is started never gets done. */
-const FLOOR_HEADROOM = 1.25;
+const FLOOR_HEADROOM = 1.35;
 /** Credit of a rank at most, in requests; it is earned while the rank waits for a slot. */
 const MAX_CREDIT_REQUESTS = 2;
 /** Debt of a rank at most, in requests, so that a floor is back soon after quiet times. */
@@ -30,7 +31,7 @@
 function paidPick(state: State, pool: Pool): Request | undefined {
   for (const rank of PROTECTED_RANKS) {
     for (const owner of pool.queues[rank].children.values()) {
-      if (owner.backlog === 0 || !isBelowPaidShare(state, pool, owner.name)) {
+      if (owner.backlog === 0 || !isOwed(state, pool, owner.name)) {
         continue;
       }
       return peekFair(pool.queues[rank], { owner: owner.name });
@@ -89,17 +90,27 @@
     amount,
     weightOf: (path) => weightOf(state, path),
   });
-  noteUse(state, pool.ownerUse, { name: request.principal.owner, amount });
-  noteUse(state, pool.callerUse, { name: pathOf(request).join("/"), amount });
-  addAmount(pool.totalUse, amount, { now: state.now, windowMs: USE_WINDOW_MS });
+  const { owner } = request.principal;
+  const caller = pathOf(request).join("/");
+  const { now } = state;
+  addAmount(rateOf(pool.ownerUse, owner, { now }), amount, {
+    now,
+    windowMs: USE_WINDOW_MS,
+  });
+  addAmount(rateOf(pool.callerUse, caller, { now }), amount, {
+    now,
+    windowMs: CALLER_WINDOW_MS,
+  });
+  addAmount(pool.totalUse, amount, { now, windowMs: USE_WINDOW_MS });
+  addAmount(pool.callerTotal, amount, { now, windowMs: CALLER_WINDOW_MS });
 }
 
-function noteUse(
-  state: State,
-  uses: Map<string, Rate>,
-  { name, amount }: { name: string; amount: number },
-): void {
-  const use = uses.get(name) ?? createRate(state.now);
-  uses.set(name, use);
-  addAmount(use, amount, { now: state.now, windowMs: USE_WINDOW_MS });
+function rateOf(
+  rates: Map<string, Rate>,
+  name: string,
+  { now }: { now: number },
+): Rate {
+  const rate = rates.get(name) ?? createRate(now);
+  rates.set(name, rate);
+  return rate;
 }
--- a/packages/core/src/admission/shed.ts
+++ b/packages/core/src/admission/shed.ts
@@ -14,11 +14,13 @@
 export const ARRIVAL_WINDOW_MS = 2_000;
 /** Urgent and standard work that needs less than this of the slots is not itself a flood. */
 const CALM_SHARE = 0.9;
-/** An owner is below its paid share only if clearly so; two floods at par shed each other's work alike. */
-const PAID_MARGIN = 0.95;
+/** Use over a paid share that is still put down to chance. */
+const PAID_MARGIN = 1.1;
+/** Part of the queue wait that callers at or over their share may fill; the rest is for light ones. */
+const COMMON_QUEUE_SHARE = 0.6;
 const MIN_RATE = 1e-6;
 /** Time constant over which an owner's use is set against its paid share. */
-export const USE_WINDOW_MS = 2_000;
+export const USE_WINDOW_MS = 8_000;
 const MIN_RETRY_AFTER_MS = 1_000;
 const MAX_RETRY_AFTER_MS = 60_000;
 
@@ -136,16 +138,10 @@
   return PROTECTED_RANKS.includes(rank);
 }
 
-/** Whether an owner uses less of the pool than it paid for, while others use it too. */
-export function isBelowPaidShare(
-  state: State,
-  pool: Pool,
-  owner: string,
-): boolean {
+function isWithinPaidShare(state: State, pool: Pool, owner: string): boolean {
   const options = { now: state.now, windowMs: USE_WINDOW_MS };
   const total = decayRate(pool.totalUse, options);
   const rate = pool.ownerUse.get(owner);
-  if (pool.ownerUse.size < 2) return false;
   if (rate === undefined || total <= 0) return true;
   const owners = Object.values(state.config?.config.owners ?? {});
   const shares = owners.reduce((sum, { share }) => sum + share, 0);
@@ -153,12 +149,25 @@
     weightOf(state, [owner]) / shares * PAID_MARGIN;
 }
 
-function isOverlong(state: State, pool: Pool, rank: Rank): boolean {
+/** Whether an owner is within what it paid for while another uses more than that. */
+export function isOwed(state: State, pool: Pool, owner: string): boolean {
+  if (!isWithinPaidShare(state, pool, owner)) return false;
+  return [...pool.ownerUse.keys()].some((other) =>
+    other !== owner && !isWithinPaidShare(state, pool, other)
+  );
+}
+
+function isOverlong(
+  state: State,
+  pool: Pool,
+  { rank, light }: Request,
+): boolean {
   const { backlog } = pool.queues[rank];
   const most = state.config?.config.policy.queueMaxRequests ?? Infinity;
   if (backlog === 0 || givesWay(state, pool, rank)) return false;
-  return backlog > most ||
-    expectedWaitMs(state, pool, rank) > rankPolicy(state, rank).queueWaitMs;
+  const share = light || rank === "batch" ? 1 : COMMON_QUEUE_SHARE;
+  const mostMs = rankPolicy(state, rank).queueWaitMs * share;
+  return backlog > most || expectedWaitMs(state, pool, rank) > mostMs;
 }
 
 /** Returns a request to shed from an over-long queue, if any. */
@@ -167,11 +176,11 @@
   pool: Pool,
   arrived: Request,
 ): Request | undefined {
-  if (!isOverlong(state, pool, arrived.rank)) return undefined;
+  if (!isOverlong(state, pool, arrived)) return undefined;
   return peekExcess(pool.queues[arrived.rank], {
     arrived,
     isSpared: (owner) =>
-      isProtected(arrived.rank) && isBelowPaidShare(state, pool, owner),
+      isProtected(arrived.rank) && isOwed(state, pool, owner),
   });
 }
 
--- a/packages/core/src/config/schema.ts
+++ b/packages/core/src/config/schema.ts
@@ -113,7 +113,7 @@
   urgent: rankSchema({
     floor: 0,
     firstTokenMs: 730,
-    queueWaitMs: 160,
+    queueWaitMs: 200,
     deadlineMs: 60_000,
   }),
   standard: rankSchema({
--- a/packages/core/src/request/dispatch.ts
+++ b/packages/core/src/request/dispatch.ts
@@ -34,6 +34,7 @@
   schedule(state.timers, Math.min(request.startBy, request.deadlineAt), {
     timer: { kind: "request_expiry", request: request.request },
   });
+  request.light = isLight(state, pool, request);
   yield* dispatchPool(state, pool);
   yield* shedOverflow(state, pool, request);
 }
--- a/packages/core/src/state/create_state.ts
+++ b/packages/core/src/state/create_state.ts
@@ -106,6 +106,7 @@
     ownerUse: new Map(),
     callerUse: new Map(),
     totalUse: rate(),
+    callerTotal: rate(),
     holdMs: { urgent: hold(), standard: hold(), batch: hold() },
     outputTokens: { urgent: output(), standard: output(), batch: output() },
     arrivals: { urgent: rate(), standard: rate(), batch: rate() },
--- a/packages/core/src/state/types.ts
+++ b/packages/core/src/state/types.ts
@@ -90,6 +90,7 @@
   /** Cost rate of each caller, by its path. */
   callerUse: Map<string, Rate>;
   totalUse: Rate;
+  callerTotal: Rate;
   holdMs: Record<Rank, Average>;
   outputTokens: Record<Rank, Average>;
   arrivals: Record<Rank, Rate>;
