Protect paid shares by what an owner asks for

Cause: with two equal floods each owner was taken for owed half of the time, so refused work displaced waiting work and refusals were told after 400 ms. Change: an owner is owed only while what it asks for is within its paid share.

--- a/packages/core/src/admission/fair_queue.ts
+++ b/packages/core/src/admission/fair_queue.ts
@@ -28,9 +28,13 @@
 }
 
 /** Requests that a caller below its share may send at once and still go first. */
-const BURST_REQUESTS = 4;
+const BURST_REQUESTS = 6;
 /** Two nodes that end within this many requests of each other are level. */
-const NEAR_REQUESTS = 1;
+const NEAR_REQUESTS = 2;
+
+/** Lines longer than this are compared by length. */
+const LONG_LINE = 16;
+const SAME_LENGTH = 0.8;
 
 /** Gives the weight of a node by its path of names. */
 export type WeightOf = (path: readonly string[]) => number;
@@ -178,14 +182,17 @@
   isSpared(owner: string): boolean;
 }
 
-// Of two that end at nearly the same place the arrived one is shed, so that it hears of it at once.
+// Of two that end at nearly the same place, or wait in lines of nearly the same length, the arrived one is shed, so
+// that it hears of it at once.
 function isNearlyLast(
   own: FairNode,
   last: FairNode,
   { predictedCost }: Request,
 ): boolean {
-  return finishOf(own) + NEAR_REQUESTS * predictedCost / own.weight >=
-    finishOf(last);
+  const isLong = own.backlog > LONG_LINE &&
+    own.backlog >= last.backlog * SAME_LENGTH;
+  const near = NEAR_REQUESTS * predictedCost / own.weight;
+  return isLong || finishOf(own) + near >= finishOf(last);
 }
 
 function lastWaiting({ items }: FairNode): Request | undefined {
--- a/packages/core/src/admission/overdraft.ts
+++ b/packages/core/src/admission/overdraft.ts
@@ -18,15 +18,15 @@
 export const CALLER_WINDOW_MS = 20_000;
 /** Part of this entry's slots that light work may use on top. */
 const OVERDRAFT_SHARE = 0.3;
-/** A caller below this part of an even share is light. */
-const LIGHT_SHARE = 0.9;
+/** A caller below this part of the heaviest one's use is light. */
+const LIGHT_SHARE = 0.4;
 
+// Set against the heaviest rather than the mean, so that chance alone makes no caller light among equals.
 function isLightCaller(state: State, pool: Pool, request: Request): boolean {
   const options = { now: state.now, windowMs: CALLER_WINDOW_MS };
   const use = pool.callerUse.get(pathOf(request).join("/"));
-  if (use === undefined) return true;
-  const even = decayRate(pool.callerTotal, options) / pool.callerUse.size;
-  return decayRate(use, options) < even * LIGHT_SHARE;
+  return use === undefined ||
+    decayRate(use, options) < pool.heaviestUse * LIGHT_SHARE;
 }
 
 /** Whether a request is light: its owner or caller is below its share, or only batch work stands in its way. */
@@ -50,11 +50,14 @@
     estimateLoad(target) < target.limit * (1 + OVERDRAFT_SHARE);
 }
 
-/** Forgets callers that have not used anything of late. */
-export function pruneCallers(state: State, pool: Pool): void {
+/** Forgets callers that have not used anything of late, and finds the heaviest of the others. */
+export function weighCallers(state: State, pool: Pool): void {
   const options = { now: state.now, windowMs: CALLER_WINDOW_MS };
+  pool.heaviestUse = 0;
   for (const [caller, use] of pool.callerUse) {
-    if (decayRate(use, options) < MIN_USE_PER_MS) pool.callerUse.delete(caller);
+    const perMs = decayRate(use, options);
+    if (perMs < MIN_USE_PER_MS) pool.callerUse.delete(caller);
+    pool.heaviestUse = Math.max(pool.heaviestUse, perMs);
   }
 }
 
--- a/packages/core/src/admission/pick.ts
+++ b/packages/core/src/admission/pick.ts
@@ -9,7 +9,7 @@
 import { addAmount, createRate, type Rate } from "../util/ewma.ts";
 import { CALLER_WINDOW_MS } from "./overdraft.ts";
 import { charge, peekFair } from "./fair_queue.ts";
-import { isOwed, PROTECTED_RANKS, USE_WINDOW_MS } from "./shed.ts";
+import { isOwed, isProtected, PROTECTED_RANKS, USE_WINDOW_MS } from "./shed.ts";
 import { rankPolicy, weightOf } from "./weights.ts";
 
 /** Floors are of the work done, and some of what is started never gets done. */
@@ -102,7 +102,20 @@
     windowMs: CALLER_WINDOW_MS,
   });
   addAmount(pool.totalUse, amount, { now, windowMs: USE_WINDOW_MS });
-  addAmount(pool.callerTotal, amount, { now, windowMs: CALLER_WINDOW_MS });
+}
+
+/** Notes what an owner asks for, whether it is served or not. */
+export function noteAsked(
+  state: State,
+  pool: Pool,
+  { principal, rank, predictedCost }: Request,
+): void {
+  if (!isProtected(rank)) return;
+  const { now } = state;
+  addAmount(rateOf(pool.ownerAsked, principal.owner, { now }), predictedCost, {
+    now,
+    windowMs: USE_WINDOW_MS,
+  });
 }
 
 function rateOf(
--- a/packages/core/src/admission/shed.ts
+++ b/packages/core/src/admission/shed.ts
@@ -6,7 +6,7 @@
 import { type Rank, RANKS } from "../config/types.ts";
 import type { Request } from "../request/types.ts";
 import type { Pool, State } from "../state/types.ts";
-import { decayRate } from "../util/ewma.ts";
+import { decayRate, type Rate } from "../util/ewma.ts";
 import { peekExcess } from "./fair_queue.ts";
 import { rankPolicy, weightOf } from "./weights.ts";
 
@@ -14,10 +14,10 @@
 export const ARRIVAL_WINDOW_MS = 2_000;
 /** Urgent and standard work that needs less than this of the slots is not itself a flood. */
 const CALM_SHARE = 0.9;
-/** Use over a paid share that is still put down to chance. */
-const PAID_MARGIN = 1.1;
+/** Asking this much of a paid share is still put down to chance. */
+const PAID_MARGIN = 1.15;
 /** Part of the queue wait that callers at or over their share may fill; the rest is for light ones. */
-const COMMON_QUEUE_SHARE = 0.6;
+const COMMON_QUEUE_SHARE = 0.4;
 const MIN_RATE = 1e-6;
 /** Time constant over which an owner's use is set against its paid share. */
 export const USE_WINDOW_MS = 8_000;
@@ -134,54 +134,74 @@
 /** Ranks that an owner's paid share protects from the other owner's flood. */
 export const PROTECTED_RANKS: readonly Rank[] = ["urgent", "standard"];
 
-function isProtected(rank: Rank): boolean {
+/** Whether an owner's paid share protects work of a rank. */
+export function isProtected(rank: Rank): boolean {
   return PROTECTED_RANKS.includes(rank);
 }
 
-function isWithinPaidShare(state: State, pool: Pool, owner: string): boolean {
+// A rate as a multiple of the part of all use that an owner paid for.
+function paidMultiple(
+  state: State,
+  pool: Pool,
+  { owner, rate }: { owner: string; rate: Rate | undefined },
+): number {
   const options = { now: state.now, windowMs: USE_WINDOW_MS };
   const total = decayRate(pool.totalUse, options);
-  const rate = pool.ownerUse.get(owner);
-  if (rate === undefined || total <= 0) return true;
+  if (rate === undefined || total <= 0) return 0;
   const owners = Object.values(state.config?.config.owners ?? {});
   const shares = owners.reduce((sum, { share }) => sum + share, 0);
-  return decayRate(rate, options) / total <
-    weightOf(state, [owner]) / shares * PAID_MARGIN;
+  return decayRate(rate, options) / total / (weightOf(state, [owner]) / shares);
 }
 
-/** Whether an owner is within what it paid for while another uses more than that. */
+/**
+ * Whether an owner asks for no more than it paid for while another uses more than that.
+ *
+ * What it asks for counts, not only what it gets: two owners that flood alike are never owed, whichever is ahead.
+ */
 export function isOwed(state: State, pool: Pool, owner: string): boolean {
-  if (!isWithinPaidShare(state, pool, owner)) return false;
-  return [...pool.ownerUse.keys()].some((other) =>
-    other !== owner && !isWithinPaidShare(state, pool, other)
+  const asked = paidMultiple(state, pool, {
+    owner,
+    rate: pool.ownerAsked.get(owner),
+  });
+  if (asked >= PAID_MARGIN) return false;
+  return [...pool.ownerUse].some(([other, rate]) =>
+    other !== owner && paidMultiple(state, pool, { owner: other, rate }) > 1
   );
 }
 
-function isOverlong(
-  state: State,
-  pool: Pool,
-  { rank, light }: Request,
-): boolean {
+type Overflow = "none" | "common" | "full";
+
+function judgeQueue(state: State, pool: Pool, rank: Rank): Overflow {
   const { backlog } = pool.queues[rank];
+  if (backlog === 0 || givesWay(state, pool, rank)) return "none";
+  const { queueWaitMs } = rankPolicy(state, rank);
+  const waitMs = expectedWaitMs(state, pool, rank);
   const most = state.config?.config.policy.queueMaxRequests ?? Infinity;
-  if (backlog === 0 || givesWay(state, pool, rank)) return false;
-  const share = light || rank === "batch" ? 1 : COMMON_QUEUE_SHARE;
-  const mostMs = rankPolicy(state, rank).queueWaitMs * share;
-  return backlog > most || expectedWaitMs(state, pool, rank) > mostMs;
+  if (backlog > most || waitMs > queueWaitMs) return "full";
+  return waitMs > queueWaitMs * COMMON_QUEUE_SHARE ? "common" : "none";
 }
 
-/** Returns a request to shed from an over-long queue, if any. */
+/**
+ * Returns a request to shed after an arrival, if any.
+ *
+ * A queue past its common part takes light work only, and the arrived request hears of it at once; a full one sheds
+ * what fairness would serve last.
+ */
 export function overflowOf(
   state: State,
   pool: Pool,
   arrived: Request,
 ): Request | undefined {
-  if (!isOverlong(state, pool, arrived)) return undefined;
-  return peekExcess(pool.queues[arrived.rank], {
-    arrived,
-    isSpared: (owner) =>
-      isProtected(arrived.rank) && isOwed(state, pool, owner),
-  });
+  const { rank, light, phase } = arrived;
+  const overflow = judgeQueue(state, pool, rank);
+  if (overflow === "none") return undefined;
+  if (overflow === "common") {
+    const isShed = phase === "queued" && !light && rank !== "batch";
+    return isShed ? arrived : undefined;
+  }
+  const isSpared = (owner: string) =>
+    isProtected(rank) && isOwed(state, pool, owner);
+  return peekExcess(pool.queues[rank], { arrived, isSpared });
 }
 
 /** When a refused caller may come back: once the waiting work of its rank has drained. */
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { pruneIdle } from "./admission/fair_queue.ts";
-import { pruneCallers } from "./admission/overdraft.ts";
+import { weighCallers } from "./admission/overdraft.ts";
 import { wakeAllWaiters } from "./claim/waiters.ts";
 import { applyConfig } from "./config/apply.ts";
 import { RANKS } from "./config/types.ts";
@@ -111,7 +111,7 @@
   yield* publishUsage(state);
   for (const pool of state.pools.values()) {
     for (const rank of RANKS) pruneIdle(pool.queues[rank]);
-    pruneCallers(state, pool);
+    weighCallers(state, pool);
     yield* dispatchPool(state, pool);
   }
 }
--- a/packages/core/src/request/arrive.ts
+++ b/packages/core/src/request/arrive.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { noteAsked } from "../admission/pick.ts";
 import { ARRIVAL_WINDOW_MS } from "../admission/shed.ts";
 import { rankPolicy } from "../admission/weights.ts";
 import {
@@ -167,6 +168,7 @@
     now: state.now,
     windowMs: ARRIVAL_WINDOW_MS,
   });
+  noteAsked(state, pool, request);
   schedule(state.timers, request.deadlineAt, {
     timer: { kind: "request_expiry", request: request.request },
   });
--- a/packages/core/src/state/types.ts
+++ b/packages/core/src/state/types.ts
@@ -87,10 +87,13 @@
   resumptions: Request[];
   floorCredit: Record<Rank, number>;
   ownerUse: Map<string, Rate>;
+  /** Cost rate that each owner asked for at the protected ranks. */
+  ownerAsked: Map<string, Rate>;
   /** Cost rate of each caller, by its path. */
   callerUse: Map<string, Rate>;
   totalUse: Rate;
-  callerTotal: Rate;
+  /** Cost rate of the heaviest caller. */
+  heaviestUse: number;
   holdMs: Record<Rank, Average>;
   outputTokens: Record<Rank, Average>;
   arrivals: Record<Rank, Rate>;
