--- /dev/null
+++ b/packages/bench/src/path/relay.ts
@@ -0,0 +1,157 @@
+/**
+ * What a whole daemon adds to a stream on real sockets, against the same engine called directly in the same run.
+ *
+ * @module
+ */
+import process from "node:process";
+import { createLogger, type Daemon } from "@primroseshed/daemon";
+import { type Engine, startSystem, type System } from "@primroseshed/stand_ins";
+import { Agent, request } from "undici";
+import type { Bench, Figure } from "../runner/types.ts";
+
+const REQUESTS = 800;
+const WARM_UP = 200;
+const CONCURRENCY = 24;
+const PACED_REQUESTS = 300;
+const US_PER_MS = 1_000;
+const P95 = 0.95;
+
+interface Answer {
+  firstTokenMs: number;
+  tokens: number;
+}
+
+type Ask = (prompt: string) => Promise<Answer>;
+
+function createAsk(url: string, headers: Record<string, string>): Ask {
+  const dispatcher = new Agent({ connections: null });
+  return async (prompt) => {
+    const startedAt = performance.now();
+    const body = JSON.stringify({
+      model: "assistant",
+      stream: true,
+      messages: [{ role: "user", content: prompt }],
+    });
+    const response = await request(url, {
+      method: "POST",
+      headers,
+      body,
+      dispatcher,
+    });
+    let firstTokenMs = 0;
+    let text = "";
+    for await (const chunk of response.body) {
+      text += chunk;
+      if (firstTokenMs === 0 && /"content":"[^"]/.test(text)) {
+        firstTokenMs = performance.now() - startedAt;
+      }
+    }
+    return { firstTokenMs, tokens: text.split('"content":"').length - 1 };
+  };
+}
+
+function askDaemon({ addresses }: Daemon): Ask {
+  return createAsk(`${addresses.callers}/v1/chat/completions`, {
+    authorization: "Bearer demo-tavua-key",
+    "content-type": "application/json",
+  });
+}
+
+function askEngine({ address, status }: Engine): Ask {
+  return createAsk(`${address}/v1/chat/completions`, {
+    "content-type": "application/json",
+    "x-request-id": "direct",
+    "x-group": status.group ?? "",
+    "x-epoch": String(status.epoch),
+  });
+}
+
+async function runMany(
+  ask: Ask,
+  count: number,
+): Promise<{ cpuMs: number; tokens: number }> {
+  let next = 0;
+  let tokens = 0;
+  const before = process.cpuUsage();
+  await Promise.all(Array.from({ length: CONCURRENCY }, async () => {
+    while (next < count) tokens += (await ask(`prompt ${next++}`)).tokens;
+  }));
+  const { user, system } = process.cpuUsage(before);
+  return { cpuMs: (user + system) / US_PER_MS, tokens };
+}
+
+function leaderOf(system: System): Engine {
+  const target = [...system.daemons[0]!.state.targets.values()].find((
+    { epoch },
+  ) => epoch !== undefined);
+  const leader = system.engines.find(({ vm }) =>
+    vm === target?.members[0]?.member.vm
+  );
+  if (leader === undefined) {
+    throw new Error("Cannot find a leader to call directly");
+  }
+  return leader;
+}
+
+async function measureCpu(system: System): Promise<Figure> {
+  const direct = askEngine(leaderOf(system));
+  const relayed = askDaemon(system.daemons[0]!);
+  await runMany(direct, WARM_UP);
+  await runMany(relayed, WARM_UP);
+  const without = await runMany(direct, REQUESTS);
+  const through = await runMany(relayed, REQUESTS);
+  const perToken = through.cpuMs / through.tokens -
+    without.cpuMs / without.tokens;
+  return {
+    name: "relay_cpu_us_per_token",
+    value: perToken * US_PER_MS,
+    unit: "us",
+    atMost: 58,
+    baseline: {
+      engine_and_client_alone: without.cpuMs / without.tokens * US_PER_MS,
+    },
+  };
+}
+
+async function measureFirstToken(system: System): Promise<Figure> {
+  const direct = askEngine(leaderOf(system));
+  const relayed = askDaemon(system.daemons[0]!);
+  const times = { direct: [] as number[], relayed: [] as number[] };
+  for (let count = 0; count < PACED_REQUESTS; count++) {
+    times.direct.push((await direct(`first ${count}`)).firstTokenMs);
+    times.relayed.push((await relayed(`first ${count}`)).firstTokenMs);
+  }
+  const p95 = (values: number[]) =>
+    values.toSorted((left, right) =>
+      left - right
+    )[Math.floor(values.length * P95)] ?? 0;
+  return {
+    name: "relay_first_token_added_ms",
+    value: p95(times.relayed) - p95(times.direct),
+    unit: "ms",
+    atMost: 15,
+    baseline: { direct_p95: p95(times.direct) },
+  };
+}
+
+async function withSystem(
+  stepMs: number,
+  measure: (system: System) => Promise<Figure>,
+): Promise<Figure[]> {
+  const logger = createLogger({ level: "error", node: "bench" });
+  const system = await startSystem({ daemons: 1, stepMs, logger });
+  try {
+    return [await measure(system)];
+  } finally {
+    await system.kill();
+  }
+}
+
+/** Processor time for each token relayed, and what the daemon adds to the first token. */
+export const RELAY_BENCHES: readonly Bench[] = [
+  { name: "relay_cpu_us_per_token", run: () => withSystem(0, measureCpu) },
+  {
+    name: "relay_first_token_added_ms",
+    run: () => withSystem(1, measureFirstToken),
+  },
+];
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -6,10 +6,14 @@
 import { FAIRNESS_BENCHES } from "./policy/fairness.ts";
 import { FAULT_BENCHES } from "./policy/faults.ts";
 import { FLOOD_BENCHES } from "./policy/floods.ts";
+import { CORE_BENCHES } from "./path/core_step.ts";
+import { RELAY_BENCHES } from "./path/relay.ts";
 import type { Bench } from "./runner/types.ts";
 
 /** Every bench, in the order in which they run. */
 export const BENCHES: readonly Bench[] = [
+  ...RELAY_BENCHES,
+  ...CORE_BENCHES,
   ...FLOOD_BENCHES,
   ...FAIRNESS_BENCHES,
   ...FAULT_BENCHES,
--- a/packages/core/src/admission/fair_queue.ts
+++ b/packages/core/src/admission/fair_queue.ts
@@ -32,10 +32,6 @@
 /** Two nodes that end within this many requests of each other are level. */
 const NEAR_REQUESTS = 2;
 
-/** Lines longer than this are compared by length. */
-const LONG_LINE = 16;
-const SAME_LENGTH = 0.8;
-
 /** Gives the weight of a node by its path of names. */
 export type WeightOf = (path: readonly string[]) => number;
 
@@ -182,17 +178,21 @@
   isSpared(owner: string): boolean;
 }
 
-// Of two that end at nearly the same place, or wait in lines of nearly the same length, the arrived one is shed, so
-// that it hears of it at once.
+// Of two that end at nearly the same place the arrived one is shed, so that it hears of it at once.
 function isNearlyLast(
   own: FairNode,
   last: FairNode,
   { predictedCost }: Request,
 ): boolean {
-  const isLong = own.backlog > LONG_LINE &&
-    own.backlog >= last.backlog * SAME_LENGTH;
-  const near = NEAR_REQUESTS * predictedCost / own.weight;
-  return isLong || finishOf(own) + near >= finishOf(last);
+  return finishOf(own) + NEAR_REQUESTS * predictedCost / own.weight >=
+    finishOf(last);
+}
+
+/** Waiting requests of the caller of `request`. */
+export function lineLength(root: FairNode, request: Request): number {
+  let node: FairNode | undefined = root;
+  for (const name of pathOf(request)) node = node?.children.get(name);
+  return node?.backlog ?? 0;
 }
 
 function lastWaiting({ items }: FairNode): Request | undefined {
--- a/packages/core/src/admission/shed.ts
+++ b/packages/core/src/admission/shed.ts
@@ -7,17 +7,19 @@
 import type { Request } from "../request/types.ts";
 import type { Pool, State } from "../state/types.ts";
 import { decayRate, type Rate } from "../util/ewma.ts";
-import { peekExcess } from "./fair_queue.ts";
+import { lineLength, peekExcess } from "./fair_queue.ts";
 import { rankPolicy, weightOf } from "./weights.ts";
 
 /** Time constant of offered arrivals, ms. */
 export const ARRIVAL_WINDOW_MS = 2_000;
 /** Urgent and standard work that needs less than this of the slots is not itself a flood. */
-const CALM_SHARE = 0.9;
+const CALM_SHARE = 1.1;
 /** Asking this much of a paid share is still put down to chance. */
 const PAID_MARGIN = 1.15;
 /** Part of the queue wait that callers at or over their share may fill; the rest is for light ones. */
-const COMMON_QUEUE_SHARE = 0.4;
+const COMMON_QUEUE_SHARE = 0.35;
+/** A caller with more waiting than this never pushes out the work of another. */
+const SHORT_LINE = 4;
 const MIN_RATE = 1e-6;
 /** Time constant over which an owner's use is set against its paid share. */
 export const USE_WINDOW_MS = 8_000;
@@ -172,12 +174,14 @@
 type Overflow = "none" | "common" | "full";
 
 function judgeQueue(state: State, pool: Pool, rank: Rank): Overflow {
+  // Batch work in flight may have to come back, so the queue keeps room for it.
+  const returning = rank === "batch" ? pool.runningBatch.size : 0;
   const { backlog } = pool.queues[rank];
   if (backlog === 0 || givesWay(state, pool, rank)) return "none";
   const { queueWaitMs } = rankPolicy(state, rank);
   const waitMs = expectedWaitMs(state, pool, rank);
   const most = state.config?.config.policy.queueMaxRequests ?? Infinity;
-  if (backlog > most || waitMs > queueWaitMs) return "full";
+  if (backlog + returning > most || waitMs > queueWaitMs) return "full";
   return waitMs > queueWaitMs * COMMON_QUEUE_SHARE ? "common" : "none";
 }
 
@@ -199,6 +203,8 @@
     const isShed = phase === "queued" && !light && rank !== "batch";
     return isShed ? arrived : undefined;
   }
+  const isLongLine = lineLength(pool.queues[rank], arrived) > SHORT_LINE;
+  if (isLongLine) return phase === "queued" ? arrived : undefined;
   const isSpared = (owner: string) =>
     isProtected(rank) && isOwed(state, pool, owner);
   return peekExcess(pool.queues[rank], { arrived, isSpared });
--- a/packages/core/src/config/apply.ts
+++ b/packages/core/src/config/apply.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { hashFraction } from "../util/hash.ts";
 import { refreshPool } from "../capacity/targets.ts";
 import type { ServiceDeployment } from "./types.ts";
 import { removeTarget, upsertTarget } from "../health/members.ts";
@@ -87,6 +88,14 @@
   }
 }
 
+// With more groups than this entry watches, each entry watches its own part of them, chosen by hash so that a group
+// that comes or goes moves few others.
+function isWatched(state: State, group: string, total: number): boolean {
+  const most = state.config?.config.policy.watchedTargets ?? total;
+  return total <= most ||
+    hashFraction(`${state.node.name}/${group}`) < most / total;
+}
+
 /** Brings the targets of a model deployment in line with the groups folded from the log. */
 export function* reconcileGroups(
   state: State,
@@ -101,9 +110,13 @@
       yield* removeTarget(state, target);
     }
   }
-  for (const group of state.fold.groups.values()) {
-    if (group.deployment !== deployment || group.phase !== "formed") continue;
-    yield* upsertTarget(state, group);
+  const formed = [...state.fold.groups.values()].filter((group) =>
+    group.deployment === deployment && group.phase === "formed"
+  );
+  for (const group of formed) {
+    if (isWatched(state, group.name, formed.length)) {
+      yield* upsertTarget(state, group);
+    }
   }
 }
 
--- a/packages/core/src/config/schema.ts
+++ b/packages/core/src/config/schema.ts
@@ -113,13 +113,13 @@
   urgent: rankSchema({
     floor: 0,
     firstTokenMs: 730,
-    queueWaitMs: 250,
+    queueWaitMs: 280,
     deadlineMs: 60_000,
   }),
   standard: rankSchema({
     floor: 0.1,
     firstTokenMs: 730,
-    queueWaitMs: 250,
+    queueWaitMs: 320,
     deadlineMs: 120_000,
   }),
   batch: rankSchema({
--- a/packages/core/src/request/preempt.ts
+++ b/packages/core/src/request/preempt.ts
@@ -17,7 +17,7 @@
 /** Pause between two preemptions in one pool, so that a slot freed is seen before the next is taken. */
 const PREEMPT_PAUSE_MS = 10;
 /** Part of a rank's queue wait after which its work may take a batch slot. */
-const PATIENCE_SHARE = 0.55;
+const PATIENCE_SHARE = 0.4;
 /** A batch request that gave way this often runs to its end. */
 const MAX_PREEMPTIONS = 3;
 
