Relay packets whole: one write and one event for the tokens of a packet

Cause: each token was serialized anew, written alone and fed to the reducer alone. Change: a stream's common start is serialized once, and a packet's tokens go out in one write and one event.

--- a/packages/daemon/src/http/chat_exchange.ts
+++ b/packages/daemon/src/http/chat_exchange.ts
@@ -47,6 +47,19 @@
   "x-accel-buffering": "no",
 };
 
+/** End of a chunk that carries text. */
+const TEXT_TAIL = '},"finish_reason":null}]}';
+
+// All chunks of a stream share this start, so it is serialized once.
+function createTextHead(
+  { id, created, model }: { id: string; created: number; model: string },
+): string {
+  const chunk = { id, object: "chat.completion.chunk", created, model };
+  return `${
+    JSON.stringify(chunk).slice(0, -1)
+  },"choices":[{"index":0,"delta":{"content":`;
+}
+
 interface Current {
   number: number;
   attempt: Attempt;
@@ -57,6 +70,9 @@
   const { id, chat, response, agents, dispatch, log } = options;
   const cursor: StreamCursor = { id, next: 0 };
   const created = Math.floor(Date.now() / MS_PER_SECOND);
+  const textHead = createTextHead({ id, created, model: chat.body.model });
+  let decoder = new TextDecoder();
+  let arrivedTokens = 0;
   let text = "";
   let usage: EngineUsage | undefined;
   let finishReason: string | null = null;
@@ -123,20 +139,38 @@
     writeEvent(chunkBody({ role: "assistant", content: "" }, null));
   }
 
-  function deliver(chunk: EngineChunk, number: number): void {
+  function deliver(chunk: EngineChunk): void {
     text += chunk.text;
     usage = chunk.usage ?? usage;
     finishReason = chunk.finishReason ?? finishReason;
     if (chat.stream) startStream();
     if (chat.stream && chunk.text !== "") {
-      writeEvent(chunkBody({ content: chunk.text }, null));
+      writeEvent(`${textHead}${JSON.stringify(chunk.text)}${TEXT_TAIL}`);
     }
-    if (chunk.tokens > 0) {
+    arrivedTokens += chunk.tokens;
+  }
+
+  // Tokens that came in one packet go out in one write and reach the reducer as one event.
+  function takeData(
+    data: Buffer,
+    { number, feed }: { number: number; feed(text: string): void },
+  ): void {
+    arrivedTokens = 0;
+    response.cork();
+    feed(decoder.decode(data, { stream: true }));
+    response.uncork();
+    flushProgress(number);
+  }
+
+  function flushProgress(number: number): void {
+    const tokens = arrivedTokens;
+    arrivedTokens = 0;
+    if (tokens > 0) {
       dispatch({
         kind: "attempt_progress",
         request: id,
         attempt: number,
-        tokens: chunk.tokens,
+        tokens,
       });
     }
   }
@@ -147,6 +181,7 @@
     extra: { retryAfterMs?: number } = {},
   ): void {
     if (current?.number !== number) return;
+    flushProgress(number);
     current.attempt.cancel();
     current = undefined;
     dispatch({
@@ -163,7 +198,7 @@
   function takeChunk(chunk: EngineChunk, number: number): void {
     if (current?.number !== number) return;
     const verdict = judgeChunk(cursor, chunk);
-    if (verdict === "deliver") return deliver(chunk, number);
+    if (verdict === "deliver") return deliver(chunk);
     if (verdict === "drop_duplicate") return;
     const event = verdict === "foreign_answer"
       ? "answer_foreign"
@@ -188,7 +223,7 @@
     let status = 0;
     let retryAfterMs: number | undefined;
     let isDone = false;
-    const decoder = new TextDecoder();
+    decoder = new TextDecoder();
     const parser = createEngineStream({
       onChunk: (chunk) => takeChunk(chunk, number),
       onDone: () => isDone = true,
@@ -226,7 +261,10 @@
         },
         onData(chunk) {
           if (status === 200) {
-            parser.feed(decoder.decode(chunk, { stream: true }));
+            takeData(chunk, {
+              number,
+              feed: (part) => parser.feed(part),
+            });
           }
         },
         onEnd() {
--- a/packages/stand_ins/src/demo/system.ts
+++ b/packages/stand_ins/src/demo/system.ts
@@ -29,6 +29,8 @@
   /** Pause between an engine's tokens, ms. */
   stepMs?: number;
   loadMs?: number;
+  /** Length of every answer; drawn from the prompt by default. */
+  answerTokens?: number;
   /** Fixed ports; free ones by default. */
   ports?: { callers: number; operators: number; peers: number };
   policy?: Record<string, unknown>;
@@ -127,7 +129,14 @@
     )
   );
   const engines = await Promise.all(
-    names.map((vm) => startEngine({ vm, stepMs, loadMs })),
+    names.map((vm) =>
+      startEngine({
+        vm,
+        stepMs,
+        loadMs,
+        ...(options.answerTokens && { answerTokens: options.answerTokens }),
+      })
+    ),
   );
   const bookings: Booking[] = [];
   const lendings = await Promise.all(
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -42,6 +42,8 @@
   stepMs?: number;
   loadMs?: number;
   maxBatch?: number;
+  /** Length of every answer; drawn from the prompt by default. */
+  answerTokens?: number;
 }
 
 /** A running engine. */
@@ -212,7 +214,8 @@
       `${role}\n${content}\n`
     ).join("");
     const hits = notePrefixes(prompt);
-    const length = answerLength(prompt, body.max_tokens ?? Infinity);
+    const length = options.answerTokens ??
+      answerLength(prompt, body.max_tokens ?? Infinity);
     response.writeHead(200, { "content-type": "text/event-stream" });
     const write = (
       chunkId: string,
