Test the fold and random schedules of bookings and configurations

Found by the tests and mended: a level record could never be accepted, because its content and its own level shared one field; a caller of costly requests started with more credit than one of cheap ones (13 of 40 turns in place of 10).

--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -8,6 +8,7 @@
 import { FLOOD_BENCHES } from "./policy/floods.ts";
 import { CORE_BENCHES } from "./path/core_step.ts";
 import { RELAY_BENCHES } from "./path/relay.ts";
+import { SCHEDULE_BENCHES } from "./schedules/benches.ts";
 import type { Bench } from "./runner/types.ts";
 
 /** Every bench, in the order in which they run. */
@@ -17,4 +18,5 @@
   ...FLOOD_BENCHES,
   ...FAIRNESS_BENCHES,
   ...FAULT_BENCHES,
+  ...SCHEDULE_BENCHES,
 ];
--- /dev/null
+++ b/packages/bench/src/schedules/benches.ts
@@ -0,0 +1,65 @@
+/**
+ * Many random schedules, counted.
+ *
+ * @module
+ */
+import type { Bench, Figure } from "../runner/types.ts";
+import { checkSchedule, runSchedule, type ScheduleFaults } from "./schedule.ts";
+
+const SCHEDULES = 10_000;
+const ENTRIES = 3;
+
+/** Runs schedules from a first seed on and sums what was found. */
+export function sumSchedules(firstSeed: number, count: number): ScheduleFaults {
+  const sum: ScheduleFaults = {
+    runTwice: 0,
+    falselyNotRun: 0,
+    untold: 0,
+    reversions: 0,
+    differentFolds: 0,
+  };
+  for (let seed = firstSeed; seed < firstSeed + count; seed++) {
+    const found = checkSchedule(
+      runSchedule({
+        seed,
+        entries: ENTRIES,
+        bookings: 12,
+        keys: 4,
+        configs: 4,
+        faults: 4,
+      }),
+    );
+    for (const name of Object.keys(sum) as (keyof ScheduleFaults)[]) {
+      sum[name] += found[name];
+    }
+  }
+  return sum;
+}
+
+let known: ScheduleFaults | undefined;
+
+function figuresOf(
+  prefix: string,
+  names: readonly (keyof ScheduleFaults)[],
+): Figure[] {
+  known ??= sumSchedules(1, SCHEDULES);
+  return names.map((name) => ({
+    name: `${prefix}.${name}`,
+    value: known?.[name] ?? NaN,
+    unit: "count",
+    atMost: 0,
+  }));
+}
+
+/** Schedules of bookings and of configuration. */
+export const SCHEDULE_BENCHES: readonly Bench[] = [
+  {
+    name: "schedules_bookings",
+    run: () =>
+      figuresOf("schedules_bookings", ["runTwice", "falselyNotRun", "untold"]),
+  },
+  {
+    name: "schedules_config",
+    run: () => figuresOf("schedules_config", ["reversions", "differentFolds"]),
+  },
+];
--- /dev/null
+++ b/packages/bench/src/schedules/schedule.ts
@@ -0,0 +1,454 @@
+/**
+ * Random schedules of bookings and configuration changes over a few real cores and one fake log, in virtual time.
+ *
+ * @module
+ */
+import {
+  type ConfigDocument,
+  createRandom,
+  createState,
+  type Effect,
+  type EventBody,
+  type LogRecord,
+  nextFloat,
+  nextIndex,
+  nextTimerAt,
+  reduce,
+  type State,
+  type StoredRecord,
+  type Verdict,
+} from "@primroseshed/core";
+import { type Clock, createClock } from "../fleet/clock.ts";
+
+/** What a schedule may do. */
+export interface ScheduleOptions {
+  seed: number;
+  entries: number;
+  /** Bookings sent, over few keys so that keys repeat. */
+  bookings: number;
+  keys: number;
+  /** Configuration changes published, some on an old base. */
+  configs: number;
+  /** Entry deaths, log outages, cuts of one entry from the log. */
+  faults: number;
+}
+
+/** A caller's answer. */
+export interface Told {
+  request: string;
+  key: string | undefined;
+  verdict: Verdict | undefined;
+  code: string;
+  logWasUp: boolean;
+}
+
+/** What happened in a schedule. */
+export interface ScheduleResult {
+  /** Runs at the service, by key or, without one, by request. */
+  runs: Map<string, number>;
+  /** Requests that ran. */
+  ranRequests: Set<string>;
+  told: Told[];
+  /** Times that a daemon's configuration offset fell. */
+  reversions: number;
+  /** Folds that differ at the same offset. */
+  differentFolds: number;
+}
+
+const HASH = "b".repeat(64);
+const RUN_MS = 40_000;
+const LOG_MS = 20;
+const CALL_MS = 1;
+const PEER_MS = 1;
+const POLL_MS = 50;
+const SERVICE_MS = 10;
+const PRINCIPAL = { owner: "tavua", team: "t", caller: "c" };
+
+function createDocument(version: number): ConfigDocument {
+  const backends = ["a", "b"].map((name, index) => ({
+    vm: `vm-${name}`,
+    address: `http://10.0.0.${index + 1}:80`,
+    zone: "z",
+  }));
+  return {
+    base: {
+      version: 1,
+      owners: {
+        tavua: {
+          share: 1 + version,
+          teams: { t: { callers: { c: { keySha256: HASH } } } },
+        },
+      },
+      deployments: {
+        lending: {
+          kind: "service",
+          callers: ["tavua"],
+          backends,
+          notRunStatuses: [503],
+        },
+      },
+    },
+    overlays: {},
+  };
+}
+
+interface Daemon {
+  name: string;
+  state: State;
+  dead: boolean;
+  cutFromLog: boolean;
+  incarnation: number;
+  offset: number;
+  feed(event: EventBody): void;
+}
+
+/** Runs one schedule. */
+export function runSchedule(options: ScheduleOptions): ScheduleResult {
+  const random = createRandom(options.seed);
+  const clock: Clock = createClock();
+  const log: StoredRecord[] = [];
+  let logIsUp = true;
+  const result: ScheduleResult = {
+    runs: new Map(),
+    ranRequests: new Set(),
+    told: [],
+    reversions: 0,
+    differentFolds: 0,
+  };
+  const keys = new Map<string, string | undefined>();
+  const daemons: Daemon[] = [];
+  const chance = (share: number) => nextFloat(random) < share;
+  const soon = (mostMs: number) => nextFloat(random) * mostMs;
+
+  function store(records: readonly LogRecord[]): void {
+    for (const record of records) {
+      log.push({ offset: log.length + 1, at: clock.now, record });
+    }
+  }
+
+  function append(daemon: Daemon, records: readonly LogRecord[]): void {
+    const ids = records.map(({ id }) => id);
+    const reaches = logIsUp && !daemon.cutFromLog;
+    const takesEffect = reaches || chance(0.1);
+    const isTold = reaches && !chance(0.1);
+    const copy = structuredClone(records);
+    clock.after(LOG_MS + soon(LOG_MS), () => {
+      if (takesEffect && logIsUp) store(copy);
+      clock.after(
+        isTold ? LOG_MS : 1_000,
+        () => daemon.feed({ kind: "append_settled", ids, stored: isTold }),
+      );
+    });
+  }
+
+  function read(daemon: Daemon): void {
+    if (daemon.dead) return;
+    if (!logIsUp || daemon.cutFromLog) daemon.feed({ kind: "log_unreachable" });
+    else {
+      const from = daemon.state.fold.next;
+      daemon.feed({
+        kind: "log_read",
+        records: structuredClone(log.slice(from - 1, from + 50)),
+        head: log.length,
+        horizon: 1,
+      });
+    }
+    clock.after(POLL_MS + soon(POLL_MS), () => read(daemon));
+  }
+
+  function run(request: string): void {
+    const name = keys.get(request) ?? request;
+    result.runs.set(name, (result.runs.get(name) ?? 0) + 1);
+    result.ranRequests.add(request);
+  }
+
+  function send(
+    daemon: Daemon,
+    { request, attempt }: Extract<Effect, { kind: "send" }>,
+  ): void {
+    const end = (
+      outcome:
+        | "completed"
+        | "reset_after_send"
+        | "status_not_run"
+        | "connect_refused",
+    ) =>
+      daemon.feed({
+        kind: "attempt_ended",
+        request,
+        attempt,
+        outcome,
+        ...(outcome === "completed" &&
+          {
+            answer: { status: 201, contentType: "text/plain", body: request },
+          }),
+      });
+    const fate = nextFloat(random);
+    if (fate < 0.1) return clock.after(CALL_MS, () => end("connect_refused"));
+    if (fate < 0.2) return clock.after(CALL_MS, () => end("status_not_run"));
+    clock.after(CALL_MS + soon(SERVICE_MS), () => {
+      run(request);
+      clock.after(
+        soon(SERVICE_MS * 20),
+        () => end(fate < 0.3 ? "reset_after_send" : "completed"),
+      );
+    });
+  }
+
+  function tell(
+    request: string,
+    verdict: Verdict | undefined,
+    code: string,
+  ): void {
+    result.told.push({
+      request,
+      key: keys.get(request),
+      verdict,
+      code,
+      logWasUp: logIsUp,
+    });
+  }
+
+  function carryOut(daemon: Daemon, effect: Effect): void {
+    if (effect.kind === "append") append(daemon, effect.records);
+    if (effect.kind === "send") send(daemon, effect);
+    if (effect.kind === "refuse") {
+      tell(effect.request, effect.verdict, effect.code);
+    }
+    if (effect.kind === "finish") tell(effect.request, "ran", "ok");
+    if (effect.kind === "replay") tell(effect.request, "ran", "replayed");
+    if (effect.kind === "config_in_force") {
+      if (effect.offset < daemon.offset) result.reversions += 1;
+      daemon.offset = effect.offset;
+    }
+    if (effect.kind === "peer_send") {
+      const peer = daemons.find(({ name, dead }) =>
+        name === effect.peer && !dead
+      );
+      const message = structuredClone(effect.message);
+      if (peer) {
+        clock.after(
+          PEER_MS + soon(PEER_MS),
+          () =>
+            peer.feed({ kind: "peer_received", peer: daemon.name, message }),
+        );
+      }
+    }
+  }
+
+  function start(name: string, incarnation: number): Daemon {
+    const node = {
+      name,
+      zone: "z",
+      site: "z",
+      incarnation: `i${incarnation}`,
+      balancerLagMs: 100,
+    };
+    const state = createState(node, {
+      seed: options.seed + incarnation,
+      now: clock.now,
+    });
+    let wakeAt = Infinity;
+    const daemon: Daemon = {
+      name,
+      state,
+      dead: false,
+      cutFromLog: false,
+      incarnation,
+      offset: -1,
+      feed(event) {
+        if (daemon.dead) return;
+        for (const effect of reduce(state, { ...event, at: clock.now })) {
+          carryOut(daemon, effect);
+        }
+        const next = nextTimerAt(state) ?? Infinity;
+        if (next >= wakeAt) return;
+        wakeAt = next;
+        clock.at(next, () => {
+          wakeAt = Infinity;
+          daemon.feed({ kind: "tick" });
+        });
+      },
+    };
+    join(daemon);
+    daemons.push(daemon);
+    read(daemon);
+    report(daemon);
+    return daemon;
+  }
+
+  function join(daemon: Daemon): void {
+    for (const peer of daemons) {
+      if (peer.dead || peer.name === daemon.name) continue;
+      const event = (other: Daemon) =>
+        ({
+          kind: "peer_joined",
+          peer: other.name,
+          address: "",
+          zone: "z",
+          incarnation: other.state.node.incarnation,
+        }) as const;
+      peer.feed(event(daemon));
+      daemon.feed(event(peer));
+    }
+  }
+
+  function report(daemon: Daemon): void {
+    if (daemon.dead) return;
+    for (
+      const [vm, address] of [["vm-a", "http://10.0.0.1:80"], [
+        "vm-b",
+        "http://10.0.0.2:80",
+      ]] as const
+    ) {
+      daemon.feed({
+        kind: "member_reported",
+        address,
+        status: { vm, incarnation: vm, state: "ready" },
+      });
+    }
+    clock.after(500, () => report(daemon));
+  }
+
+  function alive(): Daemon[] {
+    return daemons.filter(({ dead }) => !dead);
+  }
+
+  function kill(): void {
+    const candidates = alive();
+    const victim = candidates[nextIndex(random, candidates.length)];
+    if (victim === undefined) return;
+    victim.dead = true;
+    for (const peer of alive()) {
+      peer.feed({
+        kind: "peer_lost",
+        peer: victim.name,
+        incarnation: victim.state.node.incarnation,
+      });
+    }
+    clock.after(
+      500 + soon(3_000),
+      () => start(victim.name, victim.incarnation + 1),
+    );
+  }
+
+  function outage(): void {
+    logIsUp = false;
+    clock.after(1_000 + soon(6_000), () => logIsUp = true);
+  }
+
+  function cut(): void {
+    const candidates = alive();
+    const victim = candidates[nextIndex(random, candidates.length)];
+    if (victim === undefined) return;
+    victim.cutFromLog = true;
+    clock.after(1_000 + soon(8_000), () => victim.cutFromLog = false);
+  }
+
+  function book(index: number): void {
+    const candidates = alive();
+    const daemon = candidates[nextIndex(random, candidates.length)];
+    if (daemon === undefined) return;
+    const request = `b${index}`;
+    const key = chance(0.8) ? `k${nextIndex(random, options.keys)}` : undefined;
+    keys.set(request, key);
+    daemon.feed({
+      kind: "request_arrived",
+      request,
+      deployment: "lending",
+      principal: PRINCIPAL,
+      rank: "standard",
+      deadlineMs: 5_000 + Math.floor(soon(10_000)),
+      promptTokens: 0,
+      maxOutputTokens: 0,
+      prefixes: [],
+      idempotent: false,
+      digest: "d",
+      ...(key !== undefined && { key }),
+    });
+  }
+
+  function publish(index: number): void {
+    const newest = alive().reduce(
+      (most, { state }) => Math.max(most, state.config?.offset ?? 0),
+      0,
+    );
+    const basedOn = chance(0.7) ? newest : Math.floor(soon(newest + 1));
+    const body = {
+      type: "config" as const,
+      basedOn,
+      document: createDocument(index),
+      author: "operator",
+    };
+    if (logIsUp) store([{ ...body, id: `operator/${index}`, level: 1 }]);
+  }
+
+  store([{
+    type: "config",
+    basedOn: 0,
+    document: createDocument(0),
+    author: "operator",
+    id: "first",
+    level: 1,
+  }]);
+  for (let index = 0; index < options.entries; index++) {
+    start(`entry-${index}`, 1);
+  }
+  for (let index = 0; index < options.bookings; index++) {
+    clock.at(500 + soon(RUN_MS / 2), () => book(index));
+  }
+  for (let index = 1; index <= options.configs; index++) {
+    clock.at(500 + soon(RUN_MS / 2), () => publish(index));
+  }
+  const acts = [kill, outage, cut];
+  for (let index = 0; index < options.faults; index++) {
+    const act = acts[nextIndex(random, acts.length)] as () => void;
+    clock.at(500 + soon(RUN_MS / 2), act);
+  }
+  clock.runUntil(RUN_MS);
+  result.differentFolds = countDifferent(alive());
+  return result;
+}
+
+function countDifferent(daemons: readonly Daemon[]): number {
+  const byOffset = new Map<number, Set<string>>();
+  for (const { state: { fold } } of daemons) {
+    const texts = byOffset.get(fold.next) ?? new Set<string>();
+    texts.add(
+      JSON.stringify([fold.config?.offset, [...fold.leases], [...fold.claims], [
+        ...fold.groups,
+      ], [...fold.vms]]),
+    );
+    byOffset.set(fold.next, texts);
+  }
+  return [...byOffset.values()].filter((texts) => texts.size > 1).length;
+}
+
+/** Faults found in one schedule. */
+export interface ScheduleFaults {
+  runTwice: number;
+  falselyNotRun: number;
+  untold: number;
+  reversions: number;
+  differentFolds: number;
+}
+
+/** Checks what must hold in a schedule. */
+export function checkSchedule(
+  { runs, ranRequests, told, reversions, differentFolds }: ScheduleResult,
+): ScheduleFaults {
+  const times = new Map<string, number>();
+  for (const { request } of told) {
+    times.set(request, (times.get(request) ?? 0) + 1);
+  }
+  return {
+    runTwice: [...runs.values()].filter((count) => count > 1).length,
+    falselyNotRun:
+      told.filter(({ request, verdict }) =>
+        verdict === "not_run" && ranRequests.has(request)
+      ).length,
+    untold: [...times.values()].filter((count) => count > 1).length,
+    reversions,
+    differentFolds,
+  };
+}
--- a/packages/core/src/admission/fair_queue.ts
+++ b/packages/core/src/admission/fair_queue.ts
@@ -73,17 +73,26 @@
   return nodes;
 }
 
+/** Options of {@link enqueue}. */
+export interface EnqueueOptions {
+  weightOf: WeightOf;
+  /** Mean cost of a request, the unit of credit. */
+  unitCost: number;
+  /** Puts it before its caller's other work, since it was started before. */
+  front?: boolean;
+}
+
 /** Adds a request at the back of its caller's queue, or at its front when it was started before. */
 export function enqueue(
   root: FairNode,
   request: Request,
-  { weightOf, front = false }: { weightOf: WeightOf; front?: boolean },
+  { weightOf, unitCost, front = false }: EnqueueOptions,
 ): void {
   const nodes = pathNodes(root, pathOf(request), weightOf);
   nodes.forEach((node, depth) => {
     const parent = nodes[depth - 1];
     if (parent !== undefined && node.backlog === 0) {
-      const credit = BURST_REQUESTS * request.predictedCost / node.weight;
+      const credit = BURST_REQUESTS * unitCost / node.weight;
       node.served = Math.max(node.served, parent.level - credit);
     }
     node.backlog += 1;
--- /dev/null
+++ b/packages/core/src/admission/fair_queue_test.ts
@@ -0,0 +1,137 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { advance } from "../request/machine.ts";
+import type { Request } from "../request/types.ts";
+import {
+  charge,
+  createFairNode,
+  enqueue,
+  peekExcess,
+  peekFair,
+  removeWaiting,
+} from "./fair_queue.ts";
+
+const weightOf = () => 1;
+let count = 0;
+
+function createWaiting(team: string, cost = 100, owner = "tavua"): Request {
+  count += 1;
+  return {
+    request: `r${count}`,
+    principal: { owner, team, caller: "c" },
+    phase: "queued",
+    predictedCost: cost,
+    arrivedAt: count,
+  } as Request;
+}
+
+function serve(root: ReturnType<typeof createFairNode>): string | undefined {
+  const next = peekFair(root);
+  if (next === undefined) return undefined;
+  removeWaiting(root, next);
+  advance(next, "send");
+  charge(root, next, { amount: next.predictedCost, weightOf });
+  return next.principal.team;
+}
+
+describe("fair queue", () => {
+  it("serves two backlogged teams by cost, not by requests", () => {
+    const root = createFairNode("");
+    for (let index = 0; index < 60; index++) {
+      enqueue(root, createWaiting("large", 300), { weightOf, unitCost: 100 });
+      enqueue(root, createWaiting("small", 100), { weightOf, unitCost: 100 });
+    }
+    const served = Array.from({ length: 40 }, () => serve(root));
+    const large = served.filter((team) => team === "large").length;
+    expect(large).to.be.within(9, 11);
+  });
+
+  it("puts a small caller's burst before a large caller's line", () => {
+    const root = createFairNode("");
+    for (let index = 0; index < 50; index++) {
+      enqueue(root, createWaiting("large"), { weightOf, unitCost: 100 });
+    }
+    for (let index = 0; index < 20; index++) serve(root);
+    for (let index = 0; index < 3; index++) {
+      enqueue(root, createWaiting("small"), { weightOf, unitCost: 100 });
+    }
+    expect([serve(root), serve(root), serve(root)]).to.deep.equal([
+      "small",
+      "small",
+      "small",
+    ]);
+  });
+
+  it("sheds from the longest line, and the arrived request among equals", () => {
+    const root = createFairNode("");
+    for (let index = 0; index < 20; index++) {
+      enqueue(root, createWaiting("large"), { weightOf, unitCost: 100 });
+    }
+    const arrived = createWaiting("small");
+    enqueue(root, arrived, { weightOf, unitCost: 100 });
+    expect(peekExcess(root, { arrived, isSpared: () => false })?.principal.team)
+      .to.equal("large");
+    const equal = createWaiting("large");
+    enqueue(root, equal, { weightOf, unitCost: 100 });
+    expect(peekExcess(root, { arrived: equal, isSpared: () => false })).to
+      .equal(equal);
+  });
+
+  it("never sheds the work of an owner that is spared", () => {
+    const root = createFairNode("");
+    for (let index = 0; index < 20; index++) {
+      enqueue(root, createWaiting("t", 100, "abay"), {
+        weightOf,
+        unitCost: 100,
+      });
+    }
+    const arrived = createWaiting("t", 100, "tavua");
+    enqueue(root, arrived, { weightOf, unitCost: 100 });
+    const isSpared = (owner: string) => owner === "abay";
+    expect(peekExcess(root, { arrived, isSpared })?.principal.owner).to.equal(
+      "tavua",
+    );
+  });
+
+  it("keeps its accounts in balance whatever comes and goes", () => {
+    const step = fc.record({
+      team: fc.constantFrom("a", "b", "c"),
+      act: fc.constantFrom("add", "serve", "leave", "shed"),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+        const root = createFairNode("");
+        const waiting = new Set<Request>();
+        for (const { team, act } of steps) {
+          if (act === "add") {
+            const request = createWaiting(team);
+            enqueue(root, request, { weightOf, unitCost: 100 });
+            waiting.add(request);
+          }
+          const [first] = waiting;
+          const chosen = act === "serve"
+            ? peekFair(root)
+            : act === "leave"
+            ? first
+            : act === "shed" && first
+            ? peekExcess(root, { arrived: first, isSpared: () => false })
+            : undefined;
+          if (chosen === undefined) continue;
+          expect(waiting.has(chosen)).to.equal(true);
+          removeWaiting(root, chosen);
+          advance(chosen, "end");
+          waiting.delete(chosen);
+        }
+        expect(root.backlog).to.equal(waiting.size);
+        expect(root.cost).to.equal(
+          [...waiting].reduce(
+            (sum, { predictedCost }) => sum + predictedCost,
+            0,
+          ),
+        );
+        expect(peekFair(root) === undefined).to.equal(waiting.size === 0);
+      }),
+      { seed: 21, numRuns: 500 },
+    );
+  });
+});
--- a/packages/core/src/fold/fold_record.ts
+++ b/packages/core/src/fold/fold_record.ts
@@ -96,8 +96,8 @@
 }
 
 const RULES: Rules = {
-  level(fold, { level }) {
-    fold.level = Math.max(fold.level, level);
+  level(fold, { raiseTo }) {
+    fold.level = Math.max(fold.level, raiseTo);
     return ACCEPTED;
   },
 
--- a/packages/core/src/fold/types.ts
+++ b/packages/core/src/fold/types.ts
@@ -31,7 +31,7 @@
 
 /** Content of a record, by type. */
 export type RecordBody =
-  | { type: "level"; level: number }
+  | { type: "level"; raiseTo: number }
   | {
     type: "config";
     basedOn: number;
--- a/packages/core/src/request/arrive.ts
+++ b/packages/core/src/request/arrive.ts
@@ -19,7 +19,7 @@
 import { takeLimits } from "../limit/limits.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import type { Pool, State } from "../state/types.ts";
-import { addAmount } from "../util/ewma.ts";
+import { addAmount, addSample } from "../util/ewma.ts";
 import { schedule } from "../util/timer_queue.ts";
 import { type Refusal, refuseRequest, replayRequest } from "./answer.ts";
 import { enqueueRequest } from "./dispatch.ts";
@@ -32,6 +32,7 @@
 const SERVICE_REQUEST_COST = 1;
 /** Part of the first-token target kept for the prefill and the way back. */
 const PREFILL_RESERVE_MS = 200;
+const UNIT_COST_WEIGHT = 0.01;
 const LOG_RETRY_AFTER_MS = 5_000;
 
 /** Cost of a request with the given output, in output-token equivalents. */
@@ -169,6 +170,7 @@
     windowMs: ARRIVAL_WINDOW_MS,
   });
   noteAsked(state, pool, request);
+  addSample(pool.unitCost, request.predictedCost, { weight: UNIT_COST_WEIGHT });
   schedule(state.timers, request.deadlineAt, {
     timer: { kind: "request_expiry", request: request.request },
   });
--- a/packages/core/src/request/dispatch.ts
+++ b/packages/core/src/request/dispatch.ts
@@ -30,6 +30,7 @@
   if (request.delivered > 0) pool.resumptions.push(request);
   else {enqueue(pool.queues[request.rank], request, {
       weightOf: (path) => weightOf(state, path),
+      unitCost: pool.unitCost.value,
     });}
   schedule(state.timers, Math.min(request.startBy, request.deadlineAt), {
     timer: { kind: "request_expiry", request: request.request },
--- a/packages/core/src/request/preempt.ts
+++ b/packages/core/src/request/preempt.ts
@@ -94,6 +94,7 @@
   advance(victim, "enqueue");
   enqueue(pool.queues.batch, victim, {
     weightOf: (path) => weightOf(state, path),
+    unitCost: pool.unitCost.value,
     front: true,
   });
   return true;
--- a/packages/core/src/snapshot/snapshot.ts
+++ b/packages/core/src/snapshot/snapshot.ts
@@ -31,7 +31,7 @@
   state.snapshot = { next, at: state.now };
   const { id } = createRecord(state, {
     type: "level",
-    level: state.fold.level,
+    raiseTo: state.fold.level,
   });
   yield {
     kind: "write_snapshot",
--- a/packages/core/src/state/create_state.ts
+++ b/packages/core/src/state/create_state.ts
@@ -102,6 +102,7 @@
     deployment,
     queues: { urgent: queue(), standard: queue(), batch: queue() },
     resumptions: [],
+    unitCost: createAverage(1),
     floorCredit: perRank(0),
     ownerUse: new Map(),
     ownerAsked: new Map(),
--- a/packages/core/src/state/types.ts
+++ b/packages/core/src/state/types.ts
@@ -85,6 +85,8 @@
   queues: Record<Rank, FairNode>;
   /** Interrupted streams, which go before everything else. */
   resumptions: Request[];
+  /** Mean expected cost of a request. */
+  unitCost: Average;
   floorCredit: Record<Rank, number>;
   ownerUse: Map<string, Rate>;
   /** Cost rate that each owner asked for at the protected ranks. */
