Measure what control costs, and keep it within its budget

Cause: at 9 entries digests took 12.5 KB/s of the 11 KB/s allowed, since needs move at every quarter second; claims kept for 6 h took 307 MB of 256 MB at the target. Change: a changed digest goes out every 500 ms at most, and claims are kept for 2 h, twice the longest deadline.

--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -9,6 +9,7 @@
 import { CORE_BENCHES } from "./path/core_step.ts";
 import { RELAY_BENCHES } from "./path/relay.ts";
 import { SCHEDULE_BENCHES } from "./schedules/benches.ts";
+import { CONTROL_BENCHES } from "./control/benches.ts";
 import type { Bench } from "./runner/types.ts";
 
 /** Every bench, in the order in which they run. */
@@ -19,4 +20,5 @@
   ...FAIRNESS_BENCHES,
   ...FAULT_BENCHES,
   ...SCHEDULE_BENCHES,
+  ...CONTROL_BENCHES,
 ];
--- a/packages/core/src/fold/constants.ts
+++ b/packages/core/src/fold/constants.ts
@@ -7,7 +7,7 @@
 /** Record level that this version understands. */
 export const SUPPORTED_LEVEL = 1;
 /** Claims are kept this long by log time; longer than any request's deadline. */
-export const CLAIM_RETENTION_MS = 6 * 3_600_000;
+export const CLAIM_RETENTION_MS = 2 * 3_600_000;
 /** Ids remembered to drop repeats; hours of records at the append budget. */
 export const SEEN_IDS_MAX = 16_384;
 /** Past configurations kept for `config history`. */
--- a/packages/core/src/peer/digest.ts
+++ b/packages/core/src/peer/digest.ts
@@ -19,8 +19,10 @@
 import { schedule } from "../util/timer_queue.ts";
 import type { Digest, Need, PeerMessage } from "./types.ts";
 
-/** Digests are built this often; an unchanged one is sent only every {@link DIGEST_IDLE_MS}. */
+/** Shares are recomputed this often. */
 export const DIGEST_MS = 250;
+/** A changed digest is sent this often at most; an unchanged one only every {@link DIGEST_IDLE_MS}. */
+export const DIGEST_MIN_MS = 500;
 /** Longest silence of a live daemon towards its peers. */
 export const DIGEST_IDLE_MS = 1_000;
 /** A peer heard within this time is alive, also on behalf of others. */
@@ -92,8 +94,9 @@
   const body = buildDigest(state);
   const { fold: _fold, ...stable } = body;
   const text = JSON.stringify(stable);
-  const isFresh = state.now - state.digestSent.at < DIGEST_IDLE_MS;
-  if (isFresh && text === state.digestSent.text) return;
+  const ageMs = state.now - state.digestSent.at;
+  const isSame = text === state.digestSent.text;
+  if (ageMs < (isSame ? DIGEST_IDLE_MS : DIGEST_MIN_MS)) return;
   state.digestSent = { at: state.now, text };
   state.digestSequence += 1;
   const digest: Digest = { ...body, sequence: state.digestSequence };
@@ -171,7 +174,7 @@
     heardAt: state.now,
     lostAt: undefined,
   });
-  state.digestSent.text = "";
+  state.digestSent.at = -Infinity;
   if (!isSame) {
     yield {
       kind: "log",
