--- a/packages/bench/src/fleet/engine.ts
+++ b/packages/bench/src/fleet/engine.ts
@@ -201,6 +201,8 @@
     prefill,
     submit(job) {
       if (engine.dead) return job.onEnd("status_not_run");
+      // Every token had left before the work was cancelled; only the end is missing.
+      if (job.resumeFrom >= job.outputTokens) return job.onEnd("completed");
       waiting[job.rank].push({
         ...job,
         prefillLeft: 0,
--- a/packages/cli/src/exit_codes.ts
+++ b/packages/cli/src/exit_codes.ts
@@ -1,5 +1,5 @@
 /**
- * Exit codes of `primrosectl`, as documented in docs/api/cli.md.
+ * Exit codes of `primrosectl`, as documented in docs/api.md.
  *
  * @module
  */
