--- /dev/null
+++ b/packages/bench/src/groups/benches.ts
@@ -0,0 +1,111 @@
+/**
+ * Planner schedules, and the repair of a lone death.
+ *
+ * @module
+ */
+import type { Bench } from "../runner/types.ts";
+import { createWorld, type WorldFaults, type WorldOptions } from "./world.ts";
+
+const SCHEDULES = 1_000;
+const RUN_MS = 90_000;
+const SHAPE = {
+  entries: 3,
+  domains: 3,
+  vmsPerDomain: 5,
+  replicas: 3,
+  vmsPerReplica: 2,
+  faults: 6,
+  runMs: RUN_MS,
+};
+
+/** Runs planner schedules from a first seed on; every other one has engines that ignore fencing. */
+export function sumWorlds(
+  firstSeed: number,
+  count: number,
+): WorldFaults & { unserved: number } {
+  const sum = { inTwoGroups: 0, sentToBroken: 0, staleOrders: 0, unserved: 0 };
+  for (let seed = firstSeed; seed < firstSeed + count; seed++) {
+    const world = createWorld({
+      ...SHAPE,
+      seed,
+      fencing: seed % 2 === 0 ? "enforced" : "ignored",
+    });
+    world.run(RUN_MS);
+    sum.inTwoGroups += world.faults.inTwoGroups;
+    sum.sentToBroken += world.faults.sentToBroken;
+    sum.staleOrders += world.faults.staleOrders;
+    if (world.serving() === 0) sum.unserved += 1;
+  }
+  return sum;
+}
+
+const LOAD_MS = 20_000;
+const DETECT_AND_PLAN_MS = 5_000;
+const KILL_AT_MS = 60_000;
+
+/** Time from a lone VM's death until its group serves again with a spare, ms. */
+export function measureRepair(options: Partial<WorldOptions> = {}): number {
+  const world = createWorld({
+    ...SHAPE,
+    seed: 3,
+    fencing: "enforced",
+    faults: 0,
+    loadMs: LOAD_MS,
+    runMs: KILL_AT_MS,
+    ...options,
+  });
+  world.run(KILL_AT_MS);
+  const before = world.serving();
+  const [state] = world.states();
+  const group = [...(state?.fold.groups.values() ?? [])][0];
+  const lost = group?.members[1]?.vm;
+  if (lost === undefined || before < SHAPE.replicas) return Infinity;
+  world.killVm(lost);
+  for (let at = KILL_AT_MS + 2_000; at < KILL_AT_MS + 120_000; at += 100) {
+    world.run(at);
+    if (world.serving() >= before) return at - KILL_AT_MS;
+  }
+  return Infinity;
+}
+
+/** Planner schedules and repair. */
+export const GROUP_BENCHES: readonly Bench[] = [
+  {
+    name: "schedules_groups",
+    run() {
+      const { inTwoGroups, sentToBroken, staleOrders } = sumWorlds(
+        1,
+        SCHEDULES,
+      );
+      return [
+        {
+          name: "schedules_groups.in_two_groups",
+          value: inTwoGroups,
+          unit: "count",
+          atMost: 0,
+        },
+        {
+          name: "schedules_groups.sent_to_broken",
+          value: sentToBroken,
+          unit: "count",
+          atMost: 0,
+        },
+        {
+          name: "schedules_groups.stale_orders",
+          value: staleOrders,
+          unit: "count",
+          atMost: 0,
+        },
+      ];
+    },
+  },
+  {
+    name: "group_repair",
+    run: () => [{
+      name: "group_repair.lone_death",
+      value: measureRepair(),
+      unit: "ms",
+      atMost: LOAD_MS + DETECT_AND_PLAN_MS,
+    }],
+  },
+];
--- /dev/null
+++ b/packages/bench/src/groups/world.ts
@@ -0,0 +1,446 @@
+/**
+ * A few real cores that plan replica groups over fake engines, under deaths, pauses, cuts and lost answers.
+ *
+ * @module
+ */
+import {
+  createRandom,
+  createState,
+  type Effect,
+  type EngineOrder,
+  type EventBody,
+  type LogRecord,
+  type MemberStatus,
+  nextFloat,
+  nextIndex,
+  nextTimerAt,
+  reduce,
+  type State,
+  type StoredRecord,
+  type VmListing,
+} from "@primroseshed/core";
+import { type Clock, createClock } from "../fleet/clock.ts";
+
+/** Shape and faults of a world. */
+export interface WorldOptions {
+  seed: number;
+  entries: number;
+  domains: number;
+  vmsPerDomain: number;
+  replicas: number;
+  vmsPerReplica: number;
+  fencing: "enforced" | "ignored";
+  /** Random faults: deaths, pauses of daemons and VMs, cuts from the log. */
+  faults: number;
+  loadMs?: number;
+  runMs: number;
+}
+
+/** A fake engine VM. */
+export interface WorldVm {
+  listing: VmListing;
+  status: MemberStatus;
+  dead: boolean;
+  paused: boolean;
+  /** Highest fencing number whose holder began to act, as orders showed it. */
+  newestFence: number;
+}
+
+/** What went wrong in a world. */
+export interface WorldFaults {
+  /** VMs that were in two groups in any daemon's fold. */
+  inTwoGroups: number;
+  /** Sends to a group that had a member known to be dead by that daemon. */
+  sentToBroken: number;
+  /** Orders obeyed from a past holder after the successor's first order reached that VM. */
+  staleOrders: number;
+}
+
+/** A world under way. */
+export interface World {
+  clock: Clock;
+  vms: Map<string, WorldVm>;
+  states(): State[];
+  faults: WorldFaults;
+  /** Groups that serve at every live daemon. */
+  serving(): number;
+  killVm(vm: string): void;
+  run(untilMs: number): void;
+}
+
+interface Daemon {
+  name: string;
+  state: State;
+  /** Events wait while it is paused. */
+  pausedUntil: number;
+  cutFromLog: boolean;
+  feed(event: EventBody): void;
+}
+
+const LOG_MS = 20;
+const POLL_MS = 100;
+const STATUS_MS = 500;
+const LIST_MS = 1_000;
+const CALL_MS = 1;
+const ORDER_LOST_SHARE = 0.1;
+const APPEND_LOST_SHARE = 0.1;
+const DEPLOYMENT = "m";
+
+function createDocument({ replicas, vmsPerReplica, fencing }: WorldOptions) {
+  const teams = { t: { callers: { c: { keySha256: "c".repeat(64) } } } };
+  const deployment = {
+    kind: "model",
+    callers: ["tavua"],
+    replicas,
+    vmsPerReplica,
+    fencing,
+  };
+  return {
+    base: {
+      version: 1,
+      owners: { tavua: { share: 1, teams } },
+      deployments: { [DEPLOYMENT]: deployment },
+    },
+    overlays: {},
+  };
+}
+
+function createVm(domain: number, index: number): WorldVm {
+  const vm = `vm-${domain}-${index}`;
+  return {
+    listing: {
+      vm,
+      address: `http://10.0.${domain}.${index}:80`,
+      zone: `zone-${domain % 3}`,
+      domain: `domain-${domain}`,
+      incarnation: "1",
+      state: "live",
+      role: "engine",
+      accelerators: 8,
+    },
+    status: { vm, incarnation: "1", state: "empty", epoch: 0 },
+    dead: false,
+    paused: false,
+    newestFence: 0,
+  };
+}
+
+/** Creates a world with all its daemons and VMs. */
+export function createWorld(options: WorldOptions): World {
+  const { fencing, loadMs = 2_000 } = options;
+  const random = createRandom(options.seed);
+  const clock = createClock();
+  const log: StoredRecord[] = [];
+  const daemons: Daemon[] = [];
+  const faults: WorldFaults = {
+    inTwoGroups: 0,
+    sentToBroken: 0,
+    staleOrders: 0,
+  };
+  const vms = new Map<string, WorldVm>();
+  const chance = (share: number) => nextFloat(random) < share;
+  const soon = (mostMs: number) => nextFloat(random) * mostMs;
+  for (let domain = 0; domain < options.domains; domain++) {
+    for (let index = 0; index < options.vmsPerDomain; index++) {
+      const vm = createVm(domain, index);
+      vms.set(vm.listing.vm, vm);
+    }
+  }
+  const store = (record: LogRecord) =>
+    log.push({ offset: log.length + 1, at: clock.now, record });
+
+  function append(daemon: Daemon, records: readonly LogRecord[]): void {
+    const ids = records.map(({ id }) => id);
+    const isLost = daemon.cutFromLog || chance(APPEND_LOST_SHARE);
+    const takesEffect = !daemon.cutFromLog || chance(APPEND_LOST_SHARE);
+    clock.after(LOG_MS, () => {
+      if (takesEffect) {
+        for (const record of structuredClone(records)) store(record);
+      }
+      clock.after(
+        isLost ? 1_000 : LOG_MS,
+        () => daemon.feed({ kind: "append_settled", ids, stored: !isLost }),
+      );
+    });
+  }
+
+  function obey(vm: WorldVm, order: EngineOrder): void {
+    const { status } = vm;
+    if (order.epoch < (status.epoch ?? 0)) return;
+    if (
+      order.action === "load" && status.group === order.group &&
+      status.epoch === order.epoch
+    ) return;
+    const keepsWeights = order.action === "load" &&
+      status.group === order.group && status.state === "ready";
+    status.epoch = order.epoch;
+    if (order.action === "unload") {
+      status.state = "empty";
+      delete status.group;
+      return;
+    }
+    status.group = order.group;
+    status.state = "loading";
+    clock.after(keepsWeights ? 10 : loadMs, () => {
+      if (status.epoch === order.epoch && status.group === order.group) {
+        status.state = "ready";
+      }
+    });
+  }
+
+  function takeOrder(
+    { vm: name, fence, validUntil, order }: Extract<Effect, { kind: "order" }>,
+  ): void {
+    const vm = vms.get(name);
+    if (
+      vm === undefined || vm.dead || chance(ORDER_LOST_SHARE) ||
+      clock.now >= validUntil
+    ) return;
+    const arrive = () => {
+      if (vm.paused) return clock.after(POLL_MS, arrive);
+      const isStale = fence < vm.newestFence;
+      if (isStale && fencing === "enforced") return;
+      if (isStale) faults.staleOrders += 1;
+      vm.newestFence = Math.max(vm.newestFence, fence);
+      obey(vm, order);
+    };
+    clock.after(CALL_MS + soon(CALL_MS), arrive);
+  }
+
+  function carryOut(daemon: Daemon, effect: Effect): void {
+    if (effect.kind === "append") append(daemon, effect.records);
+    if (effect.kind === "order") takeOrder(effect);
+    if (effect.kind === "send") checkSend(daemon, effect);
+    if (effect.kind === "peer_send") {
+      const peer = daemons.find(({ name }) => name === effect.peer);
+      const message = structuredClone(effect.message);
+      if (peer) {
+        clock.after(
+          CALL_MS,
+          () =>
+            peer.feed({ kind: "peer_received", peer: daemon.name, message }),
+        );
+      }
+    }
+  }
+
+  function checkSend(
+    { state, feed }: Daemon,
+    { request, attempt, target }: Extract<Effect, { kind: "send" }>,
+  ): void {
+    const members = state.targets.get(target)?.members ?? [];
+    if (members.some(({ member: { vm } }) => state.evidence.get(vm)?.refused)) {
+      faults.sentToBroken += 1;
+    }
+    clock.after(
+      50,
+      () =>
+        feed({ kind: "attempt_ended", request, attempt, outcome: "completed" }),
+    );
+  }
+
+  function checkFold({ state }: Daemon): void {
+    const members = [...state.fold.groups.values()].flatMap((group) =>
+      group.members.map(({ vm }) => vm)
+    );
+    faults.inTwoGroups += members.length - new Set(members).size;
+  }
+
+  function read(daemon: Daemon): void {
+    if (daemon.cutFromLog) daemon.feed({ kind: "log_unreachable" });
+    else {
+      const records = structuredClone(log.slice(daemon.state.fold.next - 1));
+      daemon.feed({ kind: "log_read", records, head: log.length, horizon: 1 });
+      checkFold(daemon);
+    }
+    clock.after(POLL_MS + soon(POLL_MS), () => read(daemon));
+  }
+
+  function poll(daemon: Daemon): void {
+    for (
+      const { listing: { vm, address }, status, dead, paused } of vms.values()
+    ) {
+      if (dead) {
+        daemon.feed({
+          kind: "member_unreachable",
+          address,
+          vm,
+          cause: "refused",
+        });
+      } else if (paused) {
+        daemon.feed({
+          kind: "member_unreachable",
+          address,
+          vm,
+          cause: "timeout",
+        });
+      } else {
+        const load = {
+          running: 0,
+          queued: 0,
+          stepMs: 10,
+          prefillPerMs: 20,
+          kvUsedShare: 0,
+          maxBatch: 32,
+        };
+        daemon.feed({
+          kind: "member_reported",
+          address,
+          status: { ...structuredClone(status), load },
+        });
+      }
+    }
+    clock.after(STATUS_MS, () => poll(daemon));
+  }
+
+  function list(daemon: Daemon): void {
+    const listed = [...vms.values()].filter(({ dead }) => !dead).map((
+      { listing },
+    ) => ({ ...listing }));
+    daemon.feed({ kind: "vms_listed", vms: listed });
+    clock.after(LIST_MS, () => list(daemon));
+  }
+
+  let count = 0;
+  function offer(daemon: Daemon): void {
+    count += 1;
+    daemon.feed({
+      kind: "request_arrived",
+      request: `r${count}`,
+      deployment: DEPLOYMENT,
+      principal: { owner: "tavua", team: "t", caller: "c" },
+      rank: "standard",
+      promptTokens: 10,
+      maxOutputTokens: 10,
+      prefixes: [],
+      idempotent: true,
+    });
+    clock.after(200 + soon(200), () => offer(daemon));
+  }
+
+  function start(index: number): void {
+    const name = `entry-${index}`;
+    const node = {
+      name,
+      zone: "zone-0",
+      site: "zone-0",
+      incarnation: "1",
+      balancerLagMs: 100,
+    };
+    const state = createState(node, {
+      seed: options.seed + index,
+      now: clock.now,
+    });
+    let wakeAt = Infinity;
+    const daemon: Daemon = {
+      name,
+      state,
+      pausedUntil: 0,
+      cutFromLog: false,
+      feed(event) {
+        if (clock.now < daemon.pausedUntil) {
+          return clock.at(daemon.pausedUntil, () => daemon.feed(event));
+        }
+        for (const effect of reduce(state, { ...event, at: clock.now })) {
+          carryOut(daemon, effect);
+        }
+        const next = nextTimerAt(state) ?? Infinity;
+        if (next >= wakeAt) return;
+        wakeAt = next;
+        clock.at(next, () => {
+          wakeAt = Infinity;
+          daemon.feed({ kind: "tick" });
+        });
+      },
+    };
+    for (const peer of daemons) {
+      const joined = (other: Daemon) =>
+        ({
+          kind: "peer_joined",
+          peer: other.name,
+          address: "",
+          zone: "",
+          incarnation: "1",
+        }) as const;
+      peer.feed(joined(daemon));
+      daemon.feed(joined(peer));
+    }
+    daemons.push(daemon);
+    for (const begin of [read, poll, list, offer]) begin(daemon);
+  }
+
+  function killVm(name: string): void {
+    const vm = vms.get(name);
+    if (vm !== undefined) vm.dead = true;
+  }
+
+  function pickVm(): WorldVm {
+    return [...vms.values()][nextIndex(random, vms.size)] as WorldVm;
+  }
+
+  function pickDaemon(): Daemon {
+    return daemons[nextIndex(random, daemons.length)] as Daemon;
+  }
+
+  const acts: (() => void)[] = [
+    () => killVm(pickVm().listing.vm),
+    () => {
+      const vm = pickVm();
+      vm.paused = true;
+      clock.after(soon(8_000), () => vm.paused = false);
+    },
+    () => pickDaemon().pausedUntil = clock.now + soon(25_000),
+    // Operators race the planners: they form a group of whatever VMs they think are free.
+    () => {
+      const members = [pickVm(), pickVm()].map((
+        { listing: { vm, address, zone, domain } },
+      ) => ({ vm, address, zone, domain }));
+      const group = `by-hand-${log.length}`;
+      store({
+        type: "group_form",
+        group,
+        deployment: DEPLOYMENT,
+        members,
+        fence: "operator",
+        id: group,
+        level: 1,
+      });
+    },
+    () => {
+      const daemon = pickDaemon();
+      daemon.cutFromLog = true;
+      clock.after(soon(25_000), () => daemon.cutFromLog = false);
+    },
+  ];
+
+  store({
+    type: "config",
+    basedOn: 0,
+    document: createDocument(options),
+    author: "o",
+    id: "config",
+    level: 1,
+  });
+  for (let index = 0; index < options.entries; index++) start(index);
+  for (let index = 0; index < options.faults; index++) {
+    clock.at(
+      2_000 + soon(options.runMs / 2),
+      acts[nextIndex(random, acts.length)] as () => void,
+    );
+  }
+  return {
+    clock,
+    vms,
+    faults,
+    killVm,
+    states: () => daemons.map(({ state }) => state),
+    serving: () =>
+      Math.min(
+        ...daemons.map(({ state }) =>
+          [...state.targets.values()].filter(({ phase }) => phase === "serving")
+            .length
+        ),
+      ),
+    run: (untilMs) => clock.runUntil(untilMs),
+  };
+}
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -10,6 +10,7 @@
 import { RELAY_BENCHES } from "./path/relay.ts";
 import { SCHEDULE_BENCHES } from "./schedules/benches.ts";
 import { CONTROL_BENCHES } from "./control/benches.ts";
+import { GROUP_BENCHES } from "./groups/benches.ts";
 import type { Bench } from "./runner/types.ts";
 
 /** Every bench, in the order in which they run. */
@@ -20,5 +21,6 @@
   ...FAIRNESS_BENCHES,
   ...FAULT_BENCHES,
   ...SCHEDULE_BENCHES,
+  ...GROUP_BENCHES,
   ...CONTROL_BENCHES,
 ];
--- a/packages/stand_ins/src/demo/system.ts
+++ b/packages/stand_ins/src/demo/system.ts
@@ -33,6 +33,8 @@
   answerTokens?: number;
   /** Fixed ports; free ones by default. */
   ports?: { callers: number; operators: number; peers: number };
+  /** Fixed ports of the stand-ins that daemons' settings name; free ones by default. */
+  standInPorts?: { log: number; vms: number; lending: number };
   policy?: Record<string, unknown>;
   /** Extra settings of the lending deployment. */
   lending?: Record<string, unknown>;
@@ -120,8 +122,9 @@
     stepMs = 1,
     loadMs = 10,
   } = options;
-  const log = await startLogService();
-  const vms = await startVmService();
+  const { standInPorts } = options;
+  const log = await startLogService({ port: standInPorts?.log ?? 0 });
+  const vms = await startVmService({ port: standInPorts?.vms ?? 0 });
   const names = ZONES.flatMap((zone) =>
     Array.from(
       { length: enginesPerZone },
@@ -142,7 +145,12 @@
   const lendings = await Promise.all(
     Array.from(
       { length: lendingCount },
-      (_, index) => startLending({ vm: `lending-${index + 1}`, bookings }),
+      (_, index) =>
+        startLending({
+          vm: `lending-${index + 1}`,
+          bookings,
+          port: standInPorts ? standInPorts.lending + index : 0,
+        }),
     ),
   );
   listEngines(vms, engines, enginesPerZone);
