--- a/packages/core/src/drain/drain.ts
+++ b/packages/core/src/drain/drain.ts
@@ -5,7 +5,7 @@
  */
 import { createMachine, state as machineState, transition } from "robot3";
 import type { EventOf } from "../event/types.ts";
-import { drainVm } from "../health/members.ts";
+import { drainVm } from "../health/leaving.ts";
 import { tendLease } from "../lease/lease.ts";
 import type { Effects } from "../reduce_types.ts";
 import { judgeReadiness } from "../state/readiness.ts";
--- /dev/null
+++ b/packages/core/src/health/leaving.ts
@@ -0,0 +1,72 @@
+/**
+ * VMs that leave: no new work, whoever said so.
+ *
+ * @module
+ */
+
+import type { EventOf } from "../event/types.ts";
+import type { Effects } from "../reduce_types.ts";
+import type { State, Target } from "../state/types.ts";
+import { moveTarget } from "./target_life.ts";
+
+/** Notes that one incarnation of a VM is leaving: it gets no new work, whoever said so. */
+export function* markLeaving(
+  state: State,
+  vm: string,
+  incarnation: string,
+): Effects {
+  const known = state.evidence.get(vm)?.status?.incarnation;
+  if (known !== undefined && known !== incarnation) return;
+  if (state.leaving.get(vm) === incarnation) return;
+  state.leaving.set(vm, incarnation);
+  yield { kind: "log", event: "vm_leaving", fields: { vm, incarnation } };
+  for (const target of targetsOf(state, vm)) {
+    yield* moveTarget(state, target, "drain");
+  }
+}
+
+/** Takes back that a VM is leaving, once a new incarnation of it reports. */
+export function* forgetLeaving(state: State, vm: string): Effects {
+  state.leaving.delete(vm);
+  for (const target of targetsOf(state, vm)) {
+    const stillLeaving = target.members.some(({ member }) =>
+      state.leaving.has(member.vm)
+    );
+    if (!target.removing && !stillLeaving) {
+      yield* moveTarget(state, target, "renew");
+    }
+  }
+}
+
+function targetsOf(state: State, vm: string): Target[] {
+  const address = state.vms.get(vm)?.address;
+  const byList = address === undefined
+    ? undefined
+    : state.targets.get(state.byAddress.get(address) ?? "");
+  if (byList !== undefined) return [byList];
+  return [...state.targets.values()].filter(({ members }) =>
+    members.some(({ member }) => member.vm === vm)
+  );
+}
+
+/** Handles the platform's list of VMs, which lags. */
+export function* listVms(
+  state: State,
+  { vms }: EventOf<"vms_listed">,
+): Effects {
+  const listed = new Set(vms.map(({ vm }) => vm));
+  for (const vm of state.vms.keys()) if (!listed.has(vm)) state.vms.delete(vm);
+  for (const listing of vms) {
+    state.vms.set(listing.vm, listing);
+    if (listing.state === "leaving") {
+      yield* markLeaving(state, listing.vm, listing.incarnation);
+    }
+  }
+}
+
+/** Drains one VM on an operator's word. */
+export function* drainVm(state: State, vm: string): Effects {
+  const incarnation = state.evidence.get(vm)?.status?.incarnation ??
+    state.vms.get(vm)?.incarnation ?? "operator";
+  yield* markLeaving(state, vm, incarnation);
+}
--- /dev/null
+++ b/packages/core/src/health/target_life.ts
@@ -0,0 +1,177 @@
+/**
+ * Creates, changes and forgets targets, with every account of them in step.
+ *
+ * @module
+ */
+
+import { refreshTarget } from "../capacity/targets.ts";
+import type { Member } from "../fold/types.ts";
+import type { Effects } from "../reduce_types.ts";
+import { failOver } from "../request/retry.ts";
+import { setFree } from "../routing/free_list.ts";
+import type { MemberState, State, Target } from "../state/types.ts";
+import { schedule } from "../util/timer_queue.ts";
+import { settleEjection } from "./ejection.ts";
+import { advanceTarget, type TargetStep } from "./machine.ts";
+
+/** What names a target and what it consists of. */
+export interface TargetShape {
+  name: string;
+  deployment: string;
+  epoch: number | undefined;
+  members: readonly Member[];
+}
+
+function createMemberState(member: Member): MemberState {
+  return { member, confirmedAt: -Infinity, refused: false };
+}
+
+/** Creates a target or takes over a change of its members. */
+export function* upsertTarget(state: State, shape: TargetShape): Effects {
+  const existing = state.targets.get(shape.name);
+  if (existing === undefined) return yield* createTarget(state, shape);
+  if (existing.epoch === shape.epoch && sameMembers(existing, shape.members)) {
+    return;
+  }
+  const known = new Map(
+    existing.members.map((member) => [member.member.vm, member]),
+  );
+  for (const { member } of existing.members) {
+    state.byAddress.delete(member.address);
+  }
+  existing.members = shape.members.map((member) =>
+    known.get(member.vm) ?? createMemberState(member)
+  );
+  existing.epoch = shape.epoch;
+  indexMembers(state, existing);
+  yield* moveTarget(state, existing, "doubt");
+  yield* failOverAttempts(state, existing);
+}
+
+function sameMembers(target: Target, members: readonly Member[]): boolean {
+  return target.members.length === members.length &&
+    target.members.every(({ member }, index) =>
+      member.vm === members[index]?.vm
+    );
+}
+
+function indexMembers(state: State, target: Target): void {
+  for (const { member } of target.members) {
+    state.byAddress.set(member.address, target.name);
+  }
+}
+
+function* createTarget(
+  state: State,
+  { name, deployment, epoch, members }: TargetShape,
+): Effects {
+  const target: Target = {
+    name,
+    deployment,
+    phase: "pending",
+    epoch,
+    members: members.map(createMemberState),
+    limit: 0,
+    allowance: 0,
+    attempts: new Set(),
+    overdrawn: 0,
+    memory: { average: 0, at: state.now },
+    prefilling: 0,
+    report: undefined,
+    reportedAt: -Infinity,
+    factor: 1,
+    failures: 0,
+    ejections: 0,
+    probes: 0,
+    ejectedUntil: 0,
+    cacheSequence: 0,
+    removing: false,
+  };
+  state.targets.set(name, target);
+  state.pools.get(deployment)?.targets.add(name);
+  indexMembers(state, target);
+  scheduleCheck(state, target);
+  yield* drainIfLeaving(state, target);
+}
+
+/** Schedules the next check that a target's members are fresh. */
+export function scheduleCheck(state: State, target: Target): void {
+  const freshMs = state.config?.config.policy.memberFreshMs ?? 1_500;
+  schedule(state.timers, state.now + freshMs / 2, {
+    timer: { kind: "member_check", target: target.name },
+  });
+}
+
+const STEP_EVENTS = {
+  confirm: "target_serving",
+  doubt: "target_suspect",
+  drain: "target_draining",
+  remove: "target_gone",
+  renew: "target_pending",
+} as const;
+
+/** Moves a target through its life and keeps every account of it in step. */
+export function* moveTarget(
+  state: State,
+  target: Target,
+  step: keyof typeof STEP_EVENTS,
+): Effects {
+  const wasEjected = target.phase === "ejected" || target.phase === "probing";
+  if (wasEjected && step === "confirm") return;
+  const before = { ...target };
+  if (!advanceTarget(target, step satisfies TargetStep)) return;
+  if (wasEjected) settleEjection(state, before);
+  refreshTarget(state, target);
+  yield {
+    kind: "log",
+    event: STEP_EVENTS[step],
+    fields: { target: target.name, deployment: target.deployment },
+  };
+}
+
+/** Drains a target and forgets it once nothing of this entry runs there. */
+export function* removeTarget(state: State, target: Target): Effects {
+  yield* moveTarget(state, target, "drain");
+  target.removing = true;
+  yield* forgetIfIdle(state, target);
+}
+
+/** Forgets a target that is to go, once nothing of this entry runs there. */
+export function* forgetIfIdle(state: State, target: Target): Effects {
+  if (!target.removing || target.attempts.size > 0) return;
+  yield* moveTarget(state, target, "remove");
+  state.targets.delete(target.name);
+  const pool = state.pools.get(target.deployment);
+  pool?.targets.delete(target.name);
+  if (pool !== undefined) {
+    setFree(pool.free, target.name, { free: false });
+    setFree(pool.serving, target.name, { free: false });
+  }
+  for (const { member } of target.members) {
+    if (state.byAddress.get(member.address) === target.name) {
+      state.byAddress.delete(member.address);
+    }
+  }
+}
+
+/**
+ * Fails over every attempt in flight at a target.
+ *
+ * A group that lost a member cannot go on, so its streams resume elsewhere without waiting for a stall.
+ */
+export function* failOverAttempts(state: State, target: Target): Effects {
+  for (const id of [...target.attempts]) {
+    const request = state.requests.get(id);
+    if (request !== undefined) {
+      yield* failOver(state, request, { outcome: "reset_after_send" });
+    }
+  }
+  yield* forgetIfIdle(state, target);
+}
+
+function* drainIfLeaving(state: State, target: Target): Effects {
+  const leaving = target.members.some(({ member }) =>
+    state.leaving.has(member.vm)
+  );
+  if (leaving) yield* moveTarget(state, target, "drain");
+}
--- a/packages/core/src/peer/digest.ts
+++ b/packages/core/src/peer/digest.ts
@@ -11,7 +11,7 @@
 import type { EventOf } from "../event/types.ts";
 import { dumpFold } from "../fold/fold_state.ts";
 import { restoreFolded } from "../fold/log_reader.ts";
-import { markLeaving } from "../health/members.ts";
+import { markLeaving } from "../health/leaving.ts";
 import { listDemands, shareLimits } from "../limit/limits.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import { perRank } from "../request/types.ts";
--- /dev/null
+++ b/packages/core/src/planner/scope.ts
@@ -0,0 +1,119 @@
+/**
+ * What a planner sees of one deployment, and how it proposes changes.
+ *
+ * @module
+ */
+
+import {
+  CHANGE_PAUSE_MS,
+  DEAD_REFUSED_MS,
+  DEAD_SILENT_MS,
+} from "./constants.ts";
+import type { ModelDeployment } from "../config/types.ts";
+import { appendRecord, createRecord } from "../fold/append.ts";
+import type { Fence, FoldedGroup, RecordBody } from "../fold/types.ts";
+import type { Lease } from "../lease/types.ts";
+import type { Effects } from "../reduce_types.ts";
+import type { State } from "../state/types.ts";
+import type { Candidate } from "./placement.ts";
+import type { Planner } from "./types.ts";
+
+/** One planning step of one deployment. */
+export interface Scope {
+  state: State;
+  planner: Planner;
+  lease: Lease;
+  name: string;
+  deployment: ModelDeployment;
+  fence: Fence;
+}
+
+/** Whether a VM has been unreachable for long enough to be taken for dead. */
+export function isDead(state: State, vm: string): boolean {
+  const evidence = state.evidence.get(vm);
+  if (evidence?.missingSince === undefined) return false;
+  const patienceMs = evidence.refused ? DEAD_REFUSED_MS : DEAD_SILENT_MS;
+  return state.now - evidence.missingSince >= patienceMs;
+}
+
+/** Whether a VM is known to be leaving. */
+export function isLeaving(state: State, vm: string): boolean {
+  return state.leaving.has(vm);
+}
+
+function isFreshlyEmpty({ state, planner }: Scope, vm: string): boolean {
+  const evidence = state.evidence.get(vm);
+  return evidence?.missingSince === undefined &&
+    evidence?.status?.state === "empty" &&
+    evidence.reportedAt >= planner.since;
+}
+
+/** VMs that may join a group: listed, empty, and neither taken nor leaving. */
+export function listCandidates(scope: Scope): Candidate[] {
+  const { state, planner } = scope;
+  const reserved = new Set(
+    [...planner.pending.values()].flatMap(({ vms }) => vms),
+  );
+  const candidates: Candidate[] = [];
+  for (const { vm, address, zone, domain, role } of state.vms.values()) {
+    if (
+      role !== "engine" || state.fold.vms.has(vm) || isLeaving(state, vm) ||
+      reserved.has(vm)
+    ) continue;
+    if (isFreshlyEmpty(scope, vm)) {
+      candidates.push({ vm, address, zone, domain });
+    }
+  }
+  return candidates;
+}
+
+/** Groups of the deployment, in the order of the log. */
+export function ownGroups({ state, name }: Scope): FoldedGroup[] {
+  return [...state.fold.groups.values()].filter(({ deployment }) =>
+    deployment === name
+  );
+}
+
+function vmsTakenBy(body: RecordBody): string[] {
+  if (body.type === "group_form") return body.members.map(({ vm }) => vm);
+  return body.type === "group_swap" ? [body.add.vm] : [];
+}
+
+/** Appends a change and keeps it pending until the fold has decided it. */
+export function* propose(
+  { state, planner }: Scope,
+  body: RecordBody,
+  subject: string,
+): Effects {
+  const record = createRecord(state, body);
+  planner.pending.set(record.id, { subject, vms: vmsTakenBy(body) });
+  planner.changedAt.set(subject, state.now);
+  yield* appendRecord(state, record);
+  yield {
+    kind: "log",
+    event: "group_planned",
+    fields: { subject, change: body.type },
+  };
+}
+
+/** Forgets the pending changes that the fold has decided. */
+export function forgetSettled({ state, planner }: Scope): void {
+  for (const id of planner.pending.keys()) {
+    if (!state.log.pending.has(id)) planner.pending.delete(id);
+  }
+}
+
+/** Whether a change of a group or VM is pending. */
+export function hasPending({ planner }: Scope, subject: string): boolean {
+  return [...planner.pending.values()].some((change) =>
+    change.subject === subject
+  );
+}
+
+/** Whether a group or VM was changed too short a time ago to be changed again. */
+export function isSettling(scope: Scope, subject: string): boolean {
+  const { state, planner } = scope;
+  if (hasPending(scope, subject)) return true;
+  return state.now - (planner.changedAt.get(subject) ?? -Infinity) <
+    CHANGE_PAUSE_MS;
+}
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -15,12 +15,8 @@
 import { retryAppends, settleAppend } from "./fold/append.ts";
 import { loseLog, readLog, restoreFolded } from "./fold/log_reader.ts";
 import { probeTarget } from "./health/ejection.ts";
-import {
-  checkMembers,
-  listVms,
-  missMember,
-  reportMember,
-} from "./health/members.ts";
+import { checkMembers, missMember, reportMember } from "./health/members.ts";
+import { listVms } from "./health/leaving.ts";
 import { joinPeer, losePeer, receivePeer, tellPeers } from "./peer/digest.ts";
 import { planAll } from "./planner/planner.ts";
 import {
@@ -34,13 +30,12 @@
 import { checkPreemption } from "./request/preempt.ts";
 import {
   acceptAttempt,
-  checkStall,
   endAttempt,
-  expireRequest,
   leaveCaller,
   progressAttempt,
-  retryRequest,
 } from "./request/progress.ts";
+import { checkStall, expireRequest } from "./request/expiry.ts";
+import { retryRequest } from "./request/retry.ts";
 import { changeCache } from "./routing/cache_events.ts";
 import { writeSnapshots } from "./snapshot/snapshot.ts";
 import { judgeReadiness } from "./state/readiness.ts";
--- a/packages/core/src/request/arrive.ts
+++ b/packages/core/src/request/arrive.ts
@@ -97,6 +97,7 @@
     preemptions: 0,
     light: false,
     byFloor: false,
+    prefilling: false,
     avoid: [],
     delivered: 0,
     verdict: "not_run",
--- a/packages/core/src/request/attempt.ts
+++ b/packages/core/src/request/attempt.ts
@@ -5,14 +5,28 @@
  */
 import { rememberAttempts } from "../capacity/load_estimate.ts";
 import { refreshTarget } from "../capacity/targets.ts";
-import type { State } from "../state/types.ts";
+import type { State, Target } from "../state/types.ts";
 import type { Request } from "./types.ts";
 
+/** Counts a request's prompt at its target until its first token. */
+export function beginPrefill(target: Target, request: Request): void {
+  request.prefilling = true;
+  target.prefilling += request.promptTokens;
+}
+
+/** Ends the count of a request's prompt at its target. */
+export function endPrefill(target: Target, request: Request): void {
+  if (!request.prefilling) return;
+  request.prefilling = false;
+  target.prefilling -= request.promptTokens;
+}
+
 /** Takes a request's attempt off its target. */
 export function releaseTarget(state: State, request: Request): void {
   const target = state.targets.get(request.target ?? "");
   request.target = undefined;
   if (target === undefined) return;
+  endPrefill(target, request);
   rememberAttempts(target, state.now);
   target.attempts.delete(request.request);
   const pool = state.pools.get(target.deployment);
--- a/packages/core/src/request/dispatch.ts
+++ b/packages/core/src/request/dispatch.ts
@@ -17,6 +17,7 @@
 import { schedule } from "../util/timer_queue.ts";
 import { refuseRequest } from "./answer.ts";
 import { advance } from "./machine.ts";
+import { beginPrefill } from "./attempt.ts";
 import { preemptFor } from "./preempt.ts";
 import type { Request } from "./types.ts";
 
@@ -95,6 +96,7 @@
   request.target = target.name;
   rememberAttempts(target, state.now);
   target.attempts.add(request.request);
+  beginPrefill(target, request);
   if (request.rank === "batch") pool.runningBatch.add(request.request);
   for (const prefix of request.prefixes) {
     addHolder(pool.prefixes, prefix, { target: target.name, now: state.now });
--- a/packages/core/src/request/types.ts
+++ b/packages/core/src/request/types.ts
@@ -40,6 +40,8 @@
   light: boolean;
   /** Started on its rank's floor, so it does not give way. */
   byFloor: boolean;
+  /** Its prompt counts as being prefilled at its target. */
+  prefilling: boolean;
   /** Targets already tried. */
   avoid: string[];
   /** Whole tokens delivered to the caller. */
--- a/packages/core/src/routing/route.ts
+++ b/packages/core/src/routing/route.ts
@@ -61,7 +61,8 @@
 ): number {
   const prefillPerMs = (target.report?.prefillPerMs || DEFAULT_PREFILL_PER_MS) /
     Math.max(1, target.factor);
-  const uncached = request.promptTokens * (1 - cachedShareOf(request, blocks));
+  const uncached = target.prefilling +
+    request.promptTokens * (1 - cachedShareOf(request, blocks));
   const zone = target.members[0]?.member.zone === state.node.zone
     ? 0
     : OTHER_ZONE_MS;
--- a/packages/core/src/state/types.ts
+++ b/packages/core/src/state/types.ts
@@ -65,6 +65,8 @@
   /** Attempts over the allowance. */
   overdrawn: number;
   memory: AttemptMemory;
+  /** Prompt tokens of own attempts that have no first token yet. */
+  prefilling: number;
   report: LoadReport | undefined;
   reportedAt: number;
   /** Step time against what the deployment's model expects; 1 is normal. */
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -14,3 +14,15 @@
 export { createLogClient, type LogClient } from "./platform/log_client.ts";
 export { createLogger, type Logger } from "./observe/logger.ts";
 export { createAgents, startAttempt } from "./backend/transport.ts";
+export {
+  type ConnectionEvents,
+  type ConnectionOptions,
+  createConnection as connectPeer,
+  type DropCause,
+} from "./peers/connection.ts";
+export {
+  createHello,
+  createProof,
+  type Hello,
+  type Proof,
+} from "./peers/handshake.ts";
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -75,6 +75,16 @@
 
 const CHARS_PER_TOKEN = 4;
 
+function waitForRoom(response: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    const done = () => {
+      response.off("drain", done).off("close", done);
+      resolve();
+    };
+    response.on("drain", done).on("close", done);
+  });
+}
+
 function createEngineFaults(): EngineFaults {
   return {
     down: false,
@@ -255,11 +265,7 @@
         misbehave(faults.mischief, { id, offset, response, write });
       }
       const hasRoom = write(id, offset);
-      if (!hasRoom) {
-        await new Promise((resolve) =>
-          response.once("drain", resolve).once("close", resolve)
-        );
-      }
+      if (!hasRoom) await waitForRoom(response);
     }
     const promptTokens = Math.max(
       1,
--- /dev/null
+++ b/packages/system_tests/src/many_daemons_test.ts
@@ -0,0 +1,122 @@
+import { answerText, type System, waitUntil } from "@primroseshed/stand_ins";
+import { expect } from "chai";
+import { book, chat, enginePrompt, readStream } from "./client.ts";
+import { startTestSystem } from "./fixture.ts";
+
+describe("three real daemons", () => {
+  let system: System;
+  beforeEach(async () => {
+    system = await startTestSystem({
+      daemons: 3,
+      stepMs: 5,
+      overrides: { limits: { callerStallMs: 500 } },
+    });
+    await waitUntil(() =>
+      system.daemons.every(({ state }) => state.peers.size === 2)
+    );
+  });
+  afterEach(() => system.kill());
+
+  it("lose nothing but the killed one's own requests while one is killed and one drained", async () => {
+    const [killed, drained, kept] = system.daemons;
+    const prompts = Array.from(
+      { length: 6 },
+      (_, index) => `question ${index}`,
+    );
+    const ask = async (daemon: typeof kept, prompt: string) => {
+      const response = await chat(daemon!, prompt, { stream: true });
+      return { prompt, content: readStream(await response.text()) };
+    };
+    const lost = prompts.map((prompt) =>
+      ask(killed, `killed ${prompt}`).catch(() => undefined)
+    );
+    const safe = [drained, kept].flatMap((daemon) =>
+      prompts.map((prompt) => ask(daemon, prompt))
+    );
+    await waitUntil(() =>
+      system.engines.some(({ received }) => received.length >= 6)
+    );
+    killed!.stop();
+    killed!.stop();
+    drained!.stop();
+    const answers = await Promise.all(safe);
+    for (const { prompt, content } of answers) {
+      expect(content.text).to.equal(answerText(enginePrompt(prompt), 4_096));
+      expect(content.done).to.equal(true);
+    }
+    expect(await drained!.stopped).to.equal(0);
+    await Promise.all(lost);
+    await waitUntil(() => kept!.state.peers.size === 0);
+    expect((await chat(kept!, "after")).status).to.equal(200);
+  });
+
+  it("run a booking once although it is asked for at each, and repeated after a death", async () => {
+    const headers = { "idempotency-key": "one" };
+    const answers = await Promise.all(
+      system.daemons.map((daemon) => book(daemon, "sling-1", headers)),
+    );
+    const bodies = new Set(
+      await Promise.all(answers.map((answer) => answer.text())),
+    );
+    system.daemons[0]!.stop();
+    system.daemons[0]!.stop();
+    const repeated = await book(system.daemons[2]!, "sling-1", headers);
+    expect(await repeated.text()).to.equal([...bodies][0]);
+    expect(bodies.size).to.equal(1);
+    expect(system.bookings.length).to.equal(1);
+  });
+
+  it("serve on while the log is down, and start a newcomer from a peer's folded state", async () => {
+    system.log.faults.down = true;
+    await waitUntil(() =>
+      system.daemons.every(({ state }) => !state.log.reachable)
+    );
+    const newcomer = await system.addDaemon();
+    await waitUntil(() => newcomer.state.ready);
+    await waitUntil(() =>
+      [...newcomer.state.targets.values()].filter(({ phase }) =>
+        phase === "serving"
+      ).length === 3
+    );
+    expect((await chat(newcomer, "hello")).status).to.equal(200);
+    expect(newcomer.state.config?.offset).to.equal(
+      system.daemons[0]!.state.config?.offset,
+    );
+  });
+});
+
+describe("a caller that does not read", () => {
+  it("holds its engine's stream back and is dropped in the end", async () => {
+    const system = await startTestSystem({
+      daemons: 1,
+      stepMs: 0,
+      answerTokens: 60_000,
+      overrides: { limits: { callerStallMs: 400 } },
+    });
+    const { connect } = await import("node:net");
+    const { state, addresses } = system.daemons[0]!;
+    const url = new URL(addresses.callers);
+    const socket = connect(Number(url.port), url.hostname);
+    socket.on("error", () => undefined);
+    const body = JSON.stringify({
+      model: "assistant",
+      stream: true,
+      messages: [{ role: "user", content: "x" }],
+    });
+    const head = [
+      "POST /v1/chat/completions HTTP/1.1",
+      "host: x",
+      "authorization: Bearer demo-tavua-key",
+      `content-length: ${body.length}`,
+    ];
+    socket.pause();
+    socket.write(`${head.join("\r\n")}\r\n\r\n${body}`);
+    await waitUntil(() => state.requests.size === 1);
+    const [request] = state.requests.values();
+    await waitUntil(() => state.requests.size === 0);
+    expect(request!.delivered).to.be.within(1, 59_000);
+    expect(request!.verdict).to.equal("may_have_run");
+    socket.destroy();
+    await system.kill();
+  });
+});
--- /dev/null
+++ b/packages/system_tests/src/peer_test.ts
@@ -0,0 +1,190 @@
+import { WebSocket, WebSocketServer } from "ws";
+import { Packr } from "msgpackr";
+import {
+  connectPeer,
+  createHello,
+  createProof,
+  type DropCause,
+  type Hello,
+} from "@primroseshed/daemon";
+import type { PeerMessage } from "@primroseshed/core";
+import { expect } from "chai";
+import fc from "fast-check";
+
+const KEY = "right-key";
+const packr = new Packr({ useRecords: false });
+const self = { name: "entry-1", zone: "z", incarnation: "i" };
+const other = { name: "entry-2", zone: "z", incarnation: "i" };
+
+interface Seen {
+  opened: Hello[];
+  messages: PeerMessage[];
+  drops: DropCause[];
+  closed: boolean;
+}
+
+/** A listener under test, and a raw socket that may send anything to it. */
+async function connectRaw(): Promise<
+  { raw: WebSocket; seen: Seen; frames: unknown[]; end(): void }
+> {
+  const seen: Seen = { opened: [], messages: [], drops: [], closed: false };
+  const server = new WebSocketServer({ port: 0, host: "127.0.0.1" });
+  await new Promise((resolve) => server.once("listening", resolve));
+  server.on("connection", (socket) => {
+    connectPeer({
+      socket,
+      side: "listener",
+      self,
+      key: KEY,
+      events: {
+        onOpen: (hello) => seen.opened.push(hello),
+        onMessage: (message) => seen.messages.push(message),
+        onDrop: (cause) => seen.drops.push(cause),
+        onClose: () => seen.closed = true,
+      },
+    });
+  });
+  const frames: unknown[] = [];
+  const raw = new WebSocket(
+    `ws://127.0.0.1:${(server.address() as { port: number }).port}`,
+  );
+  raw.on("error", () => undefined);
+  raw.on("message", (data) => frames.push(packr.unpack(data as Buffer)));
+  await new Promise((resolve) => raw.once("open", resolve));
+  return { raw, seen, frames, end: () => (raw.terminate(), server.close()) };
+}
+
+async function until(isTrue: () => boolean): Promise<void> {
+  while (!isTrue()) await new Promise((resolve) => setTimeout(resolve, 2));
+}
+
+async function shakeHands(key: string) {
+  const connection = await connectRaw();
+  const hello = createHello(other);
+  connection.raw.send(packr.pack(hello));
+  await until(() => connection.frames.length >= 1);
+  const challenge = connection.frames[0] as Hello;
+  connection.raw.send(
+    packr.pack(
+      createProof({ key, side: "dialer", own: hello, other: challenge }),
+    ),
+  );
+  return { ...connection, hello, challenge };
+}
+
+const DIGEST = {
+  sequence: 1,
+  fold: 1,
+  config: 1,
+  draining: false,
+  needs: {},
+  demands: {},
+  hears: {},
+  leaving: {},
+};
+
+describe("the protocol between daemons, on real sockets", () => {
+  it("opens after both sides proved the key, then passes messages", async () => {
+    const { raw, seen, frames, end } = await shakeHands(KEY);
+    await until(() => seen.opened.length === 1 && frames.length === 2);
+    raw.send(packr.pack({ kind: "digest", digest: DIGEST }));
+    await until(() => seen.messages.length === 1);
+    expect(seen.opened[0]?.node).to.equal("entry-2");
+    expect(seen.messages[0]).to.deep.equal({ kind: "digest", digest: DIGEST });
+    end();
+  });
+
+  it("drops a peer with a wrong key", async () => {
+    const { seen, end } = await shakeHands("wrong-key");
+    await until(() => seen.closed);
+    expect(seen).to.deep.include({ opened: [], drops: ["forged"] });
+    end();
+  });
+
+  it("drops a proof that is sent back to its sender", async () => {
+    const { raw, seen, frames, end } = await connectRaw();
+    const hello = createHello(other);
+    raw.send(packr.pack(hello));
+    await until(() => frames.length >= 2);
+    raw.send(packr.pack(frames[1] as object));
+    await until(() => seen.closed);
+    expect(seen).to.deep.include({ opened: [], drops: ["forged"] });
+    end();
+  });
+
+  const EARLY: { name: string; frame: Buffer; cause: DropCause }[] = [
+    {
+      name: "an old version",
+      frame: packr.pack({ ...createHello(other), version: 0 }),
+      cause: "old_version",
+    },
+    {
+      name: "an oversize hello",
+      frame: packr.pack({ ...createHello(other), node: "n".repeat(4_000) }),
+      cause: "oversize",
+    },
+    {
+      name: "a hello with a field too many",
+      frame: packr.pack({ ...createHello(other), extra: 1 }),
+      cause: "malformed",
+    },
+    {
+      name: "a message before the handshake",
+      frame: packr.pack({ kind: "fold_request" }),
+      cause: "malformed",
+    },
+    {
+      name: "bytes that are no frame",
+      frame: Buffer.from([0xc1, 0xff, 0x00]),
+      cause: "malformed",
+    },
+  ];
+  for (const { name, frame, cause } of EARLY) {
+    it(`drops ${name} and closes`, async () => {
+      const { raw, seen, end } = await connectRaw();
+      raw.send(frame);
+      await until(() => seen.closed);
+      expect(seen).to.deep.include({
+        opened: [],
+        messages: [],
+        drops: [cause],
+      });
+      end();
+    });
+  }
+
+  it("drops any malformed message, keeps the connection and still takes a good one", async () => {
+    const { raw, seen, end } = await shakeHands(KEY);
+    await until(() => seen.opened.length === 1);
+    const samples = fc.sample(fc.anything({ maxDepth: 2 }), {
+      seed: 31,
+      numRuns: 60,
+    });
+    const frames = samples.flatMap((value) => {
+      try {
+        return [packr.pack({ kind: "digest", digest: value as object })];
+      } catch {
+        return [];
+      }
+    });
+    for (const frame of frames) raw.send(frame);
+    raw.send(packr.pack({ kind: "config_request", above: 3 }));
+    await until(() => seen.messages.length === 1);
+    expect(seen.messages).to.deep.equal([{ kind: "config_request", above: 3 }]);
+    expect(seen.drops.length).to.equal(frames.length);
+    expect(seen.closed).to.equal(false);
+    end();
+  });
+
+  it("drops what a peer sends beyond its rate", async () => {
+    const { raw, seen, end } = await shakeHands(KEY);
+    await until(() => seen.opened.length === 1);
+    for (let count = 0; count < 1_000; count++) {
+      raw.send(packr.pack({ kind: "config_request", above: count }));
+    }
+    await until(() => seen.messages.length + seen.drops.length === 1_000);
+    expect(seen.drops.every((cause) => cause === "too_many")).to.equal(true);
+    expect(seen.drops.length).to.be.greaterThan(500);
+    end();
+  });
+});
