--- a/packages/bench/src/control/mesh.ts
+++ b/packages/bench/src/control/mesh.ts
@@ -51,6 +51,12 @@
   entries: MeshEntry[];
   publish(basedOn: number): number;
   kill(entry: MeshEntry): void;
+  /** Breaks or restores the connections between two sets of entries. */
+  part(
+    left: readonly MeshEntry[],
+    right: readonly MeshEntry[],
+    apart: boolean,
+  ): void;
 }
 
 const PEER_MS = 1;
@@ -238,6 +244,28 @@
     );
   }
 
+  function part(
+    left: readonly MeshEntry[],
+    right: readonly MeshEntry[],
+    apart: boolean,
+  ): void {
+    for (const [here, there] of [[left, right], [right, left]] as const) {
+      for (const entry of here) {
+        for (const { name } of there) {
+          if (apart) {
+            entry.feed({ kind: "peer_lost", peer: name, incarnation: "1" });
+          } else {entry.feed({
+              kind: "peer_joined",
+              peer: name,
+              address: "",
+              zone: "z",
+              incarnation: "1",
+            });}
+        }
+      }
+    }
+  }
+
   publish(0);
   for (let index = 0; index < groups; index++) {
     const group = `group-${index}`;
@@ -281,6 +309,7 @@
     clock,
     entries,
     publish,
+    part,
     kill(entry) {
       entry.dead = true;
       for (const peer of entries) {
