--- /dev/null
+++ b/packages/system_tests/src/deadline_test.ts
@@ -0,0 +1,76 @@
+import { connect } from "node:net";
+import { type System, waitUntil } from "@primroseshed/stand_ins";
+import { expect } from "chai";
+import { book, type ErrorBody } from "./client.ts";
+import { startTestSystem } from "./fixture.ts";
+
+describe("deadlines and time limits", () => {
+  let system: System;
+  before(async () => {
+    system = await startTestSystem({
+      daemons: 1,
+      lending: { concurrency: 1 },
+      overrides: { limits: { headerTimeoutMs: 200, bodyTimeoutMs: 300 } },
+    });
+  });
+  after(() => system.kill());
+
+  it("never runs a booking whose deadline passed in the queue, and says so at once", async () => {
+    const { faults } = system.lendings[0]!;
+    faults.answerDelayMs = 800;
+    const first = book(system.daemons[0]!, "first");
+    await waitUntil(() => system.bookings.length === 1);
+    const second = await book(system.daemons[0]!, "second", {
+      "primrose-deadline-ms": "200",
+    });
+    const { error } = await second.json() as ErrorBody;
+    expect(second.status).to.equal(504);
+    expect(error).to.include({ code: "deadline_passed", verdict: "not_run" });
+    expect((await first).status).to.equal(201);
+    faults.answerDelayMs = 0;
+    expect((await book(system.daemons[0]!, "third")).status).to.equal(201);
+    expect(system.bookings.map(({ item }) => item)).to.deep.equal([
+      "first",
+      "third",
+    ]);
+  });
+
+  it("says that a booking may have run when its deadline passed while it ran", async () => {
+    const { faults } = system.lendings[0]!;
+    faults.answerDelayMs = 5_000;
+    const response = await book(system.daemons[0]!, "slow", {
+      "primrose-deadline-ms": "200",
+    });
+    const { error } = await response.json() as ErrorBody;
+    faults.answerDelayMs = 0;
+    expect(error).to.include({
+      code: "deadline_passed",
+      verdict: "may_have_run",
+    });
+  });
+
+  const SLOW: { name: string; text: string }[] = [
+    {
+      name: "headers",
+      text: "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nx-slow:",
+    },
+    {
+      name: "a body",
+      text:
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 50\r\n\r\n{",
+    },
+  ];
+  for (const { name, text } of SLOW) {
+    it(`closes a connection whose ${name} never come to an end`, async () => {
+      const socket = connect(
+        Number(new URL(system.daemons[0]!.addresses.callers).port),
+        "127.0.0.1",
+      );
+      socket.on("error", () => undefined);
+      socket.resume();
+      socket.write(text);
+      await new Promise((resolve) => socket.once("close", resolve));
+      expect(system.daemons[0]!.state.requests.size).to.equal(0);
+    });
+  }
+});
