--- a/packages/daemon/src/http/caller_app.ts
+++ b/packages/daemon/src/http/caller_app.ts
@@ -24,7 +24,8 @@
 import type { Agents } from "../backend/transport.ts";
 import type { Settings } from "../settings/schema.ts";
 import { authenticate, indexKeys, type KeyIndex } from "./auth.ts";
-import { CutOffError, readBody, readStart } from "./body.ts";
+import { readBody, readStart } from "./body.ts";
+import { createGuard, NotReadyError } from "./guard.ts";
 import { createChatExchange } from "./chat_exchange.ts";
 import {
   type ChatRequest,
@@ -52,10 +53,6 @@
 }
 
 type Next = () => void;
-type Route = (
-  request: IncomingMessage,
-  response: ServerResponse,
-) => Promise<void> | void;
 
 const SERVICE_PATH = /^\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
 
@@ -257,48 +254,7 @@
     sendJson(response, 200, { body: { object: "list", data } });
   }
 
-  function answerFailure(
-    error: unknown,
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): void {
-    if (error instanceof CutOffError) return void response.destroy();
-    if (error instanceof NotReadyError) {
-      return sendError(response, {
-        code: "not_ready",
-        message: "This entry VM is not ready yet; try again",
-        verdict: "not_run",
-      });
-    }
-    if (!(error instanceof RequestError)) throw error;
-    log(error.code === "unauthorized" ? "key_unknown" : "request_malformed", {
-      code: error.code,
-      path: request.url,
-    });
-    if (error.code === "body_too_large") {
-      response.setHeader("connection", "close");
-    }
-    sendError(response, {
-      code: error.code,
-      message: error.message,
-      verdict: "not_run",
-    });
-  }
-
-  function guarded(route: Route): Route {
-    return async (request, response) => {
-      try {
-        await route(request, response);
-      } catch (error) {
-        try {
-          answerFailure(error, request, response);
-        } catch (cause) {
-          log("internal_error", { cause: String(cause) });
-          response.destroy();
-        }
-      }
-    };
-  }
+  const guarded = createGuard({ log });
 
   function admitHeaders(
     request: IncomingMessage,
@@ -348,6 +304,3 @@
     return name;
   }
 }
-
-/** Raised while no configuration is in force. */
-class NotReadyError extends Error {}
--- a/packages/daemon/src/http/chat_exchange.ts
+++ b/packages/daemon/src/http/chat_exchange.ts
@@ -22,6 +22,7 @@
   type Attempt,
   startAttempt,
 } from "../backend/transport.ts";
+import { createChatFormat, formatUsage, type Usage } from "./chat_format.ts";
 import type { ChatRequest } from "./chat_request.ts";
 import { errorBody, sendError, sendJson } from "./errors.ts";
 import type { Exchange, RefuseEffect, SendEffect } from "./exchanges.ts";
@@ -47,19 +48,6 @@
   "x-accel-buffering": "no",
 };
 
-/** End of a chunk that carries text. */
-const TEXT_TAIL = '},"finish_reason":null}]}';
-
-// All chunks of a stream share this start, so it is serialized once.
-function createTextHead(
-  { id, created, model }: { id: string; created: number; model: string },
-): string {
-  const chunk = { id, object: "chat.completion.chunk", created, model };
-  return `${
-    JSON.stringify(chunk).slice(0, -1)
-  },"choices":[{"index":0,"delta":{"content":`;
-}
-
 interface Current {
   number: number;
   attempt: Attempt;
@@ -69,8 +57,11 @@
 export function createChatExchange(options: ChatExchangeOptions): Exchange {
   const { id, chat, response, agents, dispatch, log } = options;
   const cursor: StreamCursor = { id, next: 0 };
-  const created = Math.floor(Date.now() / MS_PER_SECOND);
-  const textHead = createTextHead({ id, created, model: chat.body.model });
+  const format = createChatFormat({
+    id,
+    model: chat.body.model,
+    created: Math.floor(Date.now() / MS_PER_SECOND),
+  });
   let decoder = new TextDecoder();
   let arrivedTokens = 0;
   let text = "";
@@ -79,28 +70,10 @@
   let current: Current | undefined;
   let stallTimer: NodeJS.Timeout | undefined;
 
-  function chunkBody(
-    delta: Record<string, string>,
-    reason: string | null,
-  ): Record<string, unknown> {
-    const choices = [{ index: 0, delta, finish_reason: reason }];
-    return {
-      id,
-      object: "chat.completion.chunk",
-      created,
-      model: chat.body.model,
-      choices,
-    };
-  }
-
-  function usageBody(): Record<string, unknown> {
+  function currentUsage(): Usage {
     const promptTokens = usage?.promptTokens ?? chat.promptTokens;
-    return {
-      prompt_tokens: promptTokens,
-      completion_tokens: cursor.next,
-      total_tokens: promptTokens + cursor.next,
-      prompt_tokens_details: { cached_tokens: usage?.cachedTokens ?? 0 },
-    };
+    const cachedTokens = usage?.cachedTokens ?? 0;
+    return formatUsage(promptTokens, cursor.next, { cachedTokens });
   }
 
   function writeEvent(body: unknown): void {
@@ -136,7 +109,7 @@
   function startStream(): void {
     if (response.headersSent) return;
     response.writeHead(200, { ...STREAM_HEADERS, "primrose-request-id": id });
-    writeEvent(chunkBody({ role: "assistant", content: "" }, null));
+    writeEvent(format.chunk({ role: "assistant", content: "" }));
   }
 
   function deliver(chunk: EngineChunk): void {
@@ -145,7 +118,7 @@
     finishReason = chunk.finishReason ?? finishReason;
     if (chat.stream) startStream();
     if (chat.stream && chunk.text !== "") {
-      writeEvent(`${textHead}${JSON.stringify(chunk.text)}${TEXT_TAIL}`);
+      writeEvent(format.textChunk(chunk.text));
     }
     arrivedTokens += chunk.tokens;
   }
@@ -293,27 +266,21 @@
 
   function finishStream(): void {
     startStream();
-    const last = chunkBody({}, finishReason);
-    if (!chat.includeUsage) last.usage = usageBody();
-    writeEvent(last);
-    if (chat.includeUsage) {
-      writeEvent({ ...chunkBody({}, null), choices: [], usage: usageBody() });
-    }
+    const reason = finishReason;
+    const usage = currentUsage();
+    writeEvent(
+      format.chunk({}, chat.includeUsage ? { reason } : { reason, usage }),
+    );
+    if (chat.includeUsage) writeEvent(format.usageChunk(usage));
     writeEvent("[DONE]");
     response.end();
   }
 
   function finishWhole(): void {
-    const message = { role: "assistant", content: text };
-    const choices = [{ index: 0, message, finish_reason: finishReason }];
-    const body = {
-      id,
-      object: "chat.completion",
-      created,
-      model: chat.body.model,
-      choices,
-      usage: usageBody(),
-    };
+    const body = format.whole(text, {
+      reason: finishReason,
+      usage: currentUsage(),
+    });
     response.setHeader("primrose-verdict", "ran");
     response.setHeader("primrose-request-id", id);
     sendJson(response, 200, { body });
--- a/packages/daemon/src/http/operator_app.ts
+++ b/packages/daemon/src/http/operator_app.ts
@@ -22,21 +22,17 @@
 import { isOperator } from "./auth.ts";
 import { readBody } from "./body.ts";
 import { RequestError, sendError, sendJson } from "./errors.ts";
+import { createGuard, type GuardOptions, type Route } from "./guard.ts";
 import { createStatus } from "./status.ts";
 
 /** Options of {@link createOperatorApp}. */
-export interface OperatorAppOptions {
+export interface OperatorAppOptions extends GuardOptions {
   settings: Settings;
   state: State;
   metrics: Metrics;
   dispatch(event: EventBody): void;
 }
 
-type Route = (
-  request: IncomingMessage,
-  response: ServerResponse,
-) => Promise<void> | void;
-
 const MAX_BODY_BYTES = 4_096;
 
 function parseDrain(text: string): { what: "node" | "vm"; name: string } {
@@ -64,32 +60,21 @@
 
 /** Creates the operators' server: health, readiness, metrics, state and drains. */
 export function createOperatorApp(
-  { settings, state, metrics, dispatch }: OperatorAppOptions,
+  { settings, state, metrics, dispatch, log }: OperatorAppOptions,
 ): Server {
+  const guard = createGuard({ log });
+
   function guarded(route: Route): Route {
-    return async (request, response) => {
-      try {
-        if (
-          !isOperator(
-            request.headers.authorization,
-            settings.secrets.operatorKeySha256,
-          )
-        ) {
-          throw new RequestError(
-            "unauthorized",
-            "Cannot accept this key; send the operators' bearer key",
-          );
-        }
-        await route(request, response);
-      } catch (error) {
-        if (!(error instanceof RequestError)) return void response.destroy();
-        sendError(response, {
-          code: error.code,
-          message: error.message,
-          verdict: "not_run",
-        });
+    return guard((request, response) => {
+      const { operatorKeySha256 } = settings.secrets;
+      if (!isOperator(request.headers.authorization, operatorKeySha256)) {
+        throw new RequestError(
+          "unauthorized",
+          "Cannot accept this key; send the operators' bearer key",
+        );
       }
-    };
+      return route(request, response);
+    });
   }
 
   async function drain(
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -239,7 +239,13 @@
     dispatch,
     log: write,
   });
-  const operators = createOperatorApp({ settings, state, metrics, dispatch });
+  const operators = createOperatorApp({
+    settings,
+    state,
+    metrics,
+    dispatch,
+    log: write,
+  });
 
   async function shutDown(cut: number): Promise<void> {
     clearInterval(peerTimer);
