Catch up after an outage in bounded steps, and to the end

Cause: of the records left over by an outage only the first 200 were repeated; the rest waited for another failure, and all entries repeated at once.

--- a/packages/core/src/fold/log_reader.ts
+++ b/packages/core/src/fold/log_reader.ts
@@ -11,7 +11,7 @@
 import { type Effects, noEffects } from "../reduce_types.ts";
 import { judgeReadiness } from "../state/readiness.ts";
 import type { State } from "../state/types.ts";
-import { retryAppends } from "./append.ts";
+import { forgetRecord, scheduleRetry } from "./append.ts";
 import { foldRecord, supportsLevel } from "./fold_record.ts";
 import { restoreFold } from "./fold_state.ts";
 import type { FoldResult, RecordBody, StoredRecord } from "./types.ts";
@@ -104,7 +104,7 @@
   const { record } = stored;
   const result = foldRecord(state.fold, stored);
   const id = record?.id;
-  if (typeof id === "string") state.log.pending.delete(id);
+  if (typeof id === "string") forgetRecord(state, id);
   if (!result.accepted && !ORDINARY_CAUSES.has(result.cause)) {
     const { cause, detail } = result;
     yield {
@@ -160,7 +160,7 @@
     event: "log_reachable",
     fields: { pending: state.log.pending.size },
   };
-  yield* retryAppends(state);
+  scheduleRetry(state);
 }
 
 /** Handles a log service that does not answer: everything agreed stays in force. */
@@ -188,7 +188,7 @@
     fields: { next: dump.next, source },
   };
   for (const id of state.log.pending.keys()) {
-    if (state.fold.seen.has(id)) state.log.pending.delete(id);
+    if (state.fold.seen.has(id)) forgetRecord(state, id);
   }
   if (state.fold.config !== undefined) {
     yield* applyConfig(state, state.fold.config);
--- a/packages/core/src/state/create_state.ts
+++ b/packages/core/src/state/create_state.ts
@@ -61,6 +61,7 @@
       nextId: 1,
       pending: new Map(),
       inFlight: new Set(),
+      stored: new Set(),
       releases: new Map(),
       retryAt: now,
     },
--- a/packages/core/src/state/types.ts
+++ b/packages/core/src/state/types.ts
@@ -146,6 +146,8 @@
   pending: Map<string, LogRecord>;
   /** Ids handed to the driver whose append is not settled. */
   inFlight: Set<string>;
+  /** Pending ids that the log took, but that are not folded yet. */
+  stored: Set<string>;
   /** Ends of claims that are not folded yet, by claim id. */
   releases: Map<string, RecordBody>;
   retryAt: number;
--- a/packages/core/src/usage/ledger.ts
+++ b/packages/core/src/usage/ledger.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { appendRecord, createRecord } from "../fold/append.ts";
+import { appendRecord, createRecord, forgetRecord } from "../fold/append.ts";
 import type { UsageCounter } from "../fold/types.ts";
 import type { EventOf } from "../event/types.ts";
 import type { Effects } from "../reduce_types.ts";
@@ -22,6 +22,7 @@
     publishedRequests: 0,
     publishedAt: 0,
     requests: 0,
+    record: "",
   };
 }
 
@@ -81,16 +82,17 @@
 ): Effects {
   const entry = `${state.node.name}#${state.node.incarnation}`;
   const { sequence, counters, signature } = event;
-  yield* appendRecord(
-    state,
-    createRecord(state, {
-      type: "usage",
-      entry,
-      sequence,
-      counters,
-      signature,
-    }),
-  );
+  const record = createRecord(state, {
+    type: "usage",
+    entry,
+    sequence,
+    counters,
+    signature,
+  });
+  // Counters are cumulative, so an older record that is still pending adds nothing.
+  forgetRecord(state, state.usage.record);
+  state.usage.record = record.id;
+  yield* appendRecord(state, record);
   yield {
     kind: "log",
     event: "usage_published",
--- a/packages/core/src/usage/types.ts
+++ b/packages/core/src/usage/types.ts
@@ -13,4 +13,6 @@
   publishedRequests: number;
   publishedAt: number;
   requests: number;
+  /** Id of the newest published record. */
+  record: string;
 }
