--- /dev/null
+++ b/packages/bench/src/fleet/driven_core.ts
@@ -0,0 +1,74 @@
+/**
+ * One real core driven in virtual time.
+ *
+ * @module
+ */
+import {
+  createState,
+  type Effect,
+  type EventBody,
+  nextTimerAt,
+  reduce,
+  type State,
+} from "@primroseshed/core";
+import type { Clock } from "./clock.ts";
+
+/** Options of {@link createDrivenCore}. */
+export interface DrivenCoreOptions {
+  name: string;
+  seed: number;
+  zone?: string;
+  incarnation?: string;
+  carryOut(effect: Effect): void;
+  /** Called when a timer is due; feeds a tick by default. */
+  onTimer?(): void;
+}
+
+/** A core with its timers on a virtual clock. */
+export interface DrivenCore {
+  state: State;
+  feed(event: EventBody): void;
+}
+
+/** Creates a core whose timers run on `clock`. */
+export function createDrivenCore(
+  clock: Clock,
+  { name, seed, zone = "suva-a", incarnation = "1", carryOut, onTimer }:
+    DrivenCoreOptions,
+): DrivenCore {
+  const node = { name, zone, site: zone, incarnation, balancerLagMs: 100 };
+  const state = createState(node, { seed, now: clock.now });
+  let wakeAt = Infinity;
+
+  function wake(): void {
+    const next = nextTimerAt(state) ?? Infinity;
+    if (next >= wakeAt) return;
+    wakeAt = next;
+    clock.at(next, () => {
+      if (wakeAt !== next) return;
+      wakeAt = Infinity;
+      if (onTimer === undefined) feed({ kind: "tick" });
+      else onTimer();
+    });
+  }
+
+  function feed(event: EventBody): void {
+    for (const effect of reduce(state, { ...event, at: clock.now })) {
+      carryOut(effect);
+    }
+    wake();
+  }
+
+  return { state, feed };
+}
+
+/** The event by which one entry learns of another. */
+export function joinedEvent(name: string, incarnation = "1"): EventBody {
+  return {
+    kind: "peer_joined",
+    peer: name,
+    address: "",
+    zone: "",
+    incarnation,
+  };
+}
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -6,17 +6,15 @@
 import {
   type Arrival,
   type ConfigDocument,
-  createState,
   type Effect,
   type EventBody,
   type LogRecord,
   type MemberStatus,
-  nextTimerAt,
-  reduce,
   type State,
   type StoredRecord,
 } from "@primroseshed/core";
 import { type Clock, createClock } from "./clock.ts";
+import { createDrivenCore, joinedEvent } from "./driven_core.ts";
 import { createEngine, type Engine } from "./engine.ts";
 import type { Offer } from "./load.ts";
 import { createRecords, noteToken, type Records } from "./record.ts";
@@ -314,30 +312,21 @@
   function createCore(): Core {
     const index = cores.length;
     const name = `entry-${index}`;
-    const node = {
+    const driven = createDrivenCore(clock, {
       name,
-      zone: "suva-a",
-      site: "suva-a",
-      incarnation: "1",
-      balancerLagMs: 2_000,
-    };
-    const state = createState(node, {
       seed: options.seed + index,
-      now: clock.now,
+      carryOut: (effect) => carryOut(core, effect),
+      onTimer: () => core.feed({ kind: "tick" }),
     });
-    let wakeAt = Infinity;
     const core: Core = {
       name,
       dead: false,
-      state,
+      state: driven.state,
       steps: 0,
       feed(event) {
         if (core.dead) return;
         core.steps += 1;
-        for (const effect of reduce(state, { ...event, at: clock.now })) {
-          carryOut(core, effect);
-        }
-        wake();
+        driven.feed(event);
       },
       offer(offer) {
         const arrival: Arrival = {
@@ -353,28 +342,10 @@
         core.feed({ kind: "request_arrived", ...arrival });
       },
     };
-    function wake(): void {
-      const next = nextTimerAt(state) ?? Infinity;
-      if (next >= wakeAt) return;
-      wakeAt = next;
-      clock.at(next, () => {
-        if (wakeAt !== next) return;
-        wakeAt = Infinity;
-        core.feed({ kind: "tick" });
-      });
-    }
     for (const peer of cores) {
       if (peer.dead) continue;
-      const join = (other: Core) =>
-        ({
-          kind: "peer_joined",
-          peer: other.name,
-          address: "",
-          zone: "suva-a",
-          incarnation: "1",
-        }) as const;
-      peer.feed(join(core));
-      core.feed(join(peer));
+      peer.feed(joinedEvent(core.name));
+      core.feed(joinedEvent(peer.name));
     }
     cores.push(core);
     core.feed({
--- a/packages/bench/src/groups/world.ts
+++ b/packages/bench/src/groups/world.ts
@@ -5,7 +5,6 @@
  */
 import {
   createRandom,
-  createState,
   type Effect,
   type EngineOrder,
   type EventBody,
@@ -13,13 +12,12 @@
   type MemberStatus,
   nextFloat,
   nextIndex,
-  nextTimerAt,
-  reduce,
   type State,
   type StoredRecord,
   type VmListing,
 } from "@primroseshed/core";
 import { type Clock, createClock } from "../fleet/clock.ts";
+import { createDrivenCore, joinedEvent } from "../fleet/driven_core.ts";
 
 /** Shape and faults of a world. */
 export interface WorldOptions {
@@ -320,50 +318,26 @@
 
   function start(index: number): void {
     const name = `entry-${index}`;
-    const node = {
+    const driven = createDrivenCore(clock, {
       name,
-      zone: "zone-0",
-      site: "zone-0",
-      incarnation: "1",
-      balancerLagMs: 100,
-    };
-    const state = createState(node, {
       seed: options.seed + index,
-      now: clock.now,
+      zone: "zone-0",
+      carryOut: (effect) => carryOut(daemon, effect),
+      onTimer: () => daemon.feed({ kind: "tick" }),
     });
-    let wakeAt = Infinity;
     const daemon: Daemon = {
       name,
-      state,
+      state: driven.state,
       pausedUntil: 0,
       cutFromLog: false,
       feed(event) {
-        if (clock.now < daemon.pausedUntil) {
-          return clock.at(daemon.pausedUntil, () => daemon.feed(event));
-        }
-        for (const effect of reduce(state, { ...event, at: clock.now })) {
-          carryOut(daemon, effect);
-        }
-        const next = nextTimerAt(state) ?? Infinity;
-        if (next >= wakeAt) return;
-        wakeAt = next;
-        clock.at(next, () => {
-          wakeAt = Infinity;
-          daemon.feed({ kind: "tick" });
-        });
+        if (clock.now >= daemon.pausedUntil) driven.feed(event);
+        else clock.at(daemon.pausedUntil, () => daemon.feed(event));
       },
     };
     for (const peer of daemons) {
-      const joined = (other: Daemon) =>
-        ({
-          kind: "peer_joined",
-          peer: other.name,
-          address: "",
-          zone: "",
-          incarnation: "1",
-        }) as const;
-      peer.feed(joined(daemon));
-      daemon.feed(joined(peer));
+      peer.feed(joinedEvent(daemon.name));
+      daemon.feed(joinedEvent(peer.name));
     }
     daemons.push(daemon);
     for (const begin of [read, poll, list, offer]) begin(daemon);
--- a/packages/bench/src/schedules/schedule.ts
+++ b/packages/bench/src/schedules/schedule.ts
@@ -6,19 +6,18 @@
 import {
   type ConfigDocument,
   createRandom,
-  createState,
   type Effect,
   type EventBody,
+  hashText,
   type LogRecord,
   nextFloat,
   nextIndex,
-  nextTimerAt,
-  reduce,
   type State,
   type StoredRecord,
   type Verdict,
 } from "@primroseshed/core";
 import { type Clock, createClock } from "../fleet/clock.ts";
+import { createDrivenCore, joinedEvent } from "../fleet/driven_core.ts";
 
 /** What a schedule may do. */
 export interface ScheduleOptions {
@@ -237,37 +236,23 @@
   }
 
   function start(name: string, incarnation: number): Daemon {
-    const node = {
+    const driven = createDrivenCore(clock, {
       name,
+      seed: hashText(`${options.seed}/${name}/${incarnation}`),
       zone: "z",
-      site: "z",
       incarnation: `i${incarnation}`,
-      balancerLagMs: 100,
-    };
-    const state = createState(node, {
-      seed: options.seed + incarnation,
-      now: clock.now,
+      carryOut: (effect) => carryOut(daemon, effect),
+      onTimer: () => daemon.feed({ kind: "tick" }),
     });
-    let wakeAt = Infinity;
     const daemon: Daemon = {
       name,
-      state,
+      state: driven.state,
       dead: false,
       cutFromLog: false,
       incarnation,
       offset: -1,
       feed(event) {
-        if (daemon.dead) return;
-        for (const effect of reduce(state, { ...event, at: clock.now })) {
-          carryOut(daemon, effect);
-        }
-        const next = nextTimerAt(state) ?? Infinity;
-        if (next >= wakeAt) return;
-        wakeAt = next;
-        clock.at(next, () => {
-          wakeAt = Infinity;
-          daemon.feed({ kind: "tick" });
-        });
+        if (!daemon.dead) driven.feed(event);
       },
     };
     join(daemon);
@@ -280,14 +265,8 @@
   function join(daemon: Daemon): void {
     for (const peer of daemons) {
       if (peer.dead || peer.name === daemon.name) continue;
-      const event = (other: Daemon) =>
-        ({
-          kind: "peer_joined",
-          peer: other.name,
-          address: "",
-          zone: "z",
-          incarnation: other.state.node.incarnation,
-        }) as const;
+      const event = ({ name, state }: Daemon) =>
+        joinedEvent(name, state.node.incarnation);
       peer.feed(event(daemon));
       daemon.feed(event(peer));
     }
