--- /dev/null
+++ b/packages/system_tests/src/operator_test.ts
@@ -0,0 +1,97 @@
+import { type System, waitUntil } from "@primroseshed/stand_ins";
+import type { Daemon } from "@primroseshed/daemon";
+import { expect } from "chai";
+import { chat } from "./client.ts";
+import { startTestSystem } from "./fixture.ts";
+
+const OPERATOR = { authorization: "Bearer demo-operator-key" };
+
+function ask(
+  daemon: Daemon,
+  path: string,
+  init: RequestInit = { headers: OPERATOR },
+): Promise<Response> {
+  return fetch(`${daemon.addresses.operators}${path}`, init);
+}
+
+describe("operators' listener", () => {
+  let system: System;
+  before(async () => {
+    system = await startTestSystem({ enginesPerZone: 2, replicas: 3 });
+    await waitUntil(() =>
+      system.daemons.every(({ state }) => state.peers.size === 1)
+    );
+  });
+  after(() => system.kill());
+
+  it("is open for health and readiness only", async () => {
+    const statuses = await Promise.all(
+      [
+        "/healthz",
+        "/readyz",
+        "/metrics",
+        "/state",
+        "/status",
+        "/groups",
+        "/config",
+      ].map(async (path) => (await ask(system.daemons[0]!, path, {})).status),
+    );
+    expect(statuses).to.deep.equal([200, 200, 401, 401, 401, 401, 401]);
+  });
+
+  it("counts requests by owner, rank and verdict, and measures tokens", async () => {
+    await chat(system.daemons[0]!, "hello", {
+      headers: { "primrose-rank": "urgent" },
+    });
+    const text = await (await ask(system.daemons[0]!, "/metrics")).text();
+    expect(text).to.match(
+      /primrose_requests_total\{owner="tavua",rank="urgent",verdict="ran",code="ok"\} 1/,
+    );
+    expect(text).to.match(
+      /primrose_first_token_seconds_count\{owner="tavua",rank="urgent"\} 1/,
+    );
+    expect(text).to.match(/primrose_between_tokens_seconds_bucket/);
+    expect(text).to.match(
+      /primrose_queue_depth\{deployment="assistant",rank="batch"\} 0/,
+    );
+    expect(text).to.match(
+      /primrose_targets\{deployment="assistant",phase="serving"\} 3/,
+    );
+  });
+
+  it("refuses a drain that cannot be meant", async () => {
+    const bodies = [
+      "{",
+      '{"what":"zone","name":"x"}',
+      '{"what":"node","name":"entry-9"}',
+    ];
+    for (const body of bodies) {
+      const response = await ask(system.daemons[0]!, "/drain", {
+        method: "POST",
+        headers: OPERATOR,
+        body,
+      });
+      expect(response.status).to.equal(400);
+    }
+    expect(system.daemons[0]!.state.phase).to.equal("serving");
+  });
+
+  it("drains a VM at every entry, also where only a peer said so", async () => {
+    const [told, other] = system.daemons;
+    const target = [...other!.state.targets.values()].find(({ epoch }) =>
+      epoch !== undefined
+    )!;
+    const name = target.members[0]!.member.vm;
+    const body = JSON.stringify({ what: "vm", name });
+    const response = await ask(told!, "/drain", {
+      method: "POST",
+      headers: OPERATOR,
+      body,
+    });
+    expect(response.status).to.equal(202);
+    await waitUntil(() =>
+      target.phase === "draining" || target.phase === "gone"
+    );
+    expect(other!.state.leaving.has(name)).to.equal(true);
+  });
+});
