Refuse at once while nothing serves a deployment

Cause: such work waited half a second for a group that could not come. Change: after a second without a serving target it is refused as not run, with the time to come back; before that it waits, since a group may be back in time.

--- a/packages/core/src/capacity/targets.ts
+++ b/packages/core/src/capacity/targets.ts
@@ -80,6 +80,7 @@
   setFree(pool.serving, target.name, {
     free: target.phase === "serving" && target.allowance > 0,
   });
+  if (pool.serving.names.length > 0) pool.servedAt = state.now;
   setFree(pool.free, target.name, {
     free: target.attempts.size < target.allowance,
   });
--- a/packages/core/src/request/dispatch.ts
+++ b/packages/core/src/request/dispatch.ts
@@ -21,12 +21,22 @@
 import { preemptFor } from "./preempt.ts";
 import type { Request } from "./types.ts";
 
+/** Without a serving target for this long, new work is refused at once, ms. */
+const NO_CAPACITY_MS = 1_000;
+
 /** Puts a request into its queue; a resumed one goes before everything else. */
 export function* enqueueRequest(
   state: State,
   pool: Pool,
   request: Request,
 ): Effects {
+  if (hasNoCapacity(state, pool)) {
+    const message = `Nothing serves "${pool.name}" at present`;
+    const { verdict } = request;
+    return yield* refuseRequest(state, request, {
+      refusal: { code: "no_capacity", message, verdict },
+    });
+  }
   if (!advance(request, "enqueue")) return;
   if (request.delivered > 0) pool.resumptions.push(request);
   else {enqueue(pool.queues[request.rank], request, {
@@ -41,6 +51,15 @@
   yield* shedOverflow(state, pool, request);
 }
 
+// A target that was there a moment ago may be back in time; one that was not will not be.
+function hasNoCapacity(state: State, pool: Pool): boolean {
+  if (pool.serving.names.length > 0) {
+    pool.servedAt = state.now;
+    return false;
+  }
+  return state.now - pool.servedAt > NO_CAPACITY_MS;
+}
+
 function* shedOverflow(state: State, pool: Pool, arrived: Request): Effects {
   let excess = overflowOf(state, pool, arrived);
   while (excess !== undefined) {
--- a/packages/core/src/state/create_state.ts
+++ b/packages/core/src/state/create_state.ts
@@ -121,6 +121,7 @@
     entries: 1,
     targets: new Set(),
     free: createFreeList(),
+    servedAt: now,
     serving: createFreeList(),
     overdrawn: 0,
     ejected: 0,
--- a/packages/core/src/state/types.ts
+++ b/packages/core/src/state/types.ts
@@ -111,6 +111,8 @@
   targets: Set<string>;
   /** Targets with room within this entry's allowance. */
   free: FreeList;
+  /** Time at which a target last took work at all. */
+  servedAt: number;
   /** Targets that take work at all. */
   serving: FreeList;
   /** Attempts over the allowances of their targets, summed. */
--- a/packages/system_tests/src/chat_test.ts
+++ b/packages/system_tests/src/chat_test.ts
@@ -209,4 +209,18 @@
       [],
     );
   });
+
+  it("refuses at once, and says when to come back, while no group serves", async () => {
+    const { state } = system.daemons[0]!;
+    await Promise.all(system.engines.map((engine) => engine.close()));
+    const pool = state.pools.get("assistant")!;
+    await waitUntil(() =>
+      pool.serving.names.length === 0 && state.now - pool.servedAt > 1_000
+    );
+    const response = await chat(system.daemons[0]!, PROMPT);
+    const { error } = await response.json() as ErrorBody;
+    expect(response.status).to.equal(503);
+    expect(error).to.include({ code: "no_capacity", verdict: "not_run" });
+    expect(Number(response.headers.get("retry-after"))).to.be.at.least(1);
+  });
 });
