--- a/packages/core/src/config/problem.ts
+++ b/packages/core/src/config/problem.ts
@@ -5,7 +5,7 @@
  */
 import { findNodeAtLocation, type Node, parseTree } from "jsonc-parser";
 import { distance } from "fastest-levenshtein";
-import type { z } from "zod";
+import type * as z from "zod";
 
 /** One thing wrong with a settings file. */
 export interface Problem {
--- a/packages/core/src/config/resolve.ts
+++ b/packages/core/src/config/resolve.ts
@@ -5,7 +5,7 @@
  */
 import { apply as applyMergePatch } from "json-merge-patch";
 import { parse, type ParseError, printParseErrorCode } from "jsonc-parser";
-import { z } from "zod";
+import * as z from "zod";
 import {
   describeIssues,
   formatProblem,
--- a/packages/core/src/config/schema.ts
+++ b/packages/core/src/config/schema.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const name = z.string().regex(
   /^[a-z0-9][a-z0-9-]*$/,
--- a/packages/core/src/config/types.ts
+++ b/packages/core/src/config/types.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { z } from "zod";
+import type * as z from "zod";
 import type { configSchema, deploymentSchema } from "./schema.ts";
 
 /** The three ranks of work, most urgent first. */
--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -88,6 +88,7 @@
   peer_refused: event(1603, "warn", "peer refused"),
   peer_frame_dropped: event(1604, "warn", "peer frame dropped"),
   usage_published: event(1701, "info", "usage published"),
+  lines_left_out: event(1803, "warn", "log lines left out"),
   settings_reloaded: event(1802, "info", "settings reloaded"),
   keys_reloaded: event(1801, "info", "keys reloaded"),
   internal_error: event(1901, "error", "internal error"),
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -52,7 +52,7 @@
 /** Creates the metrics; gauges are read from the state when scraped. */
 export function createGatewayMetrics(
   state: State,
-  { now }: { now: () => number },
+  { now, leftOutLines }: { now: () => number; leftOutLines: () => number },
 ): GatewayMetrics {
   const registry = new Registry();
   const registers = [registry];
@@ -116,6 +116,14 @@
     ["priority"],
   );
   createGauges(state, { registers, now });
+  new Gauge({
+    name: "primrose_log_lines_left_out",
+    help: "Log lines left out since the start",
+    registers,
+    collect() {
+      this.set(leftOutLines());
+    },
+  });
 
   const counters: EventCounters = {
     request_refused: ({ code }) => refusals.inc({ code: label(code) }),
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -5,7 +5,7 @@
  */
 import { readFileSync } from "node:fs";
 import { checkSchema, parseJsonc } from "@primroseshed/core";
-import { z } from "zod";
+import * as z from "zod";
 import { SettingsError } from "../settings/load.ts";
 
 const address = z.string().regex(
@@ -28,8 +28,12 @@
     routingWaitMs: milliseconds.default(1_000),
     /** A read of the list of runners waits this long for a change. */
     runnersWaitMs: milliseconds.default(1_500),
-    /** Changes of runners are gathered for this long. */
+    /** Changes of runners are gathered for this long at least. */
     gatherMs: milliseconds.default(200),
+    /** Gathered longer by this much for each listed runner. */
+    gatherMsPerRunner: milliseconds.default(5),
+    /** Longest time for which changes of runners are gathered. */
+    maxGatherMs: milliseconds.default(1_500),
     /** The same where this daemon plans the groups. */
     plannerGatherMs: milliseconds.default(40),
     /** A call without an answer is given up after this time beyond its wait. */
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -9,6 +9,7 @@
   createState,
   type Effect,
   type EventBody,
+  gatherMsOf,
   holdsDuty,
   isGatewayReady,
   type RoutingDocument,
@@ -117,7 +118,10 @@
   const log: Logger["write"] = (event, fields) => logger.write(event, fields);
   const agents = createAgents(timing);
   const relays = new Map<string, Relay>();
-  const metrics = createGatewayMetrics(state, { now: monotonicNow });
+  const metrics = createGatewayMetrics(state, {
+    now: monotonicNow,
+    leftOutLines: () => logger.leftOut(),
+  });
   const dispatch = (event: EventBody) => driver.dispatch(event);
   let resolveStopped: (cut: number) => void;
   const stopped = new Promise<number>((resolve) => resolveStopped = resolve);
@@ -234,9 +238,10 @@
       topic: adapters.runners,
       waitMs: store.runnersWaitMs,
       gatherMs: () =>
-        holdsDuty(state.gateway!.formation.duty, monotonicNow())
-          ? store.plannerGatherMs
-          : store.gatherMs,
+        gatherMsOf(store, {
+          runners: state.gateway!.runners.size,
+          isPlanner: holdsDuty(state.gateway!.formation.duty, monotonicNow()),
+        }),
       onNews: (news) => dispatch(runnersNews(news)),
       log,
     }),
--- a/packages/daemon/src/http/chat_request.ts
+++ b/packages/daemon/src/http/chat_request.ts
@@ -9,7 +9,7 @@
   nearestName,
   type Problem,
 } from "@primroseshed/core";
-import { z } from "zod";
+import * as z from "zod";
 import { RequestError } from "./errors.ts";
 
 const part = z.looseObject({ type: z.string(), text: z.string().optional() });
--- /dev/null
+++ b/packages/daemon/src/observe/log_budget_test.ts
@@ -0,0 +1,54 @@
+import { expect } from "chai";
+import { createLogBudget, LOG_LIMITS } from "./log_budget.ts";
+
+const LIMITS = { linesPerSecond: 10, burst: 5, maxUnreadBytes: 1_000 };
+
+function countTaken(
+  budget: ReturnType<typeof createLogBudget>,
+  lines: number,
+  { now }: { now: number },
+): number {
+  let taken = 0;
+  for (let line = 0; line < lines; line += 1) {
+    if (budget.take("info", { now, unreadBytes: 0 })) taken += 1;
+  }
+  return taken;
+}
+
+describe("log budget", () => {
+  it("lets a burst through, then the average rate", () => {
+    const budget = createLogBudget(LIMITS);
+    expect(countTaken(budget, 20, { now: 0 })).to.equal(5);
+    expect(countTaken(budget, 20, { now: 200 })).to.equal(2);
+  });
+
+  it("counts the lines it left out, once", () => {
+    const budget = createLogBudget(LIMITS);
+    countTaken(budget, 20, { now: 0 });
+    expect(budget.takeLeftOut()).to.equal(15);
+    expect(budget.takeLeftOut()).to.equal(0);
+  });
+
+  it("writes warnings and errors beyond the rate", () => {
+    const budget = createLogBudget(LIMITS);
+    countTaken(budget, 20, { now: 0 });
+    expect(budget.take("warn", { now: 0, unreadBytes: 0 })).to.equal(true);
+    expect(budget.take("error", { now: 0, unreadBytes: 0 })).to.equal(true);
+  });
+
+  it("writes nothing while the reader does not keep up", () => {
+    const budget = createLogBudget(LIMITS);
+    expect(budget.take("error", { now: 0, unreadBytes: 1_001 })).to.equal(
+      false,
+    );
+    expect(budget.take("error", { now: 0, unreadBytes: 1_000 })).to.equal(true);
+  });
+
+  it("has room for every line of a daemon at the target's mean load", () => {
+    const requestsPerSecond = 53_000 / 950;
+    const linesPerRequest = 4;
+    expect(LOG_LIMITS.linesPerSecond).to.be.above(
+      requestsPerSecond * linesPerRequest,
+    );
+  });
+});
--- a/packages/daemon/src/observe/logger.ts
+++ b/packages/daemon/src/observe/logger.ts
@@ -1,10 +1,13 @@
 /**
- * Numbered log events as JSON lines.
+ * Numbered log events as JSON lines; bounded, and never waiting for the reader.
  *
  * @module
  */
+import process from "node:process";
 import { LOG_EVENTS, type LogEventName } from "@primroseshed/core";
 import winston from "winston";
+import { monotonicNow } from "../driver/driver.ts";
+import { createLogBudget, LOG_LIMITS, type LogLimits } from "./log_budget.ts";
 
 /** Fields of a log event. */
 export type LogFields = Record<string, unknown>;
@@ -14,17 +17,35 @@
   write(event: LogEventName, fields?: LogFields): void;
   /** Changes the least severity that is written. */
   setLevel(level: string): void;
+  /** Lines left out since the start, since there were too many or the reader did not keep up. */
+  leftOut(): number;
 }
 
+/** Options of {@link createLogger}. */
+export interface LoggerOptions {
+  level: string;
+  node: string;
+  to?: "stdout" | "stderr";
+  limits?: LogLimits;
+  /** Bytes written that the reader has not taken. */
+  unreadBytes?: () => number;
+  /** Extra places for lines, for tests. */
+  transports?: winston.transport[];
+}
+
+/** Lines left out are told this often at most, ms. */
+const REPORT_MS = 1_000;
+
 /** Creates a logger that writes JSON lines to standard error, or to standard output where `to` says so. */
 export function createLogger(
-  { level, node, to = "stderr" }: {
-    level: string;
-    node: string;
-    to?: "stdout" | "stderr";
-  },
+  { level, node, to = "stderr", limits = LOG_LIMITS, ...options }:
+    LoggerOptions,
 ): Logger {
+  // Node writes to a pipe without waiting and buffers what the reader has not taken.
+  const { unreadBytes = () => process[to].writableLength } = options;
   const stderrLevels = to === "stderr" ? ["error", "warn", "info"] : [];
+  const { transports = [new winston.transports.Console({ stderrLevels })] } =
+    options;
   const logger = winston.createLogger({
     level,
     format: winston.format.combine(
@@ -32,15 +53,42 @@
       winston.format.json(),
     ),
     defaultMeta: { node },
-    transports: [new winston.transports.Console({ stderrLevels })],
+    transports,
   });
+  const budget = createLogBudget(limits);
+  let leftOut = 0;
+  let toldAt = -Infinity;
+
+  function writeLine(event: LogEventName, fields: LogFields): void {
+    const { number, severity, text } = LOG_EVENTS[event];
+    logger.log({ ...fields, level: severity, message: text, event, number });
+  }
+
+  function tellLeftOut(now: number): void {
+    if (now - toldAt < REPORT_MS) return;
+    const count = budget.takeLeftOut();
+    if (count === 0) return;
+    toldAt = now;
+    leftOut += count;
+    writeLine("lines_left_out", { count, total: leftOut });
+  }
+
   return {
     setLevel(next) {
       logger.level = next;
     },
+    leftOut: () => leftOut,
     write(event, fields = {}) {
-      const { number, severity, text } = LOG_EVENTS[event];
-      logger.log({ ...fields, level: severity, message: text, event, number });
+      const { severity } = LOG_EVENTS[event];
+      if (!logger.isLevelEnabled(severity)) return;
+      const now = monotonicNow();
+      const isTaken = budget.take(severity, {
+        now,
+        unreadBytes: unreadBytes(),
+      });
+      if (!isTaken) return;
+      writeLine(event, fields);
+      tellLeftOut(now);
     },
   };
 }
--- a/packages/daemon/src/peers/handshake.ts
+++ b/packages/daemon/src/peers/handshake.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Version of the protocol between daemons. */
 export const PROTOCOL_VERSION = 1;
--- a/packages/daemon/src/peers/message_schema.ts
+++ b/packages/daemon/src/peers/message_schema.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const count = z.number().min(0);
 const name = z.string().max(256);
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const ip = z.string().regex(
   /^[0-9a-f.:]+$/i,
