--- /dev/null
+++ b/packages/cli/src/commands/compare.ts
@@ -0,0 +1,100 @@
+/**
+ * `config compare`: what is in force at each daemon, how old the proof of it is, and where daemons differ.
+ *
+ * @module
+ */
+import { type Access, callAll } from "../daemon_client.ts";
+import { CommandError } from "../exit_codes.ts";
+import { formatTable, type Output, print } from "../output.ts";
+import { type Change, diffValues } from "./diff.ts";
+
+/** What one daemon has in force. */
+export interface InForce {
+  daemon: string;
+  /** Offset or version of the configuration. */
+  offset?: number;
+  /** Age of the last proof that it is current, ms. */
+  ageMs?: number | null;
+  document?: unknown;
+}
+
+/** One daemon that has something else in force than the newest. */
+export interface Difference {
+  daemon: string;
+  offset: number | undefined;
+  changes: Change[];
+}
+
+/**
+ * Compares each daemon with the one that has the newest configuration.
+ *
+ * @example
+ * ```ts
+ * compareInForce([{ daemon: "a", offset: 1, document: {} }]); // []
+ * ```
+ */
+export function compareInForce(daemons: readonly InForce[]): Difference[] {
+  const newest = daemons.reduce<InForce | undefined>(
+    (best, each) => (each.offset ?? -1) > (best?.offset ?? -1) ? each : best,
+    undefined,
+  );
+  if (newest === undefined) return [];
+  return daemons.flatMap(({ daemon, offset, document }) => {
+    const changes = diffValues(document ?? {}, newest.document);
+    return changes.length === 0 ? [] : [{ daemon, offset, changes }];
+  });
+}
+
+function formatDifference({ daemon, offset, changes }: Difference): string {
+  const head = `${daemon} (offset ${offset ?? "none"}) lacks:`;
+  const lines = changes.map(({ path, from, to }) =>
+    `  ${path}: ${JSON.stringify(from)} -> ${JSON.stringify(to)}`
+  );
+  return [head, ...lines].join("\n");
+}
+
+/** Shows what is in force at each daemon, and fails where daemons differ. */
+export async function compareConfigs(
+  access: Access,
+  output: Output,
+): Promise<void> {
+  const answers = await callAll<Omit<InForce, "daemon">>(access, "/config");
+  const daemons = answers.flatMap((answer) =>
+    answer.ok ? [{ ...answer.value, daemon: answer.daemon }] : []
+  );
+  const differences = compareInForce(daemons);
+  const rows = daemons.map(({ daemon, offset, ageMs }) => [
+    daemon,
+    offset,
+    ageMs === undefined || ageMs === null ? undefined : Math.round(ageMs),
+  ]);
+  print(
+    output,
+    {
+      daemons: daemons.map(({ daemon, offset, ageMs }) => ({
+        daemon,
+        offset,
+        ageMs,
+      })),
+      differences,
+    },
+    () =>
+      [
+        formatTable(["daemon", "offset", "age ms"], rows),
+        ...differences.map(formatDifference),
+      ].join("\n\n"),
+  );
+  const failed = answers.flatMap((answer) =>
+    answer.ok ? [] : [answer.error.message]
+  );
+  if (failed.length > 0) {
+    throw new CommandError("unreachable", failed.join("\n"));
+  }
+  if (differences.length > 0) {
+    const names = differences.map(({ daemon }) => daemon).join(", ");
+    throw new CommandError(
+      "incomplete",
+      `The newest configuration is not yet in force at: ${names}`,
+    );
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/compare_test.ts
@@ -0,0 +1,33 @@
+import { expect } from "chai";
+import { compareInForce } from "./compare.ts";
+
+describe("config compare", () => {
+  it("finds no difference between daemons with the same configuration", () => {
+    const document = { routes: [{ name: "a" }] };
+    const differences = compareInForce([
+      { daemon: "a", offset: 3, document },
+      { daemon: "b", offset: 3, document },
+    ]);
+    expect(differences).to.deep.equal([]);
+  });
+
+  it("names the daemon and the field that lag behind the newest", () => {
+    const differences = compareInForce([
+      { daemon: "a", offset: 3, document: { limits: { bytes: 1 } } },
+      { daemon: "b", offset: 4, document: { limits: { bytes: 2 } } },
+    ]);
+    expect(differences).to.deep.equal([{
+      daemon: "a",
+      offset: 3,
+      changes: [{ path: "limits.bytes", from: 1, to: 2 }],
+    }]);
+  });
+
+  it("counts a daemon without a configuration as different", () => {
+    const differences = compareInForce([
+      { daemon: "a" },
+      { daemon: "b", offset: 4, document: { limits: {} } },
+    ]);
+    expect(differences.map(({ daemon }) => daemon)).to.deep.equal(["a"]);
+  });
+});
--- /dev/null
+++ b/packages/cli/src/commands/explain.ts
@@ -0,0 +1,217 @@
+/**
+ * `explain`: from a request's id to what happened to it, from the log lines of any number of daemons.
+ *
+ * @module
+ */
+import { CommandError } from "../exit_codes.ts";
+import { type Cell, formatTable, type Output, print } from "../output.ts";
+
+/** One line of a daemon's log. */
+export interface LogLine {
+  /** Place of the line in the input. */
+  index: number;
+  /** Time of day, ms; undefined where the line names none. */
+  at: number | undefined;
+  node: string;
+  event: string;
+  fields: Record<string, unknown>;
+}
+
+/** What the log says of a request. */
+export interface Explanation {
+  /** Lines of the request itself, in order. */
+  own: LogLine[];
+  /** Lines of the same time that tell what its runners and its daemon went through. */
+  around: LogLine[];
+  /** One sentence for each attempt of the caller. */
+  conclusions: string[];
+}
+
+/** Lines this long before the request's first line may hold the cause, ms. */
+const BEFORE_MS = 5_000;
+/** Lines this long after its last line may still tell of the cause, ms. */
+const AFTER_MS = 2_000;
+
+const COMMON_FIELDS = new Set([
+  "event",
+  "level",
+  "message",
+  "node",
+  "number",
+  "timestamp",
+  "request",
+]);
+/** Events of a daemon that change what it can serve. */
+const DAEMON_EVENTS = new Set([
+  "belief_lost",
+  "belief_regained",
+  "clock_jumped",
+  "routing_in_force",
+  "started",
+  "stopping",
+  "lines_left_out",
+]);
+
+/** Parses a log line; whatever stands before its JSON object is ignored. */
+export function parseLine(text: string, index: number): LogLine | undefined {
+  const start = text.indexOf("{");
+  if (start < 0) return undefined;
+  let fields: Record<string, unknown>;
+  try {
+    fields = JSON.parse(text.slice(start));
+  } catch {
+    return undefined;
+  }
+  if (typeof fields.event !== "string") return undefined;
+  const at = Date.parse(String(fields.timestamp));
+  return {
+    index,
+    at: Number.isNaN(at) ? undefined : at,
+    node: String(fields.node ?? ""),
+    event: fields.event,
+    fields,
+  };
+}
+
+function byTime(left: LogLine, right: LogLine): number {
+  return (left.at ?? 0) - (right.at ?? 0) || left.index - right.index;
+}
+
+function isOf({ fields }: LogLine, id: string): boolean {
+  const { request } = fields;
+  if (typeof request !== "string") return false;
+  return request === id || request.startsWith(`${id}#`);
+}
+
+function mentions({ fields }: LogLine, runners: ReadonlySet<string>): boolean {
+  if (runners.has(String(fields.runner))) return true;
+  const { members } = fields;
+  return typeof members === "string" &&
+    members.split(" ").some((member) => runners.has(member));
+}
+
+function listAround(
+  lines: readonly LogLine[],
+  own: readonly LogLine[],
+): LogLine[] {
+  const times = own.flatMap(({ at }) => at ?? []);
+  const from = Math.min(...times) - BEFORE_MS;
+  const until = Math.max(...times) + AFTER_MS;
+  const nodes = new Set(own.map(({ node }) => node));
+  const runners = new Set(
+    own.flatMap(({ fields }) =>
+      typeof fields.runner === "string" ? fields.runner : []
+    ),
+  );
+  return lines.filter((line) => {
+    const { at, node, event, fields } = line;
+    if (at === undefined || at < from || at > until) return false;
+    if (fields.request !== undefined) return false;
+    return mentions(line, runners) ||
+      nodes.has(node) && DAEMON_EVENTS.has(event);
+  }).sort(byTime);
+}
+
+function text(value: unknown): string {
+  return String(value ?? "unknown");
+}
+
+type Conclusion = (fields: Record<string, unknown>) => string;
+
+const CONCLUSIONS: Record<string, Conclusion> = {
+  request_refused: ({ code, configAge }) =>
+    `was refused on arrival: ${text(code)}` +
+    (configAge === undefined || configAge === null
+      ? ""
+      : `, with a configuration proved ${text(configAge)} ms before`),
+  request_ended: ({ verdict, code, tries, tookMs }) =>
+    `ended ${code === undefined ? "well" : `as ${text(code)}`}` +
+    ` (${text(verdict)}) after ${text(tries)} tries and ${text(tookMs)} ms`,
+};
+
+function concludeAttempt(request: string, lines: readonly LogLine[]): string {
+  const last = lines.findLast(({ event }) => event in CONCLUSIONS);
+  const failures = lines.filter(({ event }) => event === "attempt_failed")
+    .map(({ fields }) => `${text(fields.runner)}: ${text(fields.outcome)}`);
+  const end = last === undefined
+    ? "has no end in these lines"
+    : CONCLUSIONS[last.event]!(last.fields);
+  const where = lines.at(-1)?.node ?? "unknown";
+  const tail = failures.length === 0
+    ? ""
+    : `; failed at ${failures.join(", ")}`;
+  return `${request} at ${where} ${end}${tail}`;
+}
+
+/**
+ * Explains a request by its id, with or without the daemon's own count.
+ *
+ * @example
+ * ```ts
+ * explainRequest(lines, "e9801bdaa3c103bd").conclusions;
+ * ```
+ */
+export function explainRequest(
+  lines: readonly LogLine[],
+  id: string,
+): Explanation {
+  const own = lines.filter((line) => isOf(line, id)).sort(byTime);
+  const attempts = new Map<string, LogLine[]>();
+  for (const line of own) {
+    const key = `${String(line.fields.request)} ${line.node}`;
+    attempts.set(key, [...attempts.get(key) ?? [], line]);
+  }
+  const conclusions = [...attempts.values()].map((group) =>
+    concludeAttempt(String(group[0]!.fields.request), group)
+  );
+  return { own, around: listAround(lines, own), conclusions };
+}
+
+function detailsOf({ fields }: LogLine): string {
+  return Object.entries(fields)
+    .filter(([name]) => !COMMON_FIELDS.has(name))
+    .map(([name, value]) => `${name}=${text(value)}`).join(" ");
+}
+
+function formatLines(lines: readonly LogLine[]): string {
+  const rows = lines.map((line): Cell[] => [
+    line.at === undefined ? undefined : new Date(line.at).toISOString(),
+    line.node,
+    line.event,
+    detailsOf(line),
+  ]);
+  return formatTable(["time", "daemon", "event", "details"], rows);
+}
+
+function formatExplanation(
+  { own, around, conclusions }: Explanation,
+): string {
+  const parts = [conclusions.join("\n"), formatLines(own)];
+  if (around.length > 0) {
+    parts.push(`At the same time:\n${formatLines(around)}`);
+  }
+  return parts.join("\n\n");
+}
+
+/** Reads log lines and shows what happened to a request. */
+export async function explain(
+  input: AsyncIterable<string>,
+  output: Output,
+  { id }: { id: string },
+): Promise<void> {
+  const lines: LogLine[] = [];
+  let index = 0;
+  for await (const textLine of input) {
+    const line = parseLine(textLine, index);
+    if (line !== undefined) lines.push(line);
+    index += 1;
+  }
+  const explanation = explainRequest(lines, id);
+  if (explanation.own.length === 0) {
+    throw new CommandError(
+      "failed",
+      `Cannot find request "${id}" in ${lines.length} log lines; check that the logs of all daemons and of that time are there`,
+    );
+  }
+  print(output, explanation, formatExplanation);
+}
--- /dev/null
+++ b/packages/cli/src/commands/explain_test.ts
@@ -0,0 +1,101 @@
+import { expect } from "chai";
+import { CommandError } from "../exit_codes.ts";
+import { explain, explainRequest, type LogLine, parseLine } from "./explain.ts";
+
+const START = Date.parse("2026-04-07T01:21:10.000Z");
+
+function line(
+  seconds: number,
+  event: string,
+  fields: Record<string, unknown> = {},
+): string {
+  const timestamp = new Date(START + seconds * 1_000).toISOString();
+  return `${seconds} vm-1 ${
+    JSON.stringify({ event, node: "vm-1", timestamp, ...fields })
+  }`;
+}
+
+const LOG = [
+  line(9, "runner_silent", { runner: "i-1", misses: 2 }),
+  line(10, "request_sent", { request: "abc#7", runner: "i-1", try: 1 }),
+  line(10.1, "request_sent", { request: "other#8", runner: "i-1", try: 1 }),
+  line(11, "attempt_failed", {
+    request: "abc#7",
+    runner: "i-1",
+    outcome: "body_cut_off",
+  }),
+  line(11.2, "group_planned", { group: "g1", members: "i-3 i-1" }),
+  line(11.5, "request_ended", {
+    request: "abc#7",
+    verdict: "may_have_run",
+    code: "backend_failed",
+    tries: 1,
+    tookMs: 1500,
+  }),
+  line(30, "runner_gone", { runner: "i-1" }),
+];
+
+function parseAll(texts: readonly string[]): LogLine[] {
+  return texts.flatMap((text, index) => parseLine(text, index) ?? []);
+}
+
+async function* stream(texts: readonly string[]) {
+  yield* texts;
+}
+
+describe("explain", () => {
+  it("reads lines behind any prefix and passes over what is no log line", () => {
+    const lines = parseAll(["", "plain text", "{broken", LOG[0]!]);
+    expect(lines.map(({ event }) => event)).to.deep.equal(["runner_silent"]);
+  });
+
+  it("orders a request's lines by time, whatever the order of the input", () => {
+    const { own } = explainRequest(parseAll(LOG.toReversed()), "abc");
+    expect(own.map(({ event }) => event)).to.deep.equal([
+      "request_sent",
+      "attempt_failed",
+      "request_ended",
+    ]);
+  });
+
+  it("adds what its runners went through at the same time, and nothing of other requests", () => {
+    const { around } = explainRequest(parseAll(LOG), "abc");
+    expect(around.map(({ event }) => event)).to.deep.equal([
+      "runner_silent",
+      "group_planned",
+    ]);
+  });
+
+  it("concludes with the end and the tries that failed", () => {
+    const { conclusions } = explainRequest(parseAll(LOG), "abc#7");
+    expect(conclusions).to.deep.equal([
+      "abc#7 at vm-1 ended as backend_failed (may_have_run) after 1 tries and 1500 ms; failed at i-1: body_cut_off",
+    ]);
+  });
+
+  it("tells the age of the configuration where a request was refused on arrival", () => {
+    const refused = line(1, "request_refused", {
+      request: "abc#1",
+      code: "not_ready",
+      configAge: 4_300,
+    });
+    const { conclusions } = explainRequest(parseAll([refused]), "abc");
+    expect(conclusions[0]).to.contain("refused on arrival: not_ready")
+      .and.contain("4300 ms before");
+  });
+
+  it("does not take an id for another that begins with it", () => {
+    const { own } = explainRequest(parseAll(LOG), "ab");
+    expect(own).to.deep.equal([]);
+  });
+
+  it("fails where no line names the request", async () => {
+    const output = { json: false, write: () => undefined };
+    const error = await explain(stream(LOG), output, { id: "missing" }).then(
+      () => undefined,
+      (thrown: unknown) => thrown,
+    );
+    expect(error).to.be.instanceOf(CommandError);
+    expect((error as CommandError).message).to.contain("7 log lines");
+  });
+});
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -18,7 +18,10 @@
   phase: string;
   ready: boolean;
   configOffset?: number;
-  foldNext: number;
+  /** Age of the last proof that the configuration is current, ms; only of daemons on a shared fleet. */
+  configAgeMs?: number | null;
+  /** Only of daemons that fold the log. */
+  foldNext?: number;
   logReachable: boolean;
   requests: number;
   peers: unknown[];
@@ -31,7 +34,9 @@
   phase: string;
   epoch: number | null;
   limit: number;
-  attempts: unknown[];
+  /** Own requests in flight; daemons that keep each of them list them instead. */
+  inFlight?: number;
+  attempts?: unknown[];
   members: { member: { vm: string; zone: string; domain: string } }[];
 }
 
@@ -53,6 +58,7 @@
     "phase",
     "ready",
     "config",
+    "age ms",
     "fold",
     "log",
     "requests",
@@ -66,6 +72,7 @@
       phase,
       ready,
       configOffset,
+      configAgeMs,
       foldNext,
       logReachable,
       requests,
@@ -77,6 +84,7 @@
       phase,
       ready,
       configOffset,
+      configAgeMs ?? undefined,
       foldNext,
       logReachable ? "up" : "down",
       requests,
@@ -140,7 +148,17 @@
         "members",
       ],
       targets.map((
-        { daemon, name, deployment, phase, epoch, limit, attempts, members },
+        {
+          daemon,
+          name,
+          deployment,
+          phase,
+          epoch,
+          limit,
+          inFlight,
+          attempts,
+          members,
+        },
       ) => [
         daemon,
         name,
@@ -148,7 +166,7 @@
         phase,
         epoch ?? undefined,
         limit,
-        attempts.length,
+        inFlight ?? attempts?.length,
         members.map(({ member }) => member.vm).join(" "),
       ]),
     ));
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -12,6 +12,8 @@
   showHistory,
   validateConfig,
 } from "./commands/config.ts";
+import { compareConfigs } from "./commands/compare.ts";
+import { explain } from "./commands/explain.ts";
 import {
   drain,
   dumpStates,
@@ -26,6 +28,8 @@
 /** Surroundings of a run, so that tests need no process. */
 export interface Surroundings {
   env: Readonly<Record<string, string | undefined>>;
+  /** Lines of standard input. */
+  stdin: AsyncIterable<string>;
   stdout(text: string): void;
   stderr(text: string): void;
 }
@@ -65,7 +69,7 @@
   args: readonly string[],
   surroundings: Surroundings,
 ): Promise<number> {
-  const { env, stdout, stderr } = surroundings;
+  const { env, stdin, stdout, stderr } = surroundings;
   const accessOf = ({ daemon, key }: Common): Access => ({
     daemons: daemon,
     key,
@@ -115,6 +119,18 @@
           .positional("name", { type: "string", demandOption: true }),
       (argv) => drain(accessOf(argv), outputOf(argv), argv),
     )
+    .command(
+      "explain <request>",
+      "Tell from log lines on standard input what happened to a request",
+      (builder) =>
+        builder
+          .positional("request", { type: "string", demandOption: true })
+          .example(
+            "cat logs/*.jsonl | $0 explain e9801bdaa3c103bd",
+            "Follow a request through the logs of all daemons",
+          ),
+      (argv) => explain(stdin, outputOf(argv), { id: argv.request }),
+    )
     .command(
       "config",
       "Work with the configuration",
@@ -126,6 +142,15 @@
       (builder) => addUsageCommands(builder as Argv<Common>),
     )
     .demandCommand(1, "Name a command; see --help")
+    .example(
+      "$0 --daemon http://10.1.0.40:7340 status",
+      "What one daemon knows and what is wrong",
+    )
+    .example(
+      "$0 --daemon http://10.1.0.40:7340 --daemon http://10.2.0.29:7340 config compare",
+      "Whether two daemons have the same configuration in force",
+    )
+    .epilogue("Exit codes are listed in docs/api.md")
     .strict()
     .version("0.1.0")
     .exitProcess(false)
@@ -183,6 +208,12 @@
             waitMs: argv.waitMs,
           }),
       )
+      .command(
+        "compare",
+        "Show what is in force at each daemon, its age, and where they differ",
+        (inner) => inner,
+        (argv) => compareConfigs(accessOf(argv), outputOf(argv)),
+      )
       .command(
         "history",
         "List accepted configurations",
--- a/packages/daemon/src/gateway/operator_listener.ts
+++ b/packages/daemon/src/gateway/operator_listener.ts
@@ -1,13 +1,14 @@
 /**
- * The operators' listener of a gateway: health, metrics, groups, configuration and state.
+ * The operators' listener of a gateway; it only reads, and shows no keys.
  *
  * @module
  */
 import { createServer, type Server, type ServerResponse } from "node:http";
-import { ageOf, dumpState, type State, toJson } from "@primroseshed/core";
-import polka from "polka";
-import { sendError, sendJson } from "../http/errors.ts";
+import { ageOf, type State, toJson } from "@primroseshed/core";
+import { sendJson } from "../http/errors.ts";
+import { createOperatorPages } from "../http/operator_pages.ts";
 import type { GatewayMetrics } from "./metrics.ts";
+import { createGatewayStatus, listGatewayTargets } from "./status.ts";
 
 /** Options of {@link createOperatorListener}. */
 export interface OperatorListenerOptions {
@@ -16,67 +17,42 @@
   now(): number;
 }
 
-/** Creates the operators' listener; it only reads, and shows no keys. */
+/** Creates the operators' listener. */
 export function createOperatorListener(
   { state, metrics, now }: OperatorListenerOptions,
 ): Server {
   const gateway = state.gateway!;
 
-  function showGroups(response: ServerResponse): void {
-    const members = [...gateway.runners.values()].filter(({ membership }) =>
-      membership !== undefined
-    );
-    const body = members.map(({ id, zone, domain, model, membership }) => ({
-      runner: id,
-      zone,
-      domain,
-      model,
-      ...membership,
-    }));
-    sendJson(response, 200, { body: toJson(body) });
-  }
-
   function showConfig(response: ServerResponse): void {
     const document = gateway.routing?.document;
     const body = {
       node: state.node.name,
+      offset: document?.version,
       ageMs: ageOf(gateway.routingBelief, now()),
-      version: document?.version,
-      routes: document?.routes,
-      services: document?.services,
-      limits: document?.limits,
+      document: document && {
+        routes: document.routes,
+        services: document.services,
+        limits: document.limits,
+      },
     };
     sendJson(response, 200, { body: toJson(body) });
   }
 
-  async function showMetrics(response: ServerResponse): Promise<void> {
-    const text = await metrics.registry.metrics();
-    response.writeHead(200, { "content-type": metrics.registry.contentType });
-    response.end(text);
-  }
-
-  const app = polka({
-    onNoMatch(_request, response) {
-      sendError(response, {
-        code: "not_found",
-        message: "Cannot find this page; see docs/OPERATIONS.md",
-        verdict: "not_run",
-      });
-    },
+  const app = createOperatorPages({
+    state,
+    registry: metrics.registry,
+    guarded: (route) => route,
+    help: "docs/OPERATIONS.md",
   })
-    .get(
-      "/healthz",
-      (_request, response) =>
-        sendJson(response, 200, { body: { healthy: true } }),
-    )
-    .get("/metrics", (_request, response) => showMetrics(response))
-    .get("/groups", (_request, response) => showGroups(response))
-    .get("/config", (_request, response) => showConfig(response))
-    .get(
-      "/state",
-      (_request, response) =>
-        sendJson(response, 200, { body: dumpState(state) }),
-    );
+    .get("/status", (_request, response) => {
+      sendJson(response, 200, {
+        body: toJson(createGatewayStatus(state, now())),
+      });
+    })
+    .get("/groups", (_request, response) => {
+      sendJson(response, 200, { body: toJson(listGatewayTargets(state)) });
+    })
+    .get("/config", (_request, response) => showConfig(response));
   const server = createServer();
   server.on("request", app.handler);
   return server;
--- a/packages/daemon/src/http/operator_app.ts
+++ b/packages/daemon/src/http/operator_app.ts
@@ -10,19 +10,18 @@
   type ServerResponse,
 } from "node:http";
 import {
-  dumpState,
   type EventBody,
   type State,
   toJson,
   unreadiness,
 } from "@primroseshed/core";
-import polka from "polka";
 import type { Metrics } from "../observe/metrics.ts";
 import type { Settings } from "../settings/schema.ts";
 import { isOperator } from "./auth.ts";
 import { readBody } from "./body.ts";
-import { RequestError, sendError, sendJson } from "./errors.ts";
+import { RequestError, sendJson } from "./errors.ts";
 import { createGuard, type GuardOptions, type Route } from "./guard.ts";
+import { createOperatorPages } from "./operator_pages.ts";
 import { createStatus } from "./status.ts";
 
 /** Options of {@link createOperatorApp}. */
@@ -122,37 +121,13 @@
     sendJson(response, 200, { body });
   }
 
-  async function showMetrics(
-    _request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
-    const text = await metrics.registry.metrics();
-    response.writeHead(200, { "content-type": metrics.registry.contentType });
-    response.end(text);
-  }
-
-  const app = polka({
-    onNoMatch(_request, response) {
-      sendError(response, {
-        code: "not_found",
-        message: "Cannot find this page; see docs/api.md",
-        verdict: "not_run",
-      });
-    },
+  const app = createOperatorPages({
+    state,
+    registry: metrics.registry,
+    guarded,
+    help: "docs/api.md",
   })
-    .get(
-      "/healthz",
-      (_request, response) =>
-        sendJson(response, 200, { body: { healthy: true } }),
-    )
     .get("/readyz", showReadiness)
-    .get("/metrics", guarded(showMetrics))
-    .get(
-      "/state",
-      guarded((_request, response) =>
-        sendJson(response, 200, { body: dumpState(state) })
-      ),
-    )
     .get(
       "/status",
       guarded((_request, response) =>
--- a/packages/system_tests/src/settings_test.ts
+++ b/packages/system_tests/src/settings_test.ts
@@ -156,6 +156,7 @@
       [...args, ...daemons, "--key", "demo-operator-key"],
       {
         env: {},
+        stdin: (async function* () {})(),
         stdout: (text) => out.push(text),
         stderr: (text) => errors.push(text),
       },
