--- a/packages/cli/src/log_access.ts
+++ b/packages/cli/src/log_access.ts
@@ -1,5 +1,5 @@
 /**
- * Reads and appends to the log service for operators.
+ * The log as operators read and append to it.
  *
  * @module
  */
@@ -13,66 +13,64 @@
   restoreFold,
   type StoredRecord,
 } from "@primroseshed/core";
-import { request } from "undici";
+import {
+  CONTROL_STREAM,
+  createLogClient,
+  type LogClient,
+  type LogPage,
+  SNAPSHOT_STREAM,
+} from "@primroseshed/daemon";
 import { CommandError } from "./exit_codes.ts";
 
-interface Page {
-  records: StoredRecord[];
-  head: number;
-  horizon: number;
-}
-
 /** The log folded up to its head, with what was decided about each record read. */
 export interface LogView {
   fold: FoldState;
   decided: { stored: StoredRecord; result: FoldResult }[];
 }
 
-const TIMEOUT_MS = 5_000;
-
-async function readPage(
-  log: string,
-  stream: string,
-  from: number,
-): Promise<Page> {
-  try {
-    const url = `${log}/v1/streams/${stream}/records?from=${from}&limit=1000`;
-    const response = await request(url, {
-      signal: AbortSignal.timeout(TIMEOUT_MS),
-    });
-    return await response.body.json() as Page;
-  } catch (error) {
-    throw new CommandError(
-      "unreachable",
-      `Cannot read the log service at ${log}: ${(error as Error).message}`,
-    );
-  }
-}
-
-async function loadSnapshot(log: string): Promise<FoldState> {
-  const { head } = await readPage(log, "snapshots", 1);
+async function loadSnapshot(client: LogClient): Promise<FoldState> {
+  const { head } = await client.read(SNAPSHOT_STREAM, { from: 1 });
   if (head === 0) return createFoldState();
-  const { records } = await readPage(log, "snapshots", head);
+  const { records } = await client.read(SNAPSHOT_STREAM, { from: head });
   const dump =
     (records[0]?.record as unknown as { state?: FoldDump } | undefined)?.state;
   return dump === undefined ? createFoldState() : restoreFold(dump);
 }
 
-/** Reads the control stream from the newest snapshot that still joins it, and folds it. */
-export async function readLog(log: string): Promise<LogView> {
-  const first = await readPage(log, "control", 1);
-  const fold = first.horizon > 1 ? await loadSnapshot(log) : createFoldState();
+async function foldAll(client: LogClient): Promise<LogView> {
+  const readFrom = (from: number): Promise<LogPage> =>
+    client.read(CONTROL_STREAM, { from });
+  const first = await readFrom(1);
+  const fold = first.horizon > 1
+    ? await loadSnapshot(client)
+    : createFoldState();
   const decided: LogView["decided"] = [];
-  let page = fold.next > 1 ? await readPage(log, "control", fold.next) : first;
+  let page = fold.next > 1 ? await readFrom(fold.next) : first;
   while (page.records.length > 0) {
     for (const stored of page.records) {
       decided.push({ stored, result: foldRecord(fold, stored) });
     }
-    page = await readPage(log, "control", fold.next);
+    page = await readFrom(fold.next);
   }
   return { fold, decided };
 }
 
+/**
+ * Reads the control stream from the newest snapshot that still joins it, and folds it.
+ *
+ * @throws {CommandError} The log service cannot be reached.
+ */
+export async function readLog(log: string): Promise<LogView> {
+  try {
+    return await foldAll(createLogClient(log));
+  } catch (error) {
+    throw new CommandError(
+      "unreachable",
+      `Cannot read the log service at ${log}: ${(error as Error).message}`,
+    );
+  }
+}
+
 /**
  * Appends one record and returns its offset.
  *
@@ -83,14 +81,10 @@
   record: LogRecord,
 ): Promise<number> {
   try {
-    const response = await request(`${log}/v1/streams/control/records`, {
-      method: "POST",
-      headers: { "content-type": "application/json" },
-      body: JSON.stringify({ records: [record] }),
-      signal: AbortSignal.timeout(TIMEOUT_MS),
-    });
-    const { offsets } = await response.body.json() as { offsets: number[] };
-    return offsets[0] as number;
+    const [offset] = await createLogClient(log).append(CONTROL_STREAM, [
+      record,
+    ]);
+    return offset as number;
   } catch (error) {
     throw new CommandError(
       "unreachable",
--- a/packages/core/src/event/types.ts
+++ b/packages/core/src/event/types.ts
@@ -6,7 +6,7 @@
 import type { ConfigDocument, Principal, Rank } from "../config/types.ts";
 import type { FoldDump, StoredRecord, UsageCounter } from "../fold/types.ts";
 import type { PeerMessage } from "../peer/types.ts";
-import type { VmListing } from "../platform/types.ts";
+import type { VmListing } from "../vm/types.ts";
 import type { Outcome } from "../verdict/types.ts";
 import type { StoredAnswer } from "../fold/types.ts";
 import type { GatewayEvent } from "../gateway/event_types.ts";
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -36,7 +36,7 @@
 export * from "./fold/fold_record.ts";
 export * from "./fold/fold_state.ts";
 export * from "./peer/types.ts";
-export * from "./platform/types.ts";
+export * from "./vm/types.ts";
 export * from "./reduce.ts";
 export * from "./request/types.ts";
 export * from "./state/types.ts";
--- a/packages/core/src/state/types.ts
+++ b/packages/core/src/state/types.ts
@@ -23,7 +23,7 @@
 import type { TargetPhase } from "../health/machine.ts";
 import type { Bucket } from "../limit/bucket.ts";
 import type { Digest } from "../peer/types.ts";
-import type { VmListing } from "../platform/types.ts";
+import type { VmListing } from "../vm/types.ts";
 import type { Request } from "../request/types.ts";
 import type { FreeList } from "../routing/free_list.ts";
 import type { PrefixIndex } from "../routing/prefix_index.ts";
--- a/packages/core/src/platform/types.ts
+++ b/packages/core/src/vm/types.ts
@@ -1,10 +1,10 @@
 /**
- * What the platform's list of VMs says.
+ * What the list of VMs says.
  *
  * @module
  */
 
-/** One VM in the platform's list, which lags behind the truth. */
+/** One VM in the list, which lags behind the truth. */
 export interface VmListing {
   vm: string;
   address: string;
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -11,7 +11,13 @@
   SettingsError,
 } from "./settings/load.ts";
 export { type Settings, settingsSchema } from "./settings/schema.ts";
-export { createLogClient, type LogClient } from "./platform/log_client.ts";
+export {
+  CONTROL_STREAM,
+  createLogClient,
+  type LogClient,
+  type LogPage,
+  SNAPSHOT_STREAM,
+} from "./log_service/log_client.ts";
 export * from "./gateway/adapters.ts";
 export {
   type GatewaySettingsFile,
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -29,9 +29,9 @@
 import { createLogger, type Logger } from "./observe/logger.ts";
 import { createMetrics } from "./observe/metrics.ts";
 import { createMesh, type PeerAddress, type PeerTls } from "./peers/mesh.ts";
-import { createLogClient } from "./platform/log_client.ts";
-import { createLogTail } from "./platform/log_tail.ts";
-import { createVmListPoll } from "./platform/vm_list.ts";
+import { createLogClient } from "./log_service/log_client.ts";
+import { createLogTail } from "./log_service/log_tail.ts";
+import { createVmListPoll } from "./peers/vm_list.ts";
 import type { LoadedSettings } from "./settings/load.ts";
 import type { Settings } from "./settings/schema.ts";
 
