--- a/packages/core/src/gateway/choose.ts
+++ b/packages/core/src/gateway/choose.ts
@@ -10,6 +10,7 @@
 import type { State } from "../state/types.ts";
 import {
   FAR_PLACES,
+  LATE_PLACES,
   LOAD_LIFE_MS,
   RESERVED_PLACES,
   SHARERS,
@@ -75,10 +76,14 @@
 /** Places at a runner that a request of this priority may still take. */
 function placesFor(
   slots: number,
-  { priority, resumed }: { priority: number; resumed: boolean },
+  { priority, isLate }: Delivery,
+  { resumed }: ChooseOptions,
 ): number {
-  if (priority === 0 || resumed) return slots + URGENT_QUEUE;
-  return slots - RESERVED_PLACES * priority;
+  if (resumed) return slots + URGENT_QUEUE;
+  const open = priority === 0
+    ? slots + URGENT_QUEUE
+    : slots - RESERVED_PLACES * priority;
+  return isLate ? open - LATE_PLACES : open;
 }
 
 /** True while a runner that streams to this daemon has sent nothing for several decode passes. */
@@ -110,9 +115,8 @@
     const target = targetOf(gateway, runner.id);
     if (target.avoidUntil > state.now || isSilent(target, state.now)) continue;
     const occupancy = occupancyOf(target, state.now);
-    const { priority } = delivery;
     const slots = slotsOf(gateway, runner);
-    const places = placesFor(slots, { priority, resumed });
+    const places = placesFor(slots, delivery, { resumed });
     // Plain services shed by themselves and say so.
     if (delivery.model !== undefined && occupancy >= places) continue;
     const far = runner.zone === gateway.zone ? 0 : FAR_PLACES;
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -44,6 +44,10 @@
 export const URGENT_QUEUE = 2;
 /** Places kept free for more urgent work, for each step of priority. */
 export const RESERVED_PLACES = 1;
+/** Places kept free for requests that can still be on time, where a late one asks. */
+export const LATE_PLACES = 3;
+/** Time constant in which the longest budget of a route's callers is forgotten, ms. */
+export const BUDGET_MEMORY_MS = 600_000;
 /** Daemons among which the slack of the retry budget is divided. */
 export const RETRY_SHARERS = 12;
 /** Least urgent value that an engine takes. */
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -40,6 +40,7 @@
     retryBudgets: new Map(),
     demand: new Map(),
     outputTokens: new Map(),
+    callerBudgets: new Map(),
     formation: createFormation(now),
     settings,
     stoppingSince: 0,
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -31,7 +31,14 @@
   gateway.waiting.get(queueOf(delivery))?.delete(delivery.request);
 }
 
-/** Sends requests that wait, the most urgent and oldest first, while there are places. */
+/** The most urgent first; among them those that can still be on time; among them the oldest. */
+function byUrgency(left: Delivery, right: Delivery): number {
+  return left.priority - right.priority ||
+    Number(left.isLate) - Number(right.isLate) ||
+    left.arrivedAt - right.arrivedAt;
+}
+
+/** Sends requests that wait, in the order of their urgency, while there are places. */
 export function* serveWaiting(
   state: State,
   gateway: Gateway,
@@ -42,9 +49,7 @@
   const deliveries = [...queue].flatMap((request) =>
     gateway.deliveries.get(request) ?? []
   );
-  deliveries.sort((left, right) =>
-    left.priority - right.priority || left.arrivedAt - right.arrivedAt
-  );
+  deliveries.sort(byUrgency);
   for (const delivery of deliveries) {
     const runner = chooseRunner(state, gateway, delivery, {
       resumed: delivery.mayHaveRun,
@@ -86,6 +91,7 @@
       epoch: runner.membership?.epoch,
       inFlight: target.inFlight,
       loadAge: target.load && Math.round(state.now - target.load.at),
+      late: delivery.isLate || undefined,
       configVersion: gateway.routing?.document.version,
       resumeAfter: delivery.relaying ? delivery.lastEvent : undefined,
     },
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -6,6 +6,7 @@
 import type { Average } from "../util/ewma.ts";
 import type { Formation, Membership } from "../formation/types.ts";
 import type { Belief } from "./belief.ts";
+import type { CallerBudget } from "./lateness.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
 /** How often a request of a route may run, and how it is answered. */
@@ -184,6 +185,8 @@
   model: string | undefined;
   team: string | undefined;
   priority: number;
+  /** True where the caller has waited longer than the latency objective, in earlier attempts. */
+  isLate: boolean;
   arrivedAt: number;
   /** The final answer is due at this time, ms. */
   expiresAt: number;
@@ -235,6 +238,8 @@
   demand: Map<string, Demand>;
   /** Mean output tokens by route, learned from finished streams. */
   outputTokens: Map<string, Average>;
+  /** Time that callers grant, by route. */
+  callerBudgets: Map<string, CallerBudget>;
   formation: Formation;
   settings: GatewaySettings;
   stoppingSince: number;
