--- a/packages/core/src/gateway/choose.ts
+++ b/packages/core/src/gateway/choose.ts
@@ -1,8 +1,8 @@
 /**
  * Chooses the runner that a request is sent to.
  *
- * Answers the load of many daemons before the same groups: own requests are known exactly, those of other daemons only
- * from what runners report with their answers, so a report counts until it is old and own work since then is added.
+ * Own requests are known exactly, those of other daemons are estimated; of the runners with a place, the emptiest in this
+ * availability zone is taken, and one of another zone where it is emptier by more than the bytes between zones cost.
  *
  * @module
  */
@@ -11,12 +11,11 @@
 import {
   FAR_PLACES,
   LATE_PLACES,
-  LOAD_LIFE_MS,
   RESERVED_PLACES,
-  SHARERS,
   SUSPECT_SILENCE_MS,
   URGENT_QUEUE,
 } from "./constants.ts";
+import { occupancyOf } from "./load_estimate.ts";
 import type { Delivery, Gateway, Runner, Target } from "./types.ts";
 
 /** Returns what is known of a runner as a target. */
@@ -37,25 +36,6 @@
   return target;
 }
 
-/**
- * Estimates the requests that a runner has, running and queued.
- *
- * @example
- * ```ts
- * occupancyOf({ ...target, inFlight: 3, load: undefined }, 0); // own requests of each daemon that shares it: 9
- * ```
- */
-export function occupancyOf(target: Target, now: number): number {
-  const { load, inFlight } = target;
-  if (load === undefined || now - load.at > LOAD_LIFE_MS) {
-    return inFlight * SHARERS;
-  }
-  return Math.max(
-    inFlight,
-    load.running + load.waiting + inFlight - load.own,
-  );
-}
-
 /** True where a runner takes requests for a model, or any request of a plain service. */
 export function takesWork(
   runner: Runner,
@@ -114,7 +94,7 @@
     if (!takesWork(runner, delivery) || delivery.tried.has(runner.id)) continue;
     const target = targetOf(gateway, runner.id);
     if (target.avoidUntil > state.now || isSilent(target, state.now)) continue;
-    const occupancy = occupancyOf(target, state.now);
+    const occupancy = occupancyOf(gateway, { runner, target }, state.now);
     const slots = slotsOf(gateway, runner);
     const places = placesFor(slots, delivery, { resumed });
     // Plain services shed by themselves and say so.
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -34,9 +34,13 @@
 export const AVOID_MS = 500;
 /** Longest time that a failing runner is left alone, ms. */
 export const MAX_AVOID_MS = 4_000;
-/** Load that a runner reported is believed for this long, ms. */
-export const LOAD_LIFE_MS = 1_500;
-/** Daemons of a zone that share its groups, where reports are missing. */
+/** Time constant in which a report of a runner's load loses its worth, ms; a stream lasts about as long. */
+export const LOAD_MEMORY_MS = 1_600;
+/** Time constant in which the mean load of a kind of runners is forgotten without new reports, ms. */
+export const MEAN_LOAD_MEMORY_MS = 10_000;
+/** Weight of the newest report in the mean load of the runners of one kind. */
+export const MEAN_LOAD_WEIGHT = 0.1;
+/** Daemons of a zone that share its groups, where no report has come yet. */
 export const SHARERS = 3;
 /** Places that a group of another zone counts as fuller, since bytes between zones cost. */
 export const FAR_PLACES = 4;
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -41,6 +41,7 @@
     demand: new Map(),
     outputTokens: new Map(),
     callerBudgets: new Map(),
+    meanLoads: new Map(),
     formation: createFormation(now),
     settings,
     stoppingSince: 0,
--- /dev/null
+++ b/packages/core/src/gateway/load_estimate_test.ts
@@ -0,0 +1,115 @@
+import { expect } from "chai";
+import { targetOf } from "./choose.ts";
+import { noteLoad, occupancyOf } from "./load_estimate.ts";
+import {
+  ask,
+  createGate,
+  createHead,
+  type Gate,
+  only,
+  teach,
+} from "./test_fixture.ts";
+import type { Gateway, Runner } from "./types.ts";
+
+const CHAT = { path: "/chat/1", model: "small", deadlineMs: 8_000 };
+
+function startGroups(heads: Runner[]): { gate: Gate; gateway: Gateway } {
+  const gate = createGate();
+  teach(gate, { runners: heads });
+  return { gate, gateway: gate.state.gateway! };
+}
+
+/** Lets a runner report its load at a time. */
+function report(
+  gateway: Gateway,
+  runner: Runner,
+  { running, at }: { running: number; at: number },
+): void {
+  const load = { running, waiting: 0, at, own: 0 };
+  targetOf(gateway, runner.id).load = load;
+  noteLoad(gateway, runner, load);
+}
+
+function occupancy(gateway: Gateway, runner: Runner, now: number): number {
+  return occupancyOf(
+    gateway,
+    { runner, target: targetOf(gateway, runner.id) },
+    now,
+  );
+}
+
+describe("load estimate", () => {
+  const near = createHead("near");
+  const other = createHead("other");
+
+  it("believes a report of this moment", () => {
+    const { gateway } = startGroups([near, other]);
+    report(gateway, near, { running: 9, at: 0 });
+    expect(occupancy(gateway, near, 0)).to.equal(9);
+  });
+
+  it("adds own requests sent since the report", () => {
+    const { gateway } = startGroups([near, other]);
+    report(gateway, near, { running: 9, at: 0 });
+    targetOf(gateway, near.id).inFlight = 2;
+    expect(occupancy(gateway, near, 0)).to.equal(11);
+  });
+
+  it("takes a runner without a report for as full as others of its kind", () => {
+    const { gateway } = startGroups([near, other]);
+    report(gateway, near, { running: 8, at: 0 });
+    expect(occupancy(gateway, other, 0)).to.equal(8);
+  });
+
+  it("moves an old report towards the mean of the kind", () => {
+    const { gateway } = startGroups([near, other]);
+    report(gateway, near, { running: 12, at: 0 });
+    for (let index = 0; index < 100; index += 1) {
+      report(gateway, other, { running: 4, at: 5_000 });
+    }
+    expect(occupancy(gateway, near, 5_000)).to.be.within(4, 5);
+  });
+
+  it("counts own requests for each daemon of the zone before any report came", () => {
+    const { gateway } = startGroups([near, other]);
+    targetOf(gateway, near.id).inFlight = 2;
+    expect(occupancy(gateway, near, 0)).to.equal(6);
+  });
+
+  it("forgets in time that a kind of runners was full", () => {
+    const { gateway } = startGroups([near, other]);
+    report(gateway, near, { running: 14, at: 0 });
+    expect(occupancy(gateway, other, 60_000)).to.be.below(1);
+  });
+});
+
+describe("many groups that are seldom heard of", () => {
+  it("are not preferred over one that reported little load", () => {
+    const heads = Array.from(
+      { length: 20 },
+      (_, index) => createHead(`head-${index}`),
+    );
+    const { gate, gateway } = startGroups(heads);
+    for (const head of heads.slice(2, 10)) {
+      report(gateway, head, { running: 10, at: 0 });
+    }
+    report(gateway, heads[1]!, { running: 1, at: 0 });
+    const [send] = only(ask(gate, "r1", CHAT), "try_runner");
+    expect(send!.runner).to.equal("head-1");
+  });
+
+  it("give way to another zone once those of this zone are full on the whole", () => {
+    const full = Array.from(
+      { length: 10 },
+      (_, index) => createHead(`near-${index}`),
+    );
+    const far = createHead("far", { zone: "nausori-b" });
+    const { gate, gateway } = startGroups([...full, far]);
+    for (const head of full.slice(0, 5)) {
+      report(gateway, head, { running: 11, at: 0 });
+    }
+    report(gateway, far, { running: 2, at: 0 });
+    const [send] = only(ask(gate, "r1", CHAT), "try_runner");
+    expect(send!.runner).to.equal("far");
+  });
+});
--- a/packages/core/src/gateway/reply.ts
+++ b/packages/core/src/gateway/reply.ts
@@ -9,6 +9,7 @@
 import { addSample } from "../util/ewma.ts";
 import { targetOf } from "./choose.ts";
 import { outputTokensOf } from "./demand.ts";
+import { noteLoad } from "./load_estimate.ts";
 import { endDelivery, logEnd } from "./finish.ts";
 import { failTry } from "./retry.ts";
 import { isStream } from "./routes.ts";
@@ -37,6 +38,8 @@
   target.heardAt = state.now;
   if (event.load !== undefined) {
     target.load = { ...event.load, at: state.now, own: target.inFlight };
+    const runner = gateway.runners.get(current.runner);
+    if (runner !== undefined) noteLoad(gateway, runner, target.load);
   }
   if (!isStream(delivery.route) || event.verdict !== "ran") return;
   target.failures = 0;
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -7,6 +7,7 @@
 import type { Formation, Membership } from "../formation/types.ts";
 import type { Belief } from "./belief.ts";
 import type { CallerBudget } from "./lateness.ts";
+import type { MeanLoad } from "./load_estimate.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
 /** How often a request of a route may run, and how it is answered. */
@@ -238,6 +239,8 @@
   demand: Map<string, Demand>;
   /** Mean output tokens by route, learned from finished streams. */
   outputTokens: Map<string, Average>;
+  /** Mean loads by kind of runner: service, model and availability zone. */
+  meanLoads: Map<string, MeanLoad>;
   /** Time that callers grant, by route. */
   callerBudgets: Map<string, CallerBudget>;
   formation: Formation;
