--- a/packages/core/src/capacity/load_estimate.ts
+++ b/packages/core/src/capacity/load_estimate.ts
@@ -12,12 +12,6 @@
 /** Time over which own attempts are averaged, ms; the lag that reports may have. */
 const REPORT_MEMORY_MS = 2_000;
 
-/** Own attempts averaged over the time that reports may lag. */
-export interface AttemptMemory {
-  average: number;
-  at: number;
-}
-
 /** Moves the average up to `now`; call before the number of attempts changes. */
 export function rememberAttempts(
   { memory, attempts }: Target,
--- a/packages/core/src/gateway/choose.ts
+++ b/packages/core/src/gateway/choose.ts
@@ -15,7 +15,7 @@
   SUSPECT_SILENCE_MS,
   URGENT_QUEUE,
 } from "./constants.ts";
-import { occupancyOf } from "./load_estimate.ts";
+import { occupancyOf } from "./occupancy.ts";
 import type { Delivery, Gateway, Runner, Target } from "./types.ts";
 
 /** Returns what is known of a runner as a target. */
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -52,8 +52,12 @@
 export const LATE_PLACES = 3;
 /** Time constant in which the longest budget of a route's callers is forgotten, ms. */
 export const BUDGET_MEMORY_MS = 600_000;
-/** Daemons among which the slack of the retry budget is divided. */
+/** The slack of the retry budget is divided among this many daemons at least. */
 export const RETRY_SHARERS = 12;
+/** This daemon's part of all work is measured this often, ms. */
+export const WORK_SHARE_MS = 500;
+/** Weight of the newest measure of this daemon's part of all work. */
+export const WORK_SHARE_WEIGHT = 0.1;
 /** Least urgent value that an engine takes. */
 export const MAX_URGENCY = 9;
 /** A stopping daemon keeps taking kept connections for this long, ms: two missed ready checks and a margin. */
--- a/packages/core/src/gateway/delivery_test.ts
+++ b/packages/core/src/gateway/delivery_test.ts
@@ -262,4 +262,19 @@
     expect(repeats).to.be.at.most(200 * 0.2 + 109 / 12 + 1);
     expect(repeats).to.be.at.least(20);
   });
+
+  it("takes no more of the common slack than this daemon's part of all work", () => {
+    const gate = startDesk(3);
+    gate.state.gateway!.workShare.value = 1 / 950;
+    let repeats = 0;
+    for (let index = 0; index < 100; index += 1) {
+      ask(gate, `r${index}`);
+      const effects = fail(gate, `r${index}`, { outcome: "reset_after_send" });
+      repeats += only(effects, "try_runner").length;
+      for (const target of gate.state.gateway!.targets.values()) {
+        target.avoidUntil = 0;
+      }
+    }
+    expect(repeats).to.be.at.most(100 * 0.2 + 109 / 950);
+  });
 });
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -9,15 +9,19 @@
 import { planGroups } from "../formation/plan.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
+import { createAverage } from "../util/ewma.ts";
 import { schedule } from "../util/timer_queue.ts";
 import { createBelief } from "./belief.ts";
 import {
+  RETRY_SHARERS,
   ROTATION_SHARE,
   STOP_LISTEN_MS,
   STOP_MARGIN_MS,
   SWEEP_MS,
+  WORK_SHARE_MS,
 } from "./constants.ts";
 import { giveUp } from "./finish.ts";
+import { noteWorkShare } from "./occupancy.ts";
 import { trustsKeys } from "./lookup.ts";
 import { sweepDeliveries } from "./sweep.ts";
 import type { Gateway, GatewaySettings } from "./types.ts";
@@ -42,6 +46,8 @@
     outputTokens: new Map(),
     callerBudgets: new Map(),
     meanLoads: new Map(),
+    workShare: createAverage(1 / RETRY_SHARERS),
+    workShareAt: now,
     formation: createFormation(now),
     settings,
     stoppingSince: 0,
@@ -66,6 +72,10 @@
     timer: { kind: "gateway_sweep" },
   });
   yield* sweepDeliveries(state, gateway);
+  if (state.now - gateway.workShareAt >= WORK_SHARE_MS) {
+    gateway.workShareAt = state.now;
+    noteWorkShare(gateway, state.now);
+  }
   if (state.phase !== "serving") return yield* checkStop(state, gateway);
   yield* planGroups(state);
 }
--- a/packages/core/src/gateway/lateness.ts
+++ b/packages/core/src/gateway/lateness.ts
@@ -10,12 +10,6 @@
 import { BUDGET_MEMORY_MS } from "./constants.ts";
 import type { Gateway, Route } from "./types.ts";
 
-/** Longest time that callers of a route grant at their first try. */
-export interface CallerBudget {
-  ms: number;
-  at: number;
-}
-
 function fullBudget(
   { callerBudgets }: Gateway,
   { route, deadlineMs, now }: { route: Route; deadlineMs: number; now: number },
--- a/packages/core/src/gateway/load_estimate.ts
+++ b/packages/core/src/gateway/occupancy.ts
@@ -8,22 +8,16 @@
  *
  * @module
  */
-import { addSample, type Average, createAverage } from "../util/ewma.ts";
+import { addSample, createAverage } from "../util/ewma.ts";
 import {
   LOAD_MEMORY_MS,
   MEAN_LOAD_MEMORY_MS,
   MEAN_LOAD_WEIGHT,
   SHARERS,
+  WORK_SHARE_WEIGHT,
 } from "./constants.ts";
 import type { Gateway, LoadSample, Runner, Target } from "./types.ts";
 
-/** Mean of the requests that other daemons have at the runners of one kind. */
-export interface MeanLoad {
-  others: Average;
-  /** Time of the last report, ms. */
-  at: number;
-}
-
 function kindOf({ service, model, zone }: Runner): string {
   return `${service} ${model ?? ""} ${zone}`;
 }
@@ -80,3 +74,29 @@
   return inFlight + trust * reported +
     (1 - trust) * (expected ?? reported);
 }
+
+/**
+ * Takes this daemon's present part of all work before the runners into its mean.
+ *
+ * Nobody tells a daemon how many others there are; the part of the work that is its own says as much, and sums up to one
+ * over all daemons however unevenly callers reach them.
+ */
+export function noteWorkShare(gateway: Gateway, now: number): void {
+  let own = 0;
+  let total = 0;
+  for (const runner of gateway.runners.values()) {
+    const expected = expectedOthers(gateway, runner, now);
+    if (expected === undefined || !isServing(runner)) continue;
+    const inFlight = gateway.targets.get(runner.id)?.inFlight ?? 0;
+    own += inFlight;
+    total += inFlight + expected;
+  }
+  if (total === 0) return;
+  addSample(gateway.workShare, own / total, { weight: WORK_SHARE_WEIGHT });
+}
+
+function isServing({ state, domain, membership }: Runner): boolean {
+  if (state !== "ready") return false;
+  if (domain === undefined) return true;
+  return membership?.rank === 0 && membership.state === "open";
+}
--- a/packages/core/src/gateway/load_estimate_test.ts
+++ b/packages/core/src/gateway/occupancy_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { targetOf } from "./choose.ts";
-import { noteLoad, occupancyOf } from "./load_estimate.ts";
+import { noteLoad, noteWorkShare, occupancyOf } from "./occupancy.ts";
 import {
   ask,
   createGate,
@@ -38,7 +38,7 @@
   );
 }
 
-describe("load estimate", () => {
+describe("occupancy", () => {
   const near = createHead("near");
   const other = createHead("other");
 
@@ -113,3 +113,35 @@
     expect(send!.runner).to.equal("far");
   });
 });
+
+describe("share of all work", () => {
+  const heads = Array.from(
+    { length: 10 },
+    (_, index) => createHead(`head-${index}`),
+  );
+
+  function measure(gateway: Gateway): number {
+    for (let index = 0; index < 100; index += 1) noteWorkShare(gateway, 0);
+    return gateway.workShare.value;
+  }
+
+  it("is small for one daemon among very many", () => {
+    const { gateway } = startGroups(heads);
+    for (const head of heads) report(gateway, head, { running: 9.9, at: 0 });
+    targetOf(gateway, "head-0").inFlight = 1;
+    expect(measure(gateway)).to.be.within(0.009, 0.011);
+  });
+
+  it("is one for a daemon that is alone", () => {
+    const { gateway } = startGroups(heads);
+    for (const head of heads) report(gateway, head, { running: 0, at: 0 });
+    targetOf(gateway, "head-0").inFlight = 3;
+    expect(measure(gateway)).to.equal(1);
+  });
+
+  it("stays as it was while no runner has work", () => {
+    const { gateway } = startGroups(heads);
+    const before = gateway.workShare.value;
+    expect(measure(gateway)).to.equal(before);
+  });
+});
--- a/packages/core/src/gateway/reply.ts
+++ b/packages/core/src/gateway/reply.ts
@@ -9,7 +9,7 @@
 import { addSample } from "../util/ewma.ts";
 import { targetOf } from "./choose.ts";
 import { outputTokensOf } from "./demand.ts";
-import { noteLoad } from "./load_estimate.ts";
+import { noteLoad } from "./occupancy.ts";
 import { endDelivery, logEnd } from "./finish.ts";
 import { failTry } from "./retry.ts";
 import { isStream } from "./routes.ts";
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -126,10 +126,10 @@
 }
 
 /** Returns this daemon's part of the shared retry budget. */
-export function limitsOf({ settings }: Gateway): RetryLimits {
+export function limitsOf({ settings, workShare }: Gateway): RetryLimits {
   return {
     windowMs: settings.retryWindowMs,
     ratio: settings.retryRatio,
-    slack: settings.retrySlack / RETRY_SHARERS,
+    slack: settings.retrySlack * Math.min(workShare.value, 1 / RETRY_SHARERS),
   };
 }
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -6,8 +6,6 @@
 import type { Average } from "../util/ewma.ts";
 import type { Formation, Membership } from "../formation/types.ts";
 import type { Belief } from "./belief.ts";
-import type { CallerBudget } from "./lateness.ts";
-import type { MeanLoad } from "./load_estimate.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
 /** How often a request of a route may run, and how it is answered. */
@@ -212,6 +210,19 @@
   waiting: boolean;
 }
 
+/** Mean of the requests that other daemons have at the runners of one kind. */
+export interface MeanLoad {
+  others: Average;
+  /** Time of the last report, ms. */
+  at: number;
+}
+
+/** Longest time that callers of a route grant at their first try. */
+export interface CallerBudget {
+  ms: number;
+  at: number;
+}
+
 /** Demand for one model, as arrivals show it. */
 export interface Demand {
   /** Requests a second. */
@@ -241,6 +252,10 @@
   outputTokens: Map<string, Average>;
   /** Mean loads by kind of runner: service, model and availability zone. */
   meanLoads: Map<string, MeanLoad>;
+  /** This daemon's part of all work before the runners, 0 to 1. */
+  workShare: Average;
+  /** Time at which it was last measured, ms. */
+  workShareAt: number;
   /** Time that callers grant, by route. */
   callerBudgets: Map<string, CallerBudget>;
   formation: Formation;
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -28,8 +28,7 @@
   type TimerHandler,
 } from "./reduce_types.ts";
 import { arriveRequest } from "./request/arrive.ts";
-import { dispatchPool } from "./request/dispatch.ts";
-import { checkPreemption } from "./request/preempt.ts";
+import { checkPreemption, dispatchPool } from "./request/dispatch.ts";
 import {
   acceptAttempt,
   endAttempt,
--- a/packages/core/src/request/dispatch.ts
+++ b/packages/core/src/request/dispatch.ts
@@ -93,6 +93,15 @@
   }
 }
 
+/** Handles the time at which waiting work may take a slot. */
+export function* checkPreemption(
+  state: State,
+  { pool: name }: { pool: string },
+): Effects {
+  const pool = state.pools.get(name);
+  if (pool !== undefined) yield* dispatchPool(state, pool);
+}
+
 function* startRequest(
   state: State,
   { pool, request, target }: { pool: Pool; request: Request; target: Target },
--- a/packages/core/src/request/preempt.ts
+++ b/packages/core/src/request/preempt.ts
@@ -8,9 +8,7 @@
 import type { Effect } from "../effect/types.ts";
 import type { Pool, State } from "../state/types.ts";
 import { releaseTarget } from "./attempt.ts";
-import type { Effects } from "../reduce_types.ts";
 import { schedule } from "../util/timer_queue.ts";
-import { dispatchPool } from "./dispatch.ts";
 import { advance } from "./machine.ts";
 import type { Request } from "./types.ts";
 
@@ -56,15 +54,6 @@
   return false;
 }
 
-/** Handles the time at which waiting work may take a slot. */
-export function* checkPreemption(
-  state: State,
-  { pool: name }: { pool: string },
-): Effects {
-  const pool = state.pools.get(name);
-  if (pool !== undefined) yield* dispatchPool(state, pool);
-}
-
 function mayPreempt(state: State, pool: Pool, request: Request): boolean {
   if (request.rank === "batch" || pool.deployment.kind !== "model") {
     return false;
--- a/packages/core/src/state/types.ts
+++ b/packages/core/src/state/types.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import type { FairNode } from "../admission/fair_queue.ts";
-import type { AttemptMemory } from "../capacity/load_estimate.ts";
 import type { BatchModel } from "../capacity/batch_model.ts";
 import type { ShareInterval } from "../capacity/share.ts";
 import type { Config, Deployment, Rank } from "../config/types.ts";
@@ -31,6 +30,12 @@
 import type { Random } from "../util/random.ts";
 import type { TimerQueue } from "../util/timer_queue.ts";
 
+/** Own attempts averaged over the time that reports may lag. */
+export interface AttemptMemory {
+  average: number;
+  at: number;
+}
+
 /** Who this daemon is. */
 export interface Node {
   name: string;
