--- a/packages/core/src/gateway/arrive.ts
+++ b/packages/core/src/gateway/arrive.ts
@@ -15,7 +15,6 @@
 } from "./constants.ts";
 import { countDemand } from "./demand.ts";
 import { giveUp } from "./finish.ts";
-import { isLate } from "./lateness.ts";
 import { lookUp, NOT_READY, type Refusal } from "./lookup.ts";
 import { budgetOf, limitsOf } from "./retry.ts";
 import { countRequest } from "./retry_budget.ts";
@@ -103,11 +102,6 @@
     model: engine === undefined ? undefined : event.model ?? "",
     team: team?.name,
     priority: team?.priority ?? route.priority,
-    isLate: isLate(gateway, {
-      route,
-      deadlineMs: event.deadlineMs,
-      now: state.now,
-    }),
     arrivedAt: state.now,
     expiresAt: state.now + timeoutMs,
     promptTokens: event.promptTokens,
--- a/packages/core/src/gateway/choose.ts
+++ b/packages/core/src/gateway/choose.ts
@@ -10,7 +10,6 @@
 import type { State } from "../state/types.ts";
 import {
   FAR_PLACES,
-  LATE_PLACES,
   RESERVED_PLACES,
   SUSPECT_SILENCE_MS,
   URGENT_QUEUE,
@@ -56,14 +55,13 @@
 /** Places at a runner that a request of this priority may still take. */
 function placesFor(
   slots: number,
-  { priority, isLate }: Delivery,
+  { priority }: Delivery,
   { resumed }: ChooseOptions,
 ): number {
   if (resumed) return slots + URGENT_QUEUE;
-  const open = priority === 0
+  return priority === 0
     ? slots + URGENT_QUEUE
     : slots - RESERVED_PLACES * priority;
-  return isLate ? open - LATE_PLACES : open;
 }
 
 /** True while a runner that streams to this daemon has sent nothing for several decode passes. */
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -48,10 +48,6 @@
 export const URGENT_QUEUE = 2;
 /** Places kept free for more urgent work, for each step of priority. */
 export const RESERVED_PLACES = 1;
-/** Places kept free for requests that can still be on time, where a late one asks. */
-export const LATE_PLACES = 3;
-/** Time constant in which the longest budget of a route's callers is forgotten, ms. */
-export const BUDGET_MEMORY_MS = 600_000;
 /** The slack of the retry budget is divided among this many daemons at least. */
 export const RETRY_SHARERS = 12;
 /** This daemon's part of all work is measured this often, ms. */
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -44,7 +44,6 @@
     retryBudgets: new Map(),
     demand: new Map(),
     outputTokens: new Map(),
-    callerBudgets: new Map(),
     meanLoads: new Map(),
     workShare: createAverage(1 / RETRY_SHARERS),
     workShareAt: now,
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -31,10 +31,9 @@
   gateway.waiting.get(queueOf(delivery))?.delete(delivery.request);
 }
 
-/** The most urgent first; among them those that can still be on time; among them the oldest. */
+/** The most urgent first; among them the oldest. */
 function byUrgency(left: Delivery, right: Delivery): number {
   return left.priority - right.priority ||
-    Number(left.isLate) - Number(right.isLate) ||
     left.arrivedAt - right.arrivedAt;
 }
 
@@ -91,7 +90,6 @@
       epoch: runner.membership?.epoch,
       inFlight: target.inFlight,
       loadAge: target.load && Math.round(state.now - target.load.at),
-      late: delivery.isLate || undefined,
       configVersion: gateway.routing?.document.version,
       resumeAfter: delivery.relaying ? delivery.lastEvent : undefined,
     },
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -184,8 +184,6 @@
   model: string | undefined;
   team: string | undefined;
   priority: number;
-  /** True where the caller has waited longer than the latency objective, in earlier attempts. */
-  isLate: boolean;
   arrivedAt: number;
   /** The final answer is due at this time, ms. */
   expiresAt: number;
@@ -217,12 +215,6 @@
   at: number;
 }
 
-/** Longest time that callers of a route grant at their first try. */
-export interface CallerBudget {
-  ms: number;
-  at: number;
-}
-
 /** Demand for one model, as arrivals show it. */
 export interface Demand {
   /** Requests a second. */
@@ -256,8 +248,6 @@
   workShare: Average;
   /** Time at which it was last measured, ms. */
   workShareAt: number;
-  /** Time that callers grant, by route. */
-  callerBudgets: Map<string, CallerBudget>;
   formation: Formation;
   settings: GatewaySettings;
   stoppingSince: number;
