--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -44,6 +44,7 @@
 
 function* putRunner(gateway: Gateway, runner: Runner): Effects {
   const known = gateway.runners.get(runner.id);
+  if (known === runner) return;
   // A delayed entry of an earlier life says nothing of this one.
   if (known !== undefined && runner.born < known.born) return;
   gateway.runners.set(runner.id, runner);
