--- a/packages/core/src/formation/constants.ts
+++ b/packages/core/src/formation/constants.ts
@@ -12,8 +12,10 @@
 export const TAKEOVER_WAIT_MS = 400;
 /** An order without an answer or a visible effect is given up after this time, ms. */
 export const ORDER_LIFE_MS = 1_500;
-/** Members of groups are checked this often, ms. */
+/** Members of groups are checked this often at least, ms. */
 export const PROBE_MS = 300;
+/** The interval between two checks of a member grows by this much for each member, ms: one planner sends 500 checks a second at most. */
+export const PROBE_MS_PER_MEMBER = 2;
 /** Failed checks in a row after which a runner counts as dead. */
 export const DEAD_MISSES = 2;
 /** Above this share of dead runners the planner itself is probably cut off. */
--- a/packages/core/src/formation/probes.ts
+++ b/packages/core/src/formation/probes.ts
@@ -6,18 +6,22 @@
 import type { EventOf } from "../event/types.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
-import { DEAD_MISSES, PROBE_MS } from "./constants.ts";
+import { DEAD_MISSES, PROBE_MS, PROBE_MS_PER_MEMBER } from "./constants.ts";
 import type { GroupView } from "./view.ts";
 
 /** Asks each member of a group that was not asked lately. */
 export function* probeMembers(state: State, views: GroupView[]): Effects {
   const { formation } = state.gateway!;
+  const count = views.reduce((sum, { members }) => sum + members.length, 0);
+  const intervalMs = Math.max(PROBE_MS, count * PROBE_MS_PER_MEMBER);
   for (const { members } of views) {
     for (const runner of members) {
       if (runner === undefined) continue;
       const probe = formation.probes.get(runner.id);
       if (probe?.pending) continue;
-      if (probe !== undefined && state.now - probe.askedAt < PROBE_MS) continue;
+      if (probe !== undefined && state.now - probe.askedAt < intervalMs) {
+        continue;
+      }
       const misses = probe?.born === runner.born ? probe.misses : 0;
       formation.probes.set(runner.id, {
         askedAt: state.now,
