--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -4,6 +4,11 @@
  * @module
  */
 export { createDaemon, type Daemon, type DaemonOptions } from "./wire.ts";
+export {
+  type Program,
+  type RunningDaemon,
+  runProgram,
+} from "./command_line.ts";
 export {
   loadDocument,
   type LoadedSettings,
