--- a/packages/core/src/formation/constants.ts
+++ b/packages/core/src/formation/constants.ts
@@ -34,6 +34,8 @@
 export const MAX_SETTLING_MS = 4_000;
 /** Loads that may begin at one moment beside the allowed rate. */
 export const LOAD_BURST = 4;
+/** Weight of one look in the mean work of a model; the mean follows within about five seconds. */
+export const DEMAND_WEIGHT = 0.02;
 /** Least share of the runners that a model counts with. */
 export const LEAST_SHARE = 0.01;
 /** Loads that run side by side before the first request, as a multiple of those that run at full speed. */
--- /dev/null
+++ b/packages/core/src/formation/demand_test.ts
@@ -0,0 +1,99 @@
+import { expect } from "chai";
+import {
+  createDomain,
+  createGate,
+  createHead,
+  createPool,
+  MODELS,
+  type Pool,
+  teach,
+} from "../gateway/test_fixture.ts";
+import type { Runner } from "../gateway/types.ts";
+import { demandOf, measureDemand } from "./demand.ts";
+import type { RunnerReport } from "./types.ts";
+import type { GroupView } from "./view.ts";
+
+function createView(head: Runner): GroupView {
+  const model = MODELS[1]!;
+  const { membership } = head;
+  const { group: name, epoch } = membership!;
+  return { name, epoch, model, domain: "d1", members: [head, undefined] };
+}
+
+/** Measures the demand for the small model from what heads report. */
+function measure(
+  heads: readonly Runner[],
+  reports: Record<string, RunnerReport>,
+): number | undefined {
+  const { formation } = createGate().state.gateway!;
+  for (const [id, report] of Object.entries(reports)) {
+    formation.probes.set(id, {
+      askedAt: 0,
+      pending: false,
+      misses: 0,
+      born: 1,
+      report,
+    });
+  }
+  measureDemand(formation, heads.map(createView));
+  return demandOf(formation, "small");
+}
+
+describe("demand for a model", () => {
+  it("is what its groups run and queue, whoever sent it", () => {
+    const demand = measure([createHead("a"), createHead("b")], {
+      a: { running: 12, queued: 5 },
+      b: { running: 3, queued: 0 },
+    });
+    expect(demand).to.equal(20);
+  });
+
+  it("leaves out groups that do not serve", () => {
+    const closed = createHead("a");
+    closed.membership!.state = "ready";
+    const demand = measure([closed, createHead("b")], {
+      a: { running: 12, queued: 0 },
+      b: { running: 3, queued: 0 },
+    });
+    expect(demand).to.equal(3);
+  });
+
+  it("is unknown before there was any work", () => {
+    const idle = { running: 0, queued: 0 };
+    expect(measure([createHead("a")], { a: idle })).to.equal(undefined);
+    expect(measure([createHead("a")], {})).to.equal(undefined);
+  });
+});
+
+describe("a planner that sees few callers itself", () => {
+  /** Lets the heads of each model report the same number of running requests. */
+  function report(pool: Pool, running: Record<string, number>): void {
+    for (const { id, model } of pool.runners.values()) {
+      if (model === undefined) continue;
+      pool.reports.set(id, { running: running[model]!, queued: 0 });
+    }
+  }
+
+  function loadsOfNewRunners(running: Record<string, number>): string[] {
+    const runners = ["d0", "d1"].flatMap((domain) => createDomain(domain, 10));
+    const gate = createGate();
+    teach(gate, { runners });
+    const pool = createPool(gate, { runners });
+    pool.run(20_000);
+    report(pool, running);
+    pool.run(10_000);
+    const fresh = createDomain("d2", 4);
+    for (const runner of fresh) pool.add(runner);
+    pool.run(60_000);
+    return fresh.map(({ id }) => pool.runners.get(id)!.staged[0]!);
+  }
+
+  it("has new runners load the model whose groups are full", () => {
+    expect(loadsOfNewRunners({ large: 12, small: 1 })).to.deep.equal(
+      Array(4).fill("large"),
+    );
+    expect(loadsOfNewRunners({ large: 1, small: 12 })).to.deep.equal(
+      Array(4).fill("small"),
+    );
+  });
+});
--- a/packages/core/src/formation/duty.ts
+++ b/packages/core/src/formation/duty.ts
@@ -30,6 +30,7 @@
     openOrders: new Map(),
     intents: new Map(),
     probes: new Map(),
+    demand: new Map(),
     loadAllowance: 0,
     loadAllowanceAt: now,
     loadsEndAt: [],
--- a/packages/core/src/formation/plan.ts
+++ b/packages/core/src/formation/plan.ts
@@ -23,6 +23,7 @@
   PLAN_MS,
   SETTLED_MS,
 } from "./constants.ts";
+import { demandOf, measureDemand } from "./demand.ts";
 import { ensureTerm, nextFence } from "./duty.ts";
 import { byNeed, type DomainView, nextStaging } from "./layout.ts";
 import { takeLoad } from "./loads.ts";
@@ -68,6 +69,7 @@
   });
   yield* probeMembers(state, views);
   if (isCutOff(state, views)) return;
+  measureDemand(state.gateway!.formation, views);
   const domains = viewDomains(state, { service, views });
   const round: Round = { engine, views, domains };
   for (const view of views) yield* tendGroup(state, round, view);
@@ -283,16 +285,19 @@
   }
 }
 
-/** Work asked for by model; before any is measured, the share that the configuration expects, less for large and, in part, for slow models. */
+/** Work of each model; before every model has some, the share that the configuration expects, less for large and, in part, for slow models. */
 function weigh(state: State, { models }: EngineProfile): Map<string, number> {
-  const { demand } = state.gateway!;
-  const isMeasured = models.every(({ name }) => demand.has(name));
-  const weightOf = (model: Model) =>
-    isMeasured ? Math.max(1, demand.get(model.name)!.perSecond) : Math.max(
-      LEAST_SHARE,
-      model.share / (model.size * Math.sqrt(model.pace)),
-    );
-  return new Map(models.map((model) => [model.name, weightOf(model)]));
+  const { formation } = state.gateway!;
+  const measured = models.map(({ name }) => demandOf(formation, name));
+  const isMeasured = measured.every((each) => each !== undefined);
+  const expected = ({ share, size, pace }: Model) =>
+    Math.max(LEAST_SHARE, share / (size * Math.sqrt(pace)));
+  return new Map(
+    models.map((model, index) => [
+      model.name,
+      isMeasured ? measured[index]! : expected(model),
+    ]),
+  );
 }
 
 /** Forms every group that free runners can form at once. */
--- a/packages/core/src/formation/probes.ts
+++ b/packages/core/src/formation/probes.ts
@@ -28,6 +28,7 @@
         pending: true,
         misses,
         born: runner.born,
+        report: probe?.born === runner.born ? probe.report : undefined,
       });
       yield {
         kind: "probe_runner",
@@ -41,12 +42,13 @@
 /** Handles the result of a status check. */
 export function* noteProbe(
   state: State,
-  { runner, alive }: EventOf<"runner_probed">,
+  { runner, alive, report }: EventOf<"runner_probed">,
 ): Effects {
   const probe = state.gateway!.formation.probes.get(runner);
   if (probe === undefined) return;
   probe.pending = false;
   probe.misses = alive ? 0 : probe.misses + 1;
+  probe.report = report ?? probe.report;
   if (probe.misses !== DEAD_MISSES) return;
   yield {
     kind: "log",
--- a/packages/core/src/formation/probes_test.ts
+++ b/packages/core/src/formation/probes_test.ts
@@ -34,7 +34,12 @@
     const probes = only([...probeMembers(gate.state, views)], "probe_runner");
     sent += probes.length;
     for (const { runner } of probes) {
-      gate.feed({ kind: "runner_probed", runner, alive: true });
+      gate.feed({
+        kind: "runner_probed",
+        runner,
+        alive: true,
+        report: undefined,
+      });
     }
     gate.pass(100);
   }
--- a/packages/core/src/formation/types.ts
+++ b/packages/core/src/formation/types.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import type { Average } from "../util/ewma.ts";
+
 /** State of a runner within its group, as it reports it. */
 export type MembershipState =
   | "joining"
@@ -74,6 +76,14 @@
   misses: number;
   /** Life of the runner that the misses belong to, Unix ms. */
   born: number;
+  /** What the runner said of its work with the last check that it answered. */
+  report: RunnerReport | undefined;
+}
+
+/** Work of a runner, as it reports it. */
+export interface RunnerReport {
+  running: number;
+  queued: number;
 }
 
 /** Right to plan groups, as granted for a time. */
@@ -105,6 +115,8 @@
   /** Planned members by group, of this term. */
   intents: Map<string, Intent>;
   probes: Map<string, Probe>;
+  /** Mean requests that each model's groups have. */
+  demand: Map<string, Average>;
   /** Loads that may still begin. */
   loadAllowance: number;
   loadAllowanceAt: number;
--- a/packages/core/src/gateway/arrive.ts
+++ b/packages/core/src/gateway/arrive.ts
@@ -13,7 +13,6 @@
   STOP_MARGIN_MS,
   STOP_STREAMS_MS,
 } from "./constants.ts";
-import { countDemand } from "./demand.ts";
 import { giveUp } from "./finish.ts";
 import { lookUp, NOT_READY, type Refusal } from "./lookup.ts";
 import { budgetOf, limitsOf } from "./retry.ts";
@@ -82,7 +81,6 @@
   const delivery = createDelivery(state, event, found);
   gateway.deliveries.set(request, delivery);
   countRequest(budgetOf(gateway, delivery.service), now, limitsOf(gateway));
-  countDemand(gateway, delivery, now);
   yield* place(state, gateway, delivery);
 }
 
--- a/packages/core/src/gateway/belief.ts
+++ b/packages/core/src/gateway/belief.ts
@@ -6,9 +6,9 @@
 
 /** Freshness of what was read from a store. */
 export interface Belief {
-  /** Send time of the newest read that proved the belief current, ms; undefined before the first. */
+  /** Newest time at which a read proved the belief current, ms; undefined before the first. */
   provedAt: number | undefined;
-  /** Reads sent before this time prove nothing, ms. */
+  /** What was proved for times before this one counts no more, ms. */
   distrustedBefore: number;
 }
 
@@ -17,11 +17,11 @@
   return { provedAt: undefined, distrustedBefore: -Infinity };
 }
 
-/** Notes that a read sent at `sentAt` showed the belief to be current. */
-export function prove(belief: Belief, sentAt: number): void {
-  if (sentAt < belief.distrustedBefore) return;
-  if (belief.provedAt !== undefined && belief.provedAt >= sentAt) return;
-  belief.provedAt = sentAt;
+/** Notes that a read showed the belief to be current at `provedAt`. */
+export function prove(belief: Belief, provedAt: number): void {
+  if (provedAt < belief.distrustedBefore) return;
+  if (belief.provedAt !== undefined && belief.provedAt >= provedAt) return;
+  belief.provedAt = provedAt;
 }
 
 /** Drops what earlier reads proved, since the clock that dates them cannot be trusted. */
--- a/packages/core/src/gateway/belief_test.ts
+++ b/packages/core/src/gateway/belief_test.ts
@@ -42,7 +42,7 @@
   it("counts from when the read was sent, not from its answer", () => {
     const gate = start();
     gate.pass(4_500);
-    gate.feed({ kind: "belief_confirmed", what: "routing", sentAt: 50 });
+    gate.feed({ kind: "belief_confirmed", what: "routing", provedAt: 50 });
     expect(codeOf(ask(gate, "r1"))).to.equal("not_ready");
   });
 
@@ -51,10 +51,10 @@
     gate.pass(500);
     gate.feed({ kind: "clock_jumped", driftMs: 4_000 });
     expect(codeOf(ask(gate, "r1"))).to.equal("not_ready");
-    gate.feed({ kind: "belief_confirmed", what: "routing", sentAt: 400 });
+    gate.feed({ kind: "belief_confirmed", what: "routing", provedAt: 400 });
     expect(codeOf(ask(gate, "r2"))).to.equal("not_ready");
     gate.pass(50);
-    gate.feed({ kind: "belief_confirmed", what: "routing", sentAt: 540 });
+    gate.feed({ kind: "belief_confirmed", what: "routing", provedAt: 540 });
     expect(only(ask(gate, "r3"), "try_runner")).to.have.length(1);
   });
 
@@ -73,9 +73,9 @@
     const gate = start();
     const sentAt = gate.state.now;
     const newer = createDocument({ version: 7, teams: [] });
-    gate.feed({ kind: "routing_read", document: newer, sentAt });
+    gate.feed({ kind: "routing_read", document: newer, provedAt: sentAt });
     const older = createDocument({ version: 3 });
-    gate.feed({ kind: "routing_read", document: older, sentAt });
+    gate.feed({ kind: "routing_read", document: older, provedAt: sentAt });
     expect(codeOf(ask(gate, "r1"))).to.equal("unknown_key");
   });
 
@@ -95,7 +95,7 @@
       runners: [draining],
       gone: [],
       isWhole: false,
-      sentAt,
+      provedAt: sentAt,
     });
     expect(codeOf(ask(gate, "r1"))).to.equal("no_capacity");
     gate.feed({
@@ -103,7 +103,7 @@
       runners: [],
       gone: ["desk-0"],
       isWhole: false,
-      sentAt,
+      provedAt: sentAt,
     });
     expect(codeOf(ask(gate, "r2"))).to.equal("no_capacity");
   });
@@ -116,7 +116,7 @@
       runners: [createRunner("desk-0", { born: 1, state: "draining" })],
       gone: [],
       isWhole: false,
-      sentAt: 0,
+      provedAt: 0,
     });
     expect(only(ask(gate, "r1"), "try_runner")).to.have.length(1);
   });
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -62,7 +62,3 @@
 export const STOP_STREAMS_MS = 2_500;
 /** Left of the grace time when the last requests are ended, ms. */
 export const STOP_MARGIN_MS = 600;
-/** Time constant of the measured demand, ms. */
-export const DEMAND_WINDOW_MS = 10_000;
-/** Output tokens of a request before any was seen to end. */
-export const FIRST_OUTPUT_TOKENS = 150;
--- a/packages/core/src/gateway/event_types.ts
+++ b/packages/core/src/gateway/event_types.ts
@@ -3,13 +3,13 @@
  *
  * @module
  */
-import type { OrderOutcome } from "../formation/types.ts";
+import type { OrderOutcome, RunnerReport } from "../formation/types.ts";
 import type { Outcome, Verdict } from "../verdict/types.ts";
 import type { RoutingDocument, Runner } from "./types.ts";
 
 /** Every event of the gateway, before its time is added. */
 export type GatewayEvent =
-  | { kind: "routing_read"; document: RoutingDocument; sentAt: number }
+  | { kind: "routing_read"; document: RoutingDocument; provedAt: number }
   | {
     kind: "runners_read";
     runners: Runner[];
@@ -17,9 +17,9 @@
     gone: string[];
     /** True where `runners` is the whole list. */
     isWhole: boolean;
-    sentAt: number;
+    provedAt: number;
   }
-  | { kind: "belief_confirmed"; what: "routing" | "runners"; sentAt: number }
+  | { kind: "belief_confirmed"; what: "routing" | "runners"; provedAt: number }
   | { kind: "clock_jumped"; driftMs: number }
   | {
     kind: "delivery_asked";
@@ -58,7 +58,6 @@
     verdict: Verdict;
     /** True where the runner's reply may be passed on although it is a failure. */
     relayable: boolean;
-    outputTokens?: number;
   }
   | {
     kind: "reply_failed";
@@ -74,5 +73,12 @@
     fence: number;
     outcome: OrderOutcome;
   }
-  | { kind: "runner_probed"; runner: string; alive: boolean }
+  | {
+    kind: "runner_probed";
+    runner: string;
+    /** True where the runner answered. */
+    alive: boolean;
+    /** Undefined where it did not, or where its report cannot be read. */
+    report: RunnerReport | undefined;
+  }
   | { kind: "gateway_stop_ordered" };
--- /dev/null
+++ b/packages/core/src/gateway/fairness_test.ts
@@ -0,0 +1,89 @@
+import { expect } from "chai";
+import { createRandom, nextFloat } from "../util/random.ts";
+import {
+  ask,
+  createDocument,
+  createGate,
+  createHead,
+  type Gate,
+  only,
+  teach,
+} from "./test_fixture.ts";
+
+const ROUNDS = 400;
+const ROUND_MS = 100;
+/** Requests that arrive in each round; one in ten is of the small team. */
+const ARRIVALS = 10;
+/** Streams that end in each round, so that a good half of the requests find no place. */
+const ENDS = 4;
+
+function startCrowd(): Gate {
+  const gate = createGate();
+  const teams = ["large", "small"].map((name) => ({
+    name,
+    keys: [`key-${name}`],
+    priority: undefined,
+  }));
+  teach(gate, {
+    runners: [createHead("head-0")],
+    document: createDocument({ teams }),
+  });
+  return gate;
+}
+
+function endOldest(gate: Gate, running: string[]): void {
+  for (const request of running.splice(0, ENDS)) {
+    gate.feed({
+      kind: "reply_ended",
+      request,
+      attempt: 1,
+      status: 200,
+      verdict: "ran",
+      relayable: true,
+    });
+  }
+}
+
+/** Share of each team's requests that are sent to a runner while places are short. */
+function servedShares(): Record<string, number> {
+  const gate = startCrowd();
+  const random = createRandom(20_261_204);
+  const asked: Record<string, number> = { large: 0, small: 0 };
+  const sent: Record<string, number> = { large: 0, small: 0 };
+  const running: string[] = [];
+  let seen = 0;
+  for (let round = 0; round < ROUNDS; round += 1) {
+    for (let index = 0; index < ARRIVALS; index += 1) {
+      const team = nextFloat(random) < 0.1 ? "small" : "large";
+      asked[team]! += 1;
+      ask(gate, `${team}-${round}-${index}`, {
+        path: "/chat/1",
+        model: "small",
+        key: `key-${team}`,
+        deadlineMs: 8_000,
+      });
+    }
+    gate.pass(ROUND_MS);
+    const provedAt = gate.state.now;
+    gate.feed({ kind: "belief_confirmed", what: "routing", provedAt });
+    endOldest(gate, running);
+    const sends = only(gate.effects.slice(seen), "try_runner");
+    seen = gate.effects.length;
+    for (const { request } of sends) {
+      sent[request.split("-")[0]!]! += 1;
+      running.push(request);
+    }
+  }
+  return {
+    large: sent.large! / asked.large!,
+    small: sent.small! / asked.small!,
+  };
+}
+
+describe("two teams while places are short", () => {
+  it("are served alike, however few requests one of them has", () => {
+    const { large, small } = servedShares();
+    expect(large).to.be.within(0.1, 0.9);
+    expect(small / large).to.be.within(0.5, 2);
+  });
+});
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -42,8 +42,6 @@
     deliveries: new Map(),
     waiting: new Map(),
     retryBudgets: new Map(),
-    demand: new Map(),
-    outputTokens: new Map(),
     meanLoads: new Map(),
     workShare: createAverage(1 / RETRY_SHARERS),
     workShareAt: now,
--- a/packages/core/src/gateway/gateway_test.ts
+++ b/packages/core/src/gateway/gateway_test.ts
@@ -22,7 +22,7 @@
   for (let rest = ms; rest > 0; rest -= 500) {
     effects.push(...gate.pass(Math.min(rest, 500)));
     const sentAt = gate.state.now;
-    gate.feed({ kind: "belief_confirmed", what: "routing", sentAt });
+    gate.feed({ kind: "belief_confirmed", what: "routing", provedAt: sentAt });
   }
   return effects;
 }
--- a/packages/core/src/gateway/reply.ts
+++ b/packages/core/src/gateway/reply.ts
@@ -6,9 +6,7 @@
 import type { EventOf } from "../event/types.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
-import { addSample } from "../util/ewma.ts";
 import { targetOf } from "./choose.ts";
-import { outputTokensOf } from "./demand.ts";
 import { noteLoad } from "./occupancy.ts";
 import { endDelivery, logEnd } from "./finish.ts";
 import { failTry } from "./retry.ts";
@@ -91,13 +89,6 @@
     });
   }
   target.failures = 0;
-  if (isStream(delivery.route)) {
-    addSample(
-      outputTokensOf(gateway, delivery.route.name),
-      event.outputTokens ?? delivery.maxOutputTokens,
-      { weight: 0.02 },
-    );
-  }
   yield logEnd(state, delivery, { status, runner, verdict: "ran" });
   if (!delivery.relaying) {
     yield { kind: "relay", request: delivery.request, attempt: event.attempt };
--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -14,10 +14,10 @@
 /** Handles changes of the list of runners, or the whole list. */
 export function* readRunners(
   state: State,
-  { runners, gone, isWhole, sentAt }: EventOf<"runners_read">,
+  { runners, gone, isWhole, provedAt }: EventOf<"runners_read">,
 ): Effects {
   const gateway = state.gateway!;
-  prove(gateway.runnerBelief, sentAt);
+  prove(gateway.runnerBelief, provedAt);
   const removed = isWhole ? missingFrom(gateway, runners) : gone;
   for (const id of removed) yield* removeRunner(gateway, id);
   for (const runner of runners) {
@@ -80,10 +80,10 @@
 /** Handles a new configuration; an older one than the one in force is ignored. */
 export function* readRouting(
   state: State,
-  { document, sentAt }: EventOf<"routing_read">,
+  { document, provedAt }: EventOf<"routing_read">,
 ): Effects {
   const gateway = state.gateway!;
-  prove(gateway.routingBelief, sentAt);
+  prove(gateway.routingBelief, provedAt);
   const inForce = gateway.routing?.document.version;
   if (inForce !== undefined && document.version <= inForce) return;
   gateway.routing = createRoutingTable(document);
@@ -94,7 +94,7 @@
       version: document.version,
       before: inForce,
       routes: document.routes.length,
-      ageMs: Math.round(state.now - sentAt),
+      ageMs: Math.round(state.now - provedAt),
     },
   };
   yield { kind: "limits_in_force", limits: document.limits };
@@ -103,10 +103,10 @@
 /** Handles a read that found nothing new. */
 export function confirmBelief(
   state: State,
-  { what, sentAt }: EventOf<"belief_confirmed">,
+  { what, provedAt }: EventOf<"belief_confirmed">,
 ): Effects {
   const { routingBelief, runnerBelief } = state.gateway!;
-  prove(what === "routing" ? routingBelief : runnerBelief, sentAt);
+  prove(what === "routing" ? routingBelief : runnerBelief, provedAt);
   return noEffects();
 }
 
--- a/packages/core/src/gateway/test_fixture.ts
+++ b/packages/core/src/gateway/test_fixture.ts
@@ -5,7 +5,11 @@
  */
 import type { Effect } from "../effect/types.ts";
 import type { EventBody } from "../event/types.ts";
-import type { Membership, RunnerOrder } from "../formation/types.ts";
+import type {
+  Membership,
+  RunnerOrder,
+  RunnerReport,
+} from "../formation/types.ts";
 import { reduce } from "../reduce.ts";
 import { createState } from "../state/create_state.ts";
 import type { State } from "../state/types.ts";
@@ -194,8 +198,14 @@
   } = {},
 ): void {
   const sentAt = gate.state.now;
-  gate.feed({ kind: "routing_read", document, sentAt });
-  gate.feed({ kind: "runners_read", runners, gone: [], isWhole: true, sentAt });
+  gate.feed({ kind: "routing_read", document, provedAt: sentAt });
+  gate.feed({
+    kind: "runners_read",
+    runners,
+    gone: [],
+    isWhole: true,
+    provedAt: sentAt,
+  });
 }
 
 /** Asks for a path under a key. */
@@ -236,6 +246,8 @@
 /** Runners that carry out orders. */
 export interface Pool {
   runners: Map<string, Runner>;
+  /** Work that runners report to status checks. */
+  reports: Map<string, RunnerReport>;
   /** Highest fencing number that each runner has seen. */
   fences: Map<string, number>;
   /** Times at which loads began, ms. */
@@ -282,9 +294,11 @@
   const runners = new Map(list.map((runner) => [runner.id, runner]));
   const dead = new Set<string>();
   const changes: Change[] = [];
+  const reports = new Map<string, RunnerReport>();
   let term = 0;
   const pool: Pool = {
     runners,
+    reports,
     fences: new Map(),
     loads: [],
     held: [],
@@ -315,7 +329,7 @@
       runners: [],
       gone: [id],
       isWhole: false,
-      sentAt,
+      provedAt: sentAt,
     });
   }
 
@@ -330,7 +344,7 @@
       runners: [next],
       gone: [],
       isWhole: false,
-      sentAt,
+      provedAt: sentAt,
     });
   }
 
@@ -415,8 +429,10 @@
       gate.feed({ kind: "term_begun", term });
     }
     if (effect.kind === "probe_runner") {
-      const alive = !dead.has(effect.runner);
-      gate.feed({ kind: "runner_probed", runner: effect.runner, alive });
+      const { runner } = effect;
+      const alive = !dead.has(runner);
+      const report = alive ? reports.get(runner) : undefined;
+      gate.feed({ kind: "runner_probed", runner, alive, report });
     }
     if (effect.kind !== "order_runner") return;
     const { runner, fence, order } = effect;
@@ -434,7 +450,11 @@
       const sentAt = gate.state.now;
       if (Math.round(sentAt / TICK_MS) % (REPEAT_MS / TICK_MS) === 0) {
         gate.feed({ kind: "duty_renewed", held: holdsDuty(), sentAt });
-        gate.feed({ kind: "belief_confirmed", what: "routing", sentAt });
+        gate.feed({
+          kind: "belief_confirmed",
+          what: "routing",
+          provedAt: sentAt,
+        });
       }
       const from = gate.effects.length;
       gate.pass(TICK_MS);
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -215,13 +215,6 @@
   at: number;
 }
 
-/** Demand for one model, as arrivals show it. */
-export interface Demand {
-  /** Requests a second. */
-  perSecond: number;
-  at: number;
-}
-
 /** Everything that the gateway knows. */
 export interface Gateway {
   zone: string;
@@ -238,10 +231,6 @@
   /** Requests that wait for a place, by service and model. */
   waiting: Map<string, Set<string>>;
   retryBudgets: Map<string, RetryBudget>;
-  /** Work asked for by model, in group-milliseconds a second. */
-  demand: Map<string, Demand>;
-  /** Mean output tokens by route, learned from finished streams. */
-  outputTokens: Map<string, Average>;
   /** Mean loads by kind of runner: service, model and availability zone. */
   meanLoads: Map<string, MeanLoad>;
   /** This daemon's part of all work before the runners, 0 to 1. */
--- a/packages/daemon/src/gateway/adapters.ts
+++ b/packages/daemon/src/gateway/adapters.ts
@@ -9,6 +9,7 @@
   RoutingDocument,
   Runner,
   RunnerOrder,
+  RunnerReport,
   Verdict,
 } from "@primroseshed/core";
 
@@ -93,14 +94,23 @@
   leave(member: string): Promise<void>;
 }
 
+/** Answer to a status check. */
+export interface ProbeAnswer {
+  alive: boolean;
+  /** Undefined where there is none. */
+  report?: RunnerReport;
+  /** Why the report of a runner that answered cannot be read. */
+  problem?: string;
+}
+
 /** Calls to runners beside requests. */
 export interface RunnerControl {
   order(
     address: string,
     options: { runner: string; fence: number; order: RunnerOrder },
   ): Promise<OrderOutcome>;
-  /** True where the runner answers a status check. */
-  probe(address: string): Promise<boolean>;
+  /** Checks a runner's status. */
+  probe(address: string): Promise<ProbeAnswer>;
 }
 
 /** Everything around the gateway. */
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -25,7 +25,7 @@
   store: z.strictObject({
     address,
     /** A read of the configuration waits this long for a change. */
-    routingWaitMs: milliseconds.default(1_000),
+    routingWaitMs: milliseconds.default(1_500),
     /** A read of the list of runners waits this long for a change. */
     runnersWaitMs: milliseconds.default(1_500),
     /** Changes of runners are gathered for this long at least. */
--- a/packages/daemon/src/gateway/watch.ts
+++ b/packages/daemon/src/gateway/watch.ts
@@ -12,8 +12,8 @@
   records: KeyedRecord<T>[];
   /** True where `records` holds every key. */
   isWhole: boolean;
-  /** Time at which the read was sent, monotonic ms. */
-  sentAt: number;
+  /** The records are all that there was at this time at least, monotonic ms. */
+  provedAt: number;
 }
 
 /** Options of {@link followTopic}. */
@@ -23,6 +23,8 @@
   topic: KeyedTopic<T>;
   /** A read waits this long for a change, ms. */
   waitMs: number;
+  /** True while the belief has any proof; without one, reads do not wait. */
+  isProved(): boolean;
   /** Pause after a change, so that several are read at once, ms. */
   gatherMs(): number;
   onNews(news: TopicNews<T>): void;
@@ -35,13 +37,36 @@
 /** Pause after a read that found nothing and did not wait, ms. */
 const LEAST_PAUSE_MS = 100;
 
+/** Share of a wait that a proof counts, since the store's clock may run faster than this one. */
+const TRUSTED_WAIT_SHARE = 0.95;
+
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
+/**
+ * Returns up to when a read that found nothing proves that there was nothing.
+ *
+ * The store looks last at the end of the wait that it was allowed, so the proof reaches that far where it has waited.
+ *
+ * @example
+ * ```ts
+ * provedAtOf({ sentAt: 100, waited: 1_504, allowedMs: 1_500 }); // 1,525: less a margin for clocks that run apart
+ * ```
+ */
+export function provedAtOf(
+  { sentAt, waited, allowedMs }: {
+    sentAt: number;
+    waited: number;
+    allowedMs: number;
+  },
+): number {
+  return waited < allowedMs ? sentAt : sentAt + allowedMs * TRUSTED_WAIT_SHARE;
+}
+
 /** Follows a topic until the returned function is called. */
 export function followTopic<T>(
-  { name, topic, waitMs, gatherMs, onNews, log }: FollowOptions<T>,
+  { name, topic, waitMs, isProved, gatherMs, onNews, log }: FollowOptions<T>,
 ): () => void {
   let isStopped = false;
   let next: number | undefined;
@@ -52,21 +77,27 @@
     if (next === undefined) {
       const whole = await topic.readAll();
       next = whole.next;
-      report({ records: whole.records, isWhole: true, sentAt });
+      report({ records: whole.records, isWhole: true, provedAt: sentAt });
       return 0;
     }
-    const read = await topic.readFrom(next, { waitMs });
+    // After a failure or a suspension the belief is old, and an answer at once makes it young again.
+    const allowedMs = failures > 0 || !isProved() ? 0 : waitMs;
+    const read = await topic.readFrom(next, { waitMs: allowedMs });
     if (read.kind === "trimmed") {
       log("log_trimmed", { topic: name, offset: next });
       next = undefined;
       return 0;
     }
     next = read.next;
-    report({ records: read.records, isWhole: false, sentAt });
-    if (read.records.length > 0) return gatherMs();
-    // A store that does not wait must not be asked in a tight loop.
+    const { records } = read;
     const waited = monotonicNow() - sentAt;
-    return waited < waitMs / 2 ? LEAST_PAUSE_MS : 0;
+    const provedAt = records.length > 0
+      ? sentAt
+      : provedAtOf({ sentAt, waited, allowedMs });
+    report({ records, isWhole: false, provedAt });
+    if (records.length > 0) return gatherMs();
+    // A store that does not wait must not be asked in a tight loop.
+    return waited < allowedMs / 2 ? LEAST_PAUSE_MS : 0;
   }
 
   function report(news: TopicNews<T>): void {
--- a/packages/daemon/src/gateway/watch_test.ts
+++ b/packages/daemon/src/gateway/watch_test.ts
@@ -1,32 +1,39 @@
 import { expect } from "chai";
 import type { KeyedRead, KeyedTopic } from "./adapters.ts";
-import { followTopic, type TopicNews } from "./watch.ts";
+import { followTopic, provedAtOf, type TopicNews } from "./watch.ts";
 
 /** A topic that answers each read with the next of the given results, then without records. */
 function createTopic(reads: KeyedRead<string>[]) {
   const calls: string[] = [];
+  const waits: number[] = [];
   const topic: KeyedTopic<string> = {
     readAll() {
       calls.push("all");
       return Promise.resolve({ records: [{ key: "a", value: "1" }], next: 3 });
     },
-    readFrom(offset) {
+    readFrom(offset, { waitMs }) {
       calls.push(`from ${offset}`);
+      waits.push(waitMs);
       const read = reads.shift();
       return Promise.resolve(
         read ?? { kind: "records", records: [], next: offset },
       );
     },
   };
-  return { topic, calls };
+  return { topic, calls, waits };
 }
 
-async function follow(topic: KeyedTopic<string>, ms: number) {
+async function follow(
+  topic: KeyedTopic<string>,
+  ms: number,
+  { isProved = () => true }: { isProved?: () => boolean } = {},
+) {
   const news: TopicNews<string>[] = [];
   const stop = followTopic({
     name: "t",
     topic,
     waitMs: 1_000,
+    isProved,
     gatherMs: () => 0,
     onNews: (each) => news.push(each),
     log: () => undefined,
@@ -58,9 +65,51 @@
     expect(calls.slice(0, 3)).to.deep.equal(["all", "from 3", "all"]);
   });
 
+  it("waits for changes while its belief has a proof, and not while it has none", async () => {
+    let isProved = false;
+    const { topic, waits } = createTopic([]);
+    await follow(topic, 150, {
+      isProved: () => {
+        isProved = !isProved;
+        return !isProved;
+      },
+    });
+    expect(waits.slice(0, 2)).to.deep.equal([0, 1_000]);
+  });
+
+  it("asks for an answer at once after a failure", async () => {
+    const { topic, waits } = createTopic([]);
+    const { readFrom } = topic;
+    let isDown = true;
+    topic.readFrom = (offset, options) => {
+      const read = readFrom(offset, options);
+      if (!isDown) return read;
+      isDown = false;
+      return Promise.reject(new Error("no answer"));
+    };
+    await follow(topic, 250);
+    expect(waits.slice(0, 2)).to.deep.equal([1_000, 0]);
+  });
+
   it("does not ask in a tight loop where reads do not wait", async () => {
     const { topic, calls } = createTopic([]);
     await follow(topic, 350);
     expect(calls.length).to.be.at.most(6);
   });
 });
+
+describe("the proof of a read that found nothing", () => {
+  it("reaches to the end of the wait, less a margin for clocks", () => {
+    const provedAt = provedAtOf({
+      sentAt: 100,
+      waited: 1_500,
+      allowedMs: 1_500,
+    });
+    expect(provedAt).to.be.within(100 + 1_400, 100 + 1_499);
+  });
+
+  it("reaches no further than its sending where the store answered sooner", () => {
+    const read = { sentAt: 100, waited: 1_499, allowedMs: 1_500 };
+    expect(provedAtOf(read)).to.equal(100);
+  });
+});
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -66,23 +66,23 @@
 }
 
 function runnersNews(news: TopicNews<Runner>): EventBody {
-  const { records, isWhole, sentAt } = news;
+  const { records, isWhole, provedAt } = news;
   const newest = new Map(records.map(({ key, value }) => [key, value]));
   const runners = [...newest.values()].filter((each) => each !== undefined);
   const gone = [...newest].filter(([, value]) => value === undefined)
     .map(([key]) => key);
-  return { kind: "runners_read", runners, gone, isWhole, sentAt };
+  return { kind: "runners_read", runners, gone, isWhole, provedAt };
 }
 
 function routingNews(news: TopicNews<RoutingDocument>): EventBody {
-  const { records, sentAt } = news;
+  const { records, provedAt } = news;
   const documents = records.map(({ value }) => value)
     .filter((each) => each !== undefined)
     .sort((left, right) => left.version - right.version);
   const document = documents.at(-1);
   return document === undefined
-    ? { kind: "belief_confirmed", what: "routing", sentAt }
-    : { kind: "routing_read", document, sentAt };
+    ? { kind: "belief_confirmed", what: "routing", provedAt }
+    : { kind: "routing_read", document, provedAt };
 }
 
 /**
@@ -150,8 +150,11 @@
   }
 
   async function probe(runner: string, address: string): Promise<void> {
-    const alive = await adapters.control.probe(address);
-    dispatch({ kind: "runner_probed", runner, alive });
+    const { alive, report, problem } = await adapters.control.probe(address);
+    if (problem !== undefined) {
+      log("entry_unreadable", { topic: "report", key: runner, problem });
+    }
+    dispatch({ kind: "runner_probed", runner, alive, report });
   }
 
   const handlers: Partial<EffectHandlers> = {
@@ -229,6 +232,7 @@
       name: "routing",
       topic: adapters.routing,
       waitMs: store.routingWaitMs,
+      isProved: () => state.gateway!.routingBelief.provedAt !== undefined,
       gatherMs: () => 0,
       onNews: (news) => dispatch(routingNews(news)),
       log,
@@ -237,6 +241,7 @@
       name: "runners",
       topic: adapters.runners,
       waitMs: store.runnersWaitMs,
+      isProved: () => state.gateway!.runnerBelief.provedAt !== undefined,
       gatherMs: () =>
         gatherMsOf(store, {
           runners: state.gateway!.runners.size,
