--- a/packages/core/src/gateway/arrive.ts
+++ b/packages/core/src/gateway/arrive.ts
@@ -7,7 +7,7 @@
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { ageOf } from "./belief.ts";
-import { chooseRunner, isServed } from "./choose.ts";
+import { chooseRunner } from "./choose.ts";
 import {
   RETRY_AFTER_MS,
   STOP_MARGIN_MS,
@@ -15,6 +15,7 @@
 } from "./constants.ts";
 import { giveUp } from "./finish.ts";
 import { lookUp, NOT_READY, type Refusal } from "./lookup.ts";
+import { isServed } from "./roster.ts";
 import { budgetOf, limitsOf } from "./retry.ts";
 import { countRequest } from "./retry_budget.ts";
 import { isStream, pickService } from "./routes.ts";
--- a/packages/core/src/gateway/choose.ts
+++ b/packages/core/src/gateway/choose.ts
@@ -15,6 +15,7 @@
   URGENT_QUEUE,
 } from "./constants.ts";
 import { occupancyOf } from "./occupancy.ts";
+import { takersOf } from "./roster.ts";
 import type { Delivery, Gateway, Runner, Target } from "./types.ts";
 
 /** Returns what is known of a runner as a target. */
@@ -35,18 +36,6 @@
   return target;
 }
 
-/** True where a runner takes requests for a model, or any request of a plain service. */
-export function takesWork(
-  runner: Runner,
-  { service, model }: { service: string; model: string | undefined },
-): boolean {
-  if (runner.service !== service || runner.state !== "ready") return false;
-  if (model === undefined) return true;
-  const { membership } = runner;
-  return membership?.state === "open" && membership.rank === 0 &&
-    runner.model === model;
-}
-
 function slotsOf(gateway: Gateway, runner: Runner): number {
   const engine = gateway.routing?.services.get(runner.service)?.engine;
   return engine?.slots ?? runner.slots;
@@ -88,8 +77,8 @@
   { resumed }: ChooseOptions,
 ): Runner | undefined {
   let best: Candidate | undefined;
-  for (const runner of gateway.runners.values()) {
-    if (!takesWork(runner, delivery) || delivery.tried.has(runner.id)) continue;
+  for (const runner of takersOf(gateway, delivery)) {
+    if (delivery.tried.has(runner.id)) continue;
     const target = targetOf(gateway, runner.id);
     if (target.avoidUntil > state.now || isSilent(target, state.now)) continue;
     const occupancy = occupancyOf(gateway, { runner, target }, state.now);
@@ -103,11 +92,3 @@
   }
   return best?.runner;
 }
-
-/** True where any runner takes such work at all, with or without a free place. */
-export function isServed(gateway: Gateway, delivery: Delivery): boolean {
-  for (const runner of gateway.runners.values()) {
-    if (takesWork(runner, delivery)) return true;
-  }
-  return false;
-}
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -37,6 +37,7 @@
     routingBelief: createBelief(),
     runnerBelief: createBelief(),
     runners: new Map(),
+    takers: new Map(),
     runnersGrewAt: now,
     targets: new Map(),
     deliveries: new Map(),
--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -8,6 +8,7 @@
 import type { State } from "../state/types.ts";
 import { distrust, prove } from "./belief.ts";
 import { serveWaiting } from "./send.ts";
+import { listRunner, unlistRunner } from "./roster.ts";
 import { createRoutingTable } from "./routes.ts";
 import type { Gateway, Runner } from "./types.ts";
 
@@ -35,7 +36,7 @@
 }
 
 function* removeRunner(gateway: Gateway, id: string): Effects {
-  if (!gateway.runners.delete(id)) return;
+  if (!unlistRunner(gateway, id)) return;
   const target = gateway.targets.get(id);
   if (target?.inFlight === 0) gateway.targets.delete(id);
   gateway.formation.probes.delete(id);
@@ -47,7 +48,7 @@
   if (known === runner) return;
   // A delayed entry of an earlier life says nothing of this one.
   if (known !== undefined && runner.born < known.born) return;
-  gateway.runners.set(runner.id, runner);
+  listRunner(gateway, runner);
   if (known !== undefined && known.born !== runner.born) {
     const target = gateway.targets.get(runner.id);
     if (target !== undefined) target.load = undefined;
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -224,6 +224,8 @@
   /** Age of what is known of the runners. */
   runnerBelief: Belief;
   runners: Map<string, Runner>;
+  /** Runners by the work that they take; kept by the roster. */
+  takers: Map<string, Map<string, Runner>>;
   /** Time at which a runner was listed that had not been known, ms. */
   runnersGrewAt: number;
   targets: Map<string, Target>;
