--- /dev/null
+++ b/packages/core/src/formation/loads_test.ts
@@ -0,0 +1,50 @@
+import { expect } from "chai";
+import {
+  createDocument,
+  createGate,
+  ENGINE,
+  MODELS,
+  teach,
+} from "../gateway/test_fixture.ts";
+import type { Gateway } from "../gateway/types.ts";
+import { takeLoad } from "./loads.ts";
+
+const STEP_MS = 100;
+const [MODEL] = MODELS;
+
+function startGateway(): Gateway {
+  const gate = createGate();
+  teach(gate, { document: createDocument() });
+  return gate.state.gateway!;
+}
+
+/** Takes every load that is allowed in a time, and returns when each began, ms. */
+function takeAll(
+  engine: typeof ENGINE,
+  { ms }: { ms: number },
+): number[] {
+  const gateway = startGateway();
+  const begun: number[] = [];
+  for (let now = 0; now <= ms; now += STEP_MS) {
+    while (takeLoad(gateway, engine, { model: MODEL!, now })) begun.push(now);
+  }
+  return begun;
+}
+
+describe("loads from the weight store", () => {
+  it("begin no faster than allowed, where many may run side by side", () => {
+    const engine = { ...ENGINE, loadsAtOnce: 1_000, loadsPerSecond: 5 };
+    const begun = takeAll(engine, { ms: 20_000 });
+    for (const start of begun) {
+      const window = begun.filter((at) => at >= start && at < start + 5_000);
+      expect(window.length).to.be.at.most(5 * 5 * 1.1 + 3);
+    }
+    expect(begun.length).to.be.above(80);
+  });
+
+  it("run no more side by side than at full speed, where they may begin fast", () => {
+    const engine = { ...ENGINE, loadsAtOnce: 3, loadsPerSecond: 1_000 };
+    const begun = takeAll(engine, { ms: 10_000 });
+    expect(begun).to.have.length(3);
+  });
+});
--- a/packages/core/src/formation/plan_test.ts
+++ b/packages/core/src/formation/plan_test.ts
@@ -144,7 +144,26 @@
     expect(openGroups(pool).length).to.be.at.least(8);
   });
 
-  it("sends no order once the duty's last grant is a second old", () => {
+  /** Orders that follow the loss of a member, where the duty was last renewed a time ago. */
+  function ordersAfterLoss({ silentMs }: { silentMs: number }): number {
+    const { gate, pool } = startPool();
+    pool.run(20_000);
+    gate.pass(silentMs);
+    const before = only(gate.effects, "order_runner").length;
+    const member = [...pool.runners.values()].find(({ membership }) =>
+      membership?.rank === 1
+    )!;
+    pool.kill(member.id, { isListed: false });
+    gate.pass(200);
+    return only(gate.effects, "order_runner").length - before;
+  }
+
+  it("sends no order once the duty's last grant is a second old, where the store is silent", () => {
+    expect(ordersAfterLoss({ silentMs: 500 })).to.be.above(0);
+    expect(ordersAfterLoss({ silentMs: 1_000 })).to.equal(0);
+  });
+
+  it("sends no order once the duty went to another daemon", () => {
     let held = true;
     const { gate, pool } = startPool({ holdsDuty: () => held });
     pool.run(5_000);
