--- a/packages/core/src/formation/demand_test.ts
+++ b/packages/core/src/formation/demand_test.ts
@@ -3,15 +3,14 @@
   createDomain,
   createGate,
   createHead,
-  createPool,
   MODELS,
-  type Pool,
   teach,
 } from "../gateway/test_fixture.ts";
 import type { Runner } from "../gateway/types.ts";
 import { demandOf, measureDemand } from "./demand.ts";
 import type { RunnerReport } from "./types.ts";
 import type { GroupView } from "./view.ts";
+import { createPool, type Pool } from "./test_pool.ts";
 
 function createView(head: Runner): GroupView {
   const model = MODELS[1]!;
--- /dev/null
+++ b/packages/core/src/formation/domains.ts
@@ -0,0 +1,64 @@
+/**
+ * Sees what is free and what exists in each fabric domain.
+ *
+ * @module
+ */
+import type { Service } from "../gateway/types.ts";
+import type { State } from "../state/types.ts";
+import type { DomainView } from "./layout.ts";
+import { type GroupView, seemsDead } from "./view.ts";
+
+function createDomainView(domain: string): DomainView {
+  return {
+    domain,
+    unstaged: [],
+    staged: new Map(),
+    loading: new Map(),
+    groups: new Map(),
+  };
+}
+
+/** Sorts the runners of a service by domain: those in groups, and the free ones by the weights they hold. */
+export function viewDomains(
+  state: State,
+  { service, views }: { service: Service; views: GroupView[] },
+): Map<string, DomainView> {
+  const { runners, formation } = state.gateway!;
+  const domains = new Map<string, DomainView>();
+  const viewOf = (domain: string) => {
+    const view = domains.get(domain) ?? createDomainView(domain);
+    domains.set(domain, view);
+    return view;
+  };
+  const increase = (counts: Map<string, number>, model: string) =>
+    counts.set(model, (counts.get(model) ?? 0) + 1);
+  for (const { domain, model } of views) {
+    increase(viewOf(domain).groups, model.name);
+  }
+  const planned = new Set(
+    views.flatMap(({ members }) => members.map((each) => each?.id)),
+  );
+  for (const runner of runners.values()) {
+    if (runner.service !== service.name || runner.state !== "ready") continue;
+    if (runner.domain === undefined || runner.membership !== undefined) {
+      continue;
+    }
+    if (planned.has(runner.id) || seemsDead(formation, runner)) continue;
+    const view = viewOf(runner.domain);
+    const order = formation.openOrders.get(runner.id)?.order;
+    if (order?.action === "stage") {
+      increase(view.loading, order.model);
+      continue;
+    }
+    if (order !== undefined) continue;
+    const [model] = runner.staged;
+    if (model === undefined) {
+      view.unstaged.push(runner);
+      continue;
+    }
+    const staged = view.staged.get(model) ?? [];
+    staged.push(runner);
+    view.staged.set(model, staged);
+  }
+  return domains;
+}
--- a/packages/core/src/formation/plan_test.ts
+++ b/packages/core/src/formation/plan_test.ts
@@ -2,11 +2,10 @@
 import {
   createDomain,
   createGate,
-  createPool,
   only,
-  openGroups,
   teach,
 } from "../gateway/test_fixture.ts";
+import { createPool, openGroups } from "./test_pool.ts";
 
 describe("layout at the first start", () => {
   it("keeps all domains but one to one model and its spares, although runners are listed one by one", () => {
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -17,6 +17,7 @@
   Histogram,
   Registry,
 } from "prom-client";
+import { createGaugeAdder } from "../observe/gauges.ts";
 import type { LogFields } from "../observe/logger.ts";
 
 /** Metrics of one gateway. */
@@ -116,14 +117,11 @@
     ["priority"],
   );
   createGauges(state, { registers, now });
-  new Gauge({
-    name: "primrose_log_lines_left_out",
-    help: "Log lines left out since the start",
-    registers,
-    collect() {
-      this.set(leftOutLines());
-    },
-  });
+  createGaugeAdder(registers)(
+    "primrose_log_lines_left_out",
+    "Log lines left out since the start",
+    leftOutLines,
+  );
 
   const counters: EventCounters = {
     request_refused: ({ code }) => refusals.inc({ code: label(code) }),
@@ -154,15 +152,7 @@
   { registers, now }: { registers: Registry[]; now: () => number },
 ): void {
   const gateway = state.gateway!;
-  const single = (name: string, help: string, read: () => number) =>
-    new Gauge({
-      name,
-      help,
-      registers,
-      collect() {
-        this.set(read());
-      },
-    });
+  const single = createGaugeAdder(registers);
   const age = (belief: typeof gateway.routingBelief) =>
     ageOf(belief, now()) / MS_PER_SECOND;
   single(
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -11,6 +11,7 @@
   Histogram,
   Registry,
 } from "prom-client";
+import { createGaugeAdder } from "./gauges.ts";
 
 /** Metrics of one daemon. */
 export interface Metrics {
@@ -116,15 +117,7 @@
       }
     },
   });
-  const single = (name: string, help: string, read: () => number) =>
-    new Gauge({
-      name,
-      help,
-      registers,
-      collect() {
-        this.set(read());
-      },
-    });
+  const single = createGaugeAdder(registers);
   single(
     "primrose_requests_in_flight",
     "Requests known to this daemon",
