--- /dev/null
+++ b/packages/daemon/src/startup.ts
@@ -0,0 +1,65 @@
+/**
+ * What a daemon reads and opens once at its start.
+ *
+ * @module
+ */
+import type { PeerAddress, PeerTls } from "./peers/mesh.ts";
+import type { Settings } from "./settings/schema.ts";
+import type { State } from "@primroseshed/core";
+import { createPrivateKey, sign } from "node:crypto";
+import { readFileSync } from "node:fs";
+import type { Server } from "node:http";
+
+/** Opens a server and returns the address in use, as a URL. */
+export function listenOn(
+  server: Server,
+  { host, port }: { host: string; port: number },
+): Promise<string> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(
+      port,
+      host,
+      () =>
+        resolve(
+          `http://${host}:${(server.address() as { port: number }).port}`,
+        ),
+    );
+  });
+}
+
+/** Reads the files of TLS between peers; undefined where it is not used. */
+export function readTls(settings: Settings): { tls?: PeerTls } {
+  const { peerTls } = settings;
+  if (peerTls === undefined) return {};
+  const read = (file: string) => readFileSync(file, "utf8");
+  return {
+    tls: {
+      cert: read(peerTls.certFile),
+      key: read(peerTls.keyFile),
+      ca: read(peerTls.caFile),
+    },
+  };
+}
+
+/** Returns the function that signs usage records. */
+export function createSigner(
+  usageKey: string | undefined,
+): (text: string) => string {
+  if (usageKey === undefined) return () => "";
+  const key = createPrivateKey(usageKey);
+  return (text) => sign(null, Buffer.from(text), key).toString("base64");
+}
+
+/** Lists the other daemons that this one should be connected to. */
+export function listPeers(settings: Settings, state: State): PeerAddress[] {
+  const peers = new Map(
+    settings.peers.map((peer) => [peer.name, peer.address]),
+  );
+  for (const { vm, address, role, state: vmState } of state.vms.values()) {
+    if (role === "entry" && vmState === "live" && vm !== settings.node.name) {
+      peers.set(vm, new URL(address).host);
+    }
+  }
+  return [...peers].map(([name, address]) => ({ name, address }));
+}
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -3,16 +3,6 @@
  *
  * @module
  */
-import { createPrivateKey, randomBytes, sign } from "node:crypto";
-import { readFileSync } from "node:fs";
-import type { Server } from "node:http";
-import {
-  createState,
-  type Effect,
-  type LogRecord,
-  type State,
-  usagePayload,
-} from "@primroseshed/core";
 import { createCacheFeed } from "./backend/cache_feed.ts";
 import { createOrderSender } from "./backend/orders.ts";
 import { createStatusPoll } from "./backend/status_poll.ts";
@@ -26,14 +16,22 @@
 import { createCallerApp } from "./http/caller_app.ts";
 import type { Exchange, Exchanges } from "./http/exchanges.ts";
 import { createOperatorApp } from "./http/operator_app.ts";
-import { createLogger, type Logger } from "./observe/logger.ts";
-import { createMetrics } from "./observe/metrics.ts";
-import { createMesh, type PeerAddress, type PeerTls } from "./peers/mesh.ts";
 import { createLogClient } from "./log_service/log_client.ts";
 import { createLogTail } from "./log_service/log_tail.ts";
+import { createLogger, type Logger } from "./observe/logger.ts";
+import { createMetrics } from "./observe/metrics.ts";
+import { createMesh } from "./peers/mesh.ts";
 import { createVmListPoll } from "./peers/vm_list.ts";
 import type { LoadedSettings } from "./settings/load.ts";
-import type { Settings } from "./settings/schema.ts";
+import { createSigner, listenOn, listPeers, readTls } from "./startup.ts";
+import {
+  createState,
+  type Effect,
+  type LogRecord,
+  type State,
+  usagePayload,
+} from "@primroseshed/core";
+import { randomBytes } from "node:crypto";
 
 /** Addresses a daemon listens on. */
 export interface Addresses {
@@ -59,54 +57,6 @@
 const CACHE_POLL_MS = 1_000;
 const PEER_REFRESH_MS = 1_000;
 
-function listenOn(
-  server: Server,
-  { host, port }: { host: string; port: number },
-): Promise<string> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(
-      port,
-      host,
-      () =>
-        resolve(
-          `http://${host}:${(server.address() as { port: number }).port}`,
-        ),
-    );
-  });
-}
-
-function readTls(settings: Settings): { tls?: PeerTls } {
-  const { peerTls } = settings;
-  if (peerTls === undefined) return {};
-  const read = (file: string) => readFileSync(file, "utf8");
-  return {
-    tls: {
-      cert: read(peerTls.certFile),
-      key: read(peerTls.keyFile),
-      ca: read(peerTls.caFile),
-    },
-  };
-}
-
-function createSigner(usageKey: string | undefined): (text: string) => string {
-  if (usageKey === undefined) return () => "";
-  const key = createPrivateKey(usageKey);
-  return (text) => sign(null, Buffer.from(text), key).toString("base64");
-}
-
-function listPeers(settings: Settings, state: State): PeerAddress[] {
-  const peers = new Map(
-    settings.peers.map((peer) => [peer.name, peer.address]),
-  );
-  for (const { vm, address, role, state: vmState } of state.vms.values()) {
-    if (role === "entry" && vmState === "live" && vm !== settings.node.name) {
-      peers.set(vm, new URL(address).host);
-    }
-  }
-  return [...peers].map(([name, address]) => ({ name, address }));
-}
-
 /** Options of {@link createDaemon}. */
 export interface DaemonOptions {
   /** Where log events go; standard error by default. */
