Remove what the change left dead, and let one piece serve twins

Unread: the engine's speed fields once the planner measured demand by reports (the configuration is still checked for them), the runner whose reply is relayed. One key for a kind of work in place of two; one list and one failure of daemons that do not answer; gauges of a gateway in one place; functions used in one module only are no longer exported. Behaviour is as before.

--- a/packages/cli/src/commands/compare.ts
+++ b/packages/cli/src/commands/compare.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type Access, callAll } from "../daemon_client.ts";
+import { type Access, callAll, throwIfUnreachable } from "../daemon_client.ts";
 import { CommandError } from "../exit_codes.ts";
 import { formatTable, type Output, print } from "../output.ts";
 import { type Change, diffValues } from "./diff.ts";
@@ -84,12 +84,7 @@
         ...differences.map(formatDifference),
       ].join("\n\n"),
   );
-  const failed = answers.flatMap((answer) =>
-    answer.ok ? [] : [answer.error.message]
-  );
-  if (failed.length > 0) {
-    throw new CommandError("unreachable", failed.join("\n"));
-  }
+  throwIfUnreachable(answers);
   if (differences.length > 0) {
     const names = differences.map(({ daemon }) => daemon).join(", ");
     throw new CommandError(
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -8,6 +8,8 @@
   type Answer,
   callAll,
   callDaemon,
+  failuresOf,
+  throwIfUnreachable,
 } from "../daemon_client.ts";
 import { CommandError } from "../exit_codes.ts";
 import { formatTable, type Output, print } from "../output.ts";
@@ -40,17 +42,6 @@
   members: { member: { vm: string; zone: string; domain: string } }[];
 }
 
-function failuresOf<T>(answers: readonly Answer<T>[]): string[] {
-  return answers.flatMap((answer) => answer.ok ? [] : [answer.error.message]);
-}
-
-function throwIfUnreachable<T>(answers: readonly Answer<T>[]): void {
-  const failed = failuresOf(answers);
-  if (failed.length > 0) {
-    throw new CommandError("unreachable", failed.join("\n"));
-  }
-}
-
 function formatStatus(answers: readonly Answer<StatusAnswer>[]): string {
   const head = [
     "node",
--- a/packages/cli/src/daemon_client.ts
+++ b/packages/cli/src/daemon_client.ts
@@ -103,3 +103,20 @@
     ? failed.error
     : new CommandError("usage", "Cannot call any daemon; pass --daemon");
 }
+
+/** Lists why daemons gave no answer. */
+export function failuresOf<T>(answers: readonly Answer<T>[]): string[] {
+  return answers.flatMap((answer) => answer.ok ? [] : [answer.error.message]);
+}
+
+/**
+ * Ends a command in which some daemons gave no answer.
+ *
+ * @throws {CommandError} Names each of them.
+ */
+export function throwIfUnreachable<T>(answers: readonly Answer<T>[]): void {
+  const failed = failuresOf(answers);
+  if (failed.length > 0) {
+    throw new CommandError("unreachable", failed.join("\n"));
+  }
+}
--- a/packages/core/src/formation/layout.ts
+++ b/packages/core/src/formation/layout.ts
@@ -37,7 +37,7 @@
 }
 
 /** Free runners of a domain that hold or load a model's weights. */
-export function heldFor(
+function heldFor(
   { staged, loading }: DomainView,
   { name }: Model,
 ): number {
--- a/packages/core/src/formation/view.ts
+++ b/packages/core/src/formation/view.ts
@@ -29,7 +29,7 @@
 }
 
 /** Returns the model in a group's name. */
-export function modelOfGroup(name: string): string {
+function modelOfGroup(name: string): string {
   return name.split(NAME_SEPARATOR)[0]!;
 }
 
--- a/packages/core/src/gateway/arrive.ts
+++ b/packages/core/src/gateway/arrive.ts
@@ -111,7 +111,6 @@
     tries: 0,
     mayHaveRun: false,
     relaying: false,
-    relayedRunner: undefined,
     lastEvent: event.lastEvent,
     hasEvents: false,
     waiting: false,
--- a/packages/core/src/gateway/finish.ts
+++ b/packages/core/src/gateway/finish.ts
@@ -8,7 +8,8 @@
 import type { State } from "../state/types.ts";
 import { targetOf } from "./choose.ts";
 import type { Refusal } from "./lookup.ts";
-import { leaveQueue, queueOf, serveWaiting } from "./send.ts";
+import { workKey } from "./roster.ts";
+import { leaveQueue, serveWaiting } from "./send.ts";
 import type { Delivery, Gateway } from "./types.ts";
 
 /** Takes the current try off its runner. */
@@ -33,7 +34,7 @@
   releaseTry(gateway, delivery);
   leaveQueue(gateway, delivery);
   gateway.deliveries.delete(delivery.request);
-  yield* serveWaiting(state, gateway, queueOf(delivery));
+  yield* serveWaiting(state, gateway, workKey(delivery));
 }
 
 /** Returns the log line of a request's end. */
--- a/packages/core/src/gateway/reply.ts
+++ b/packages/core/src/gateway/reply.ts
@@ -46,7 +46,6 @@
   if (delivery.relaying) return;
   delivery.mayHaveRun = true;
   delivery.relaying = true;
-  delivery.relayedRunner = current.runner;
   yield { kind: "relay", request: delivery.request, attempt: event.attempt };
 }
 
--- a/packages/core/src/gateway/roster.ts
+++ b/packages/core/src/gateway/roster.ts
@@ -15,7 +15,8 @@
 
 const SEPARATOR = "\n";
 
-function keyOf({ service, model }: WorkKind): string {
+/** Returns the key of a kind of work, under which runners are listed and requests wait. */
+export function workKey({ service, model }: WorkKind): string {
   return model === undefined ? service : `${service}${SEPARATOR}${model}`;
 }
 
@@ -30,7 +31,7 @@
 
 function forget({ takers }: Gateway, runner: Runner): void {
   for (const kind of kindsOf(runner)) {
-    const key = keyOf(kind);
+    const key = workKey(kind);
     const group = takers.get(key);
     group?.delete(runner.id);
     if (group?.size === 0) takers.delete(key);
@@ -43,7 +44,7 @@
   if (known !== undefined) forget(gateway, known);
   gateway.runners.set(runner.id, runner);
   for (const kind of kindsOf(runner)) {
-    const key = keyOf(kind);
+    const key = workKey(kind);
     const group = gateway.takers.get(key) ?? new Map<string, Runner>();
     group.set(runner.id, runner);
     gateway.takers.set(key, group);
@@ -67,10 +68,10 @@
  * ```
  */
 export function takersOf(gateway: Gateway, kind: WorkKind): Iterable<Runner> {
-  return gateway.takers.get(keyOf(kind))?.values() ?? [];
+  return gateway.takers.get(workKey(kind))?.values() ?? [];
 }
 
 /** True where any runner takes a kind of work. */
 export function isServed({ takers }: Gateway, kind: WorkKind): boolean {
-  return takers.has(keyOf(kind));
+  return takers.has(workKey(kind));
 }
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -7,18 +7,14 @@
 import type { State } from "../state/types.ts";
 import { chooseRunner, targetOf } from "./choose.ts";
 import { MAX_URGENCY } from "./constants.ts";
+import { workKey } from "./roster.ts";
 import { isStream, mayRepeat } from "./routes.ts";
 import type { Delivery, Gateway } from "./types.ts";
 
-/** Returns the key under which requests wait for the same places. */
-export function queueOf({ service, model }: Delivery): string {
-  return `${service} ${model ?? ""}`;
-}
-
 /** Lets a request wait for a free place. */
 export function joinQueue(gateway: Gateway, delivery: Delivery): void {
   delivery.waiting = true;
-  const key = queueOf(delivery);
+  const key = workKey(delivery);
   const queue = gateway.waiting.get(key) ?? new Set();
   queue.add(delivery.request);
   gateway.waiting.set(key, queue);
@@ -28,7 +24,7 @@
 export function leaveQueue(gateway: Gateway, delivery: Delivery): void {
   if (!delivery.waiting) return;
   delivery.waiting = false;
-  gateway.waiting.get(queueOf(delivery))?.delete(delivery.request);
+  gateway.waiting.get(workKey(delivery))?.delete(delivery.request);
 }
 
 /** The most urgent first; among them the oldest. */
--- a/packages/core/src/gateway/sweep.ts
+++ b/packages/core/src/gateway/sweep.ts
@@ -73,7 +73,7 @@
 }
 
 /** Returns how a try that takes too long has failed, or undefined while it may go on. */
-export function stallOf(
+function stallOf(
   { route, current }: Delivery,
   now: number,
 ): Outcome | undefined {
--- a/packages/core/src/gateway/test_fixture.ts
+++ b/packages/core/src/gateway/test_fixture.ts
@@ -87,11 +87,6 @@
 export const ENGINE: EngineProfile = {
   slots: 12,
   kvTokens: 1_000_000,
-  stepMs: 7.8,
-  stepMsPerRequest: 0.134,
-  stepMsPerThousandTokens: 0.0136,
-  prefillTokensPerMs: 45.9,
-  stepsPerPass: 5,
   models: MODELS,
   loadsPerSecond: 5,
   loadsAtOnce: 7,
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -54,21 +54,12 @@
   loadMs: number;
 }
 
-/** Speed and limits of a service's model engines. */
+/** Limits of a service's model engines. */
 export interface EngineProfile {
   /** Requests that one group runs at once. */
   slots: number;
   /** Tokens that fit the memory of one group. */
   kvTokens: number;
-  /** Time of one decode step without any request, ms. */
-  stepMs: number;
-  /** Added to a step by each running request, ms. */
-  stepMsPerRequest: number;
-  /** Added to a step by each 1,000 tokens of context, ms. */
-  stepMsPerThousandTokens: number;
-  prefillTokensPerMs: number;
-  /** Decode steps between two looks at waiting work. */
-  stepsPerPass: number;
   models: Model[];
   /** Loads from the weight store that may begin each second. */
   loadsPerSecond: number;
@@ -198,8 +189,6 @@
   mayHaveRun: boolean;
   /** True once headers have gone to the caller. */
   relaying: boolean;
-  /** Runner whose reply is passed on. */
-  relayedRunner: string | undefined;
   /** Id of the last event that reached the caller. */
   lastEvent: string | undefined;
   /** True once an event has reached the caller. */
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -116,12 +116,7 @@
     "Time from arrival to the first event of a stream",
     ["priority"],
   );
-  createGauges(state, { registers, now });
-  createGaugeAdder(registers)(
-    "primrose_log_lines_left_out",
-    "Log lines left out since the start",
-    leftOutLines,
-  );
+  createGauges(state, { registers, now, leftOutLines });
 
   const counters: EventCounters = {
     request_refused: ({ code }) => refusals.inc({ code: label(code) }),
@@ -149,10 +144,19 @@
 
 function createGauges(
   state: State,
-  { registers, now }: { registers: Registry[]; now: () => number },
+  { registers, now, leftOutLines }: {
+    registers: Registry[];
+    now: () => number;
+    leftOutLines: () => number;
+  },
 ): void {
   const gateway = state.gateway!;
   const single = createGaugeAdder(registers);
+  single(
+    "primrose_log_lines_left_out",
+    "Log lines left out since the start",
+    leftOutLines,
+  );
   const age = (belief: typeof gateway.routingBelief) =>
     ageOf(belief, now()) / MS_PER_SECOND;
   single(
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -70,7 +70,7 @@
 };
 
 /** Status of an answer that the daemon gives itself; only what surely never ran gets one that says so. */
-export function statusOfRefusal(
+function statusOfRefusal(
   { code, verdict }: { code: string; verdict: Verdict },
 ): number {
   const fixed = FINAL_STATUSES[code];
