--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -34,6 +34,7 @@
   attempt_failed: event(1105, "warn", "attempt at a backend server failed"),
   stream_resumed: event(1106, "info", "stream resumed on another group"),
   stream_lost: event(1107, "error", "stream ended with an error"),
+  resume_waits: event(1116, "info", "broken stream waits for a free slot"),
   request_sent: event(1111, "info", "request sent to a runner"),
   batch_preempted: event(
     1108,
--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -8,6 +8,7 @@
 import type { State } from "../state/types.ts";
 import { chooseRunner } from "./choose.ts";
 import {
+  MAX_WAIT_SHARE,
   RETRY_AFTER_MS,
   STOP_MARGIN_MS,
   STOP_STREAMS_MS,
@@ -15,7 +16,7 @@
 import { failRequest } from "./finish.ts";
 import { ageOf } from "./freshness.ts";
 import { lookUp, NOT_READY, type Refusal } from "./lookup.ts";
-import { retryBudgetOf, retryLimitsOf } from "./retry.ts";
+import { retryBudgetOf, retryLimitsOf } from "./retry_allowance.ts";
 import { countRequest } from "./retry_budget.ts";
 import { isStream, pickService } from "./routes.ts";
 import { hasCandidates } from "./runner_index.ts";
@@ -124,6 +125,7 @@
     lastEvent: event.lastEvent,
     hasEvents: false,
     isWaiting: false,
+    waitUntil: state.now + route.targetLatencyMs * MAX_WAIT_SHARE,
   };
 }
 
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -20,6 +20,10 @@
 export const SWEEP_INTERVAL_MS = 50;
 /** Share of the latency objective that a request may wait for a free slot. */
 export const MAX_WAIT_SHARE = 0.125;
+/** Time for which a stream that broke off may wait for a slot to be resumed in, ms; callers give up after 2 s of silence. */
+export const RESUME_WAIT_MS = 1_000;
+/** Sends beyond the route's limit of a stream whose runners rejected it, so that it is not cut off for their load. */
+export const MAX_REJECTED_SENDS = 2;
 /** Delay after which a refused caller should retry, since a slot may be free by then, ms. */
 export const RETRY_AFTER_MS = 1_000;
 /** Delay after which to retry at a daemon that just started or lost its connection to the store, ms. */
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -11,19 +11,16 @@
 import {
   AVOID_MS,
   MAX_AVOID_MS,
+  MAX_REJECTED_SENDS,
   MIN_REMAINING_MS,
-  MIN_RETRY_DAEMONS,
+  RESUME_WAIT_MS,
   RETRY_AFTER_MS,
 } from "./constants.ts";
 import { endRequest, failRequest, logEnd, releaseAttempt } from "./finish.ts";
-import {
-  createRetryBudget,
-  type RetryBudget,
-  type RetryLimits,
-  takeRetry,
-} from "./retry_budget.ts";
+import { retryBudgetOf, retryLimitsOf } from "./retry_allowance.ts";
+import { takeRetry } from "./retry_budget.ts";
 import { canRepeat } from "./routes.ts";
-import { sendToRunner } from "./send.ts";
+import { joinQueue, sendToRunner } from "./send.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 
 /** A failed attempt of a request. */
@@ -45,9 +42,7 @@
   const verdict = verdictOf(outcome);
   recordFailure(state, gateway, { runner, outcome, isRelayable });
   if (verdict !== "not_run") request.mayHaveRun = true;
-  if (outcome === "connect_refused" || outcome === "reset_before_send") {
-    request.countedAttempts -= 1;
-  }
+  if (isUncounted(request, outcome)) request.countedAttempts -= 1;
   yield {
     kind: "log",
     event: "attempt_failed",
@@ -61,11 +56,15 @@
       inFlight: stats.inFlight,
     },
   };
-  const next = nextRunner(state, gateway, { request, outcome });
+  const next = nextStep(state, gateway, { request, outcome });
   releaseAttempt(gateway, request);
-  if (next !== undefined) {
-    return yield* sendToRunner(state, gateway, { request, runner: next });
+  if (next.kind === "send") {
+    return yield* sendToRunner(state, gateway, {
+      request,
+      runner: next.runner,
+    });
   }
+  if (next.kind === "wait") return yield* waitToResume(state, gateway, request);
   if (isRelayable && !request.isRelaying) {
     yield logEnd(state, request, { runner, verdict, outcome });
     yield { kind: "relay", request: request.id, attempt };
@@ -95,44 +94,65 @@
   stats.avoidUntil = state.now + Math.min(MAX_AVOID_MS, avoidMs);
 }
 
-/** Returns the runner for another attempt; undefined where the request may not or cannot be sent again. */
-function nextRunner(
+/** Returns whether the runner or its address rejected the attempt in a way that leaves the route's limit as it was. */
+function isUncounted(request: RoutedRequest, outcome: Outcome): boolean {
+  if (outcome === "connect_refused" || outcome === "reset_before_send") {
+    return true;
+  }
+  // A refusal here would cut off a response that the caller already has a part of.
+  return request.isRelaying && verdictOf(outcome) === "not_run" &&
+    request.attempts < request.route.maxAttempts + MAX_REJECTED_SENDS;
+}
+
+/** What follows a failed attempt. */
+type NextStep =
+  | { kind: "send"; runner: string }
+  /** A stream waits for a free slot. */
+  | { kind: "wait" }
+  | { kind: "end" };
+
+/** Decides whether the request is sent again, waits for a slot, or ends. */
+function nextStep(
   state: State,
   gateway: Gateway,
   { request, outcome }: { request: RoutedRequest; outcome: Outcome },
-): string | undefined {
+): NextStep {
   const { route } = request;
   const remainingMs = request.expiresAt - state.now;
-  if (request.mayHaveRun && !canRepeat(route)) return undefined;
-  if (request.countedAttempts >= route.maxAttempts) return undefined;
-  if (remainingMs < MIN_REMAINING_MS) return undefined;
+  const mayResend = (!request.mayHaveRun || canRepeat(route)) &&
+    request.countedAttempts < route.maxAttempts &&
+    remainingMs >= MIN_REMAINING_MS;
+  if (!mayResend) return { kind: "end" };
   const runner = chooseRunner(state, gateway, request, {
     canUseReserved: true,
   });
-  if (runner === undefined) return undefined;
+  if (runner === undefined && !request.isRelaying) return { kind: "end" };
   if (outcome !== "connect_refused" && outcome !== "reset_before_send") {
     const budget = retryBudgetOf(gateway, request.service);
-    if (!takeRetry(budget, state.now, retryLimitsOf(gateway))) return undefined;
-  }
-  return runner.id;
-}
-
-/** Returns the retry budget of a service. */
-export function retryBudgetOf(gateway: Gateway, service: string): RetryBudget {
-  let budget = gateway.retryBudgets.get(service);
-  if (budget === undefined) {
-    budget = createRetryBudget();
-    gateway.retryBudgets.set(service, budget);
+    if (!takeRetry(budget, state.now, retryLimitsOf(gateway))) {
+      return { kind: "end" };
+    }
   }
-  return budget;
+  return runner === undefined
+    ? { kind: "wait" }
+    : { kind: "send", runner: runner.id };
 }
 
-/** Returns this daemon's share of the common retry budget. */
-export function retryLimitsOf({ settings, workShare }: Gateway): RetryLimits {
-  return {
-    windowMs: settings.retryWindowMs,
-    ratio: settings.retryRatio,
-    slack: settings.retrySlack *
-      Math.min(workShare.value, 1 / MIN_RETRY_DAEMONS),
+/** Queues a stream that broke off until a slot is free in which it can be resumed. */
+function* waitToResume(
+  state: State,
+  gateway: Gateway,
+  request: RoutedRequest,
+): Effects {
+  request.waitUntil = state.now + RESUME_WAIT_MS;
+  joinQueue(gateway, request);
+  yield {
+    kind: "log",
+    event: "resume_waits",
+    fields: {
+      request: request.id,
+      lastEvent: request.lastEvent,
+      waitMs: RESUME_WAIT_MS,
+    },
   };
 }
--- a/packages/core/src/gateway/routed_request_test.ts
+++ b/packages/core/src/gateway/routed_request_test.ts
@@ -262,6 +262,101 @@
   });
 });
 
+/** Starts a stream that has relayed event 7. */
+function startStream(harness: GatewayHarness): void {
+  sendRequest(harness, "r1", {
+    path: "/chat/1",
+    model: "small",
+    deadlineMs: 8_000,
+  });
+  const at = { request: "r1", attempt: 1 };
+  harness.feed({
+    kind: "response_started",
+    ...at,
+    status: 200,
+    verdict: "ran",
+    load: undefined,
+  });
+  harness.feed({ kind: "response_progressed", ...at, lastEvent: "7" });
+}
+
+/** Starts a stream and breaks it off; the first send after that is attempt 2. */
+function breakStream(harness: GatewayHarness): Effect[] {
+  startStream(harness);
+  return fail(harness, "r1", { outcome: "body_cut_off" });
+}
+
+/** Fills the groups that this daemon knows with requests of other daemons. */
+function fillGroups(harness: GatewayHarness): void {
+  for (const stats of harness.state.gateway!.runnerStats.values()) {
+    stats.load = {
+      running: 12,
+      waiting: 12,
+      at: harness.state.now,
+      localInFlight: 0,
+    };
+  }
+}
+
+describe("a broken stream while groups are overloaded", () => {
+  it("is resumed at a third group after the second one rejected it", () => {
+    const harness = startChat(4);
+    breakStream(harness);
+    const effects = fail(harness, "r1", {
+      attempt: 2,
+      outcome: "status_not_run",
+    });
+    const [third] = effectsOf(effects, "send_to_runner");
+    expect(third).to.include({ attempt: 3, resumeAfter: "7" });
+    expect(refusalOf(effects)).to.equal(undefined);
+  });
+
+  it("ends after a bounded number of rejections", () => {
+    const harness = startChat(9);
+    breakStream(harness);
+    let last: Effect[] = [];
+    let attempt = 2;
+    while (refusalOf(last) === undefined) {
+      last = fail(harness, "r1", { attempt, outcome: "status_not_run" });
+      attempt += 1;
+    }
+    expect(attempt - 1).to.equal(4);
+    expect(refusalOf(last)?.verdict).to.equal("may_have_run");
+  });
+
+  it("is not run by more runners than the route allows", () => {
+    const harness = startChat(4);
+    breakStream(harness);
+    const effects = fail(harness, "r1", {
+      attempt: 2,
+      outcome: "body_cut_off",
+    });
+    expect(effectsOf(effects, "send_to_runner")).to.deep.equal([]);
+  });
+
+  it("waits for a free slot, and is resumed in the first one", () => {
+    const harness = startChat(2);
+    startStream(harness);
+    fillGroups(harness);
+    const waiting = fail(harness, "r1", { outcome: "body_cut_off" });
+    expect(effectsOf(waiting, "send_to_runner")).to.deep.equal([]);
+    expect(refusalOf(waiting)).to.equal(undefined);
+    harness.advance(500);
+    for (const stats of harness.state.gateway!.runnerStats.values()) {
+      stats.load = undefined;
+    }
+    const [again] = effectsOf(harness.advance(100), "send_to_runner");
+    expect(again).to.include({ request: "r1", resumeAfter: "7" });
+  });
+
+  it("is ended where no slot is free within a second", () => {
+    const harness = startChat(1);
+    breakStream(harness);
+    expect(refusalOf(harness.advance(900))).to.equal(undefined);
+    expect(refusalOf(harness.advance(200))?.verdict).to.equal("may_have_run");
+  });
+});
+
 describe("retry budget", () => {
   it("limits the retries while most requests fail", () => {
     const harness = startDesk(3);
--- a/packages/core/src/gateway/sweep.ts
+++ b/packages/core/src/gateway/sweep.ts
@@ -9,7 +9,6 @@
 import type { Outcome } from "../verdict/types.ts";
 import {
   FIRST_EVENT_OBJECTIVES,
-  MAX_WAIT_SHARE,
   MIN_FIRST_EVENT_MS,
   RETRY_AFTER_MS,
   SLOW_RESPONSE_OBJECTIVES,
@@ -60,8 +59,7 @@
   gateway: Gateway,
   request: RoutedRequest,
 ): Effects {
-  const waited = state.now - request.arrivedAt;
-  if (waited < request.route.targetLatencyMs * MAX_WAIT_SHARE) return;
+  if (state.now < request.waitUntil) return;
   yield* failRequest(state, gateway, request, {
     code: "overloaded",
     message: "All runners are full; try again",
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -197,6 +197,8 @@
   hasEvents: boolean;
   /** True while the request waits for a free slot. */
   isWaiting: boolean;
+  /** Time until which the request may wait for a free slot, ms. */
+  waitUntil: number;
 }
 
 /** Mean number of remote requests, those of other daemons, at the runners of one kind. */
