--- a/packages/core/src/formation/plan.ts
+++ b/packages/core/src/formation/plan.ts
@@ -49,6 +49,8 @@
   const { groupPlanner } = gateway;
   if (state.now - groupPlanner.lastPlannedAt < PLAN_INTERVAL_MS) return;
   groupPlanner.lastPlannedAt = state.now;
+  // Groups would seem to lack members that the list leaves out.
+  if (!gateway.readSharing.hasWholeList) return;
   if (!(yield* ensureTerm(state))) return;
   pruneOrders(state);
   for (const service of gateway.routing?.services.values() ?? []) {
--- a/packages/core/src/formation/test_pool.ts
+++ b/packages/core/src/formation/test_pool.ts
@@ -100,6 +100,7 @@
       runners: [],
       removedIds: [id],
       isWhole: false,
+      offset: 0,
       confirmedAt: sentAt,
     });
   }
@@ -115,6 +116,7 @@
       runners: [next],
       removedIds: [],
       isWhole: false,
+      offset: 0,
       confirmedAt: sentAt,
     });
   }
--- a/packages/core/src/gateway/effect_types.ts
+++ b/packages/core/src/gateway/effect_types.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { RunnerOrder } from "../formation/types.ts";
+import type { ReadSharingEffect } from "../read_sharing/effect_types.ts";
 import type { CallerLimits } from "./types.ts";
 
 /** Every effect of the gateway. */
@@ -40,4 +41,5 @@
     order: RunnerOrder;
   }
   | { kind: "check_runner"; runner: string; address: string }
-  | { kind: "limits_in_force"; limits: CallerLimits };
+  | { kind: "limits_in_force"; limits: CallerLimits }
+  | ReadSharingEffect;
--- a/packages/core/src/gateway/event_types.ts
+++ b/packages/core/src/gateway/event_types.ts
@@ -4,20 +4,29 @@
  * @module
  */
 import type { OrderOutcome, RunnerReport } from "../formation/types.ts";
+import type { ReadSharingEvent } from "../read_sharing/event_types.ts";
 import type { Outcome, Verdict } from "../verdict/types.ts";
 import type { RoutingDocument, Runner } from "./types.ts";
 
 /** Every event of the gateway, without the time at which it happened. */
 export type GatewayEvent =
-  | { kind: "routing_read"; document: RoutingDocument; confirmedAt: number }
+  | {
+    kind: "routing_read";
+    document: RoutingDocument;
+    /** Undefined where an upstream passed it on. */
+    confirmedAt: number | undefined;
+  }
   | {
     kind: "runners_read";
     runners: Runner[];
     /** Ids of runners that are no longer listed. */
     removedIds: string[];
-    /** True where `runners` is the complete list. */
+    /** True where `runners` is the complete list, or all that the upstream passes on. */
     isWhole: boolean;
-    confirmedAt: number;
+    /** Offset of the store up to which changes are known. */
+    offset: number;
+    /** Undefined where an upstream passed it on. */
+    confirmedAt: number | undefined;
   }
   | {
     kind: "freshness_confirmed";
@@ -85,4 +94,5 @@
     /** Undefined where the runner did not respond, or its report cannot be read. */
     report: RunnerReport | undefined;
   }
-  | { kind: "gateway_stop_ordered" };
+  | { kind: "gateway_stop_ordered" }
+  | ReadSharingEvent;
--- a/packages/core/src/gateway/freshness.ts
+++ b/packages/core/src/gateway/freshness.ts
@@ -17,9 +17,18 @@
   return { confirmedAt: undefined, invalidBefore: -Infinity };
 }
 
-/** Records that a read confirmed the data as current at `confirmedAt`. */
-export function confirm(freshness: Freshness, confirmedAt: number): void {
-  if (confirmedAt < freshness.invalidBefore) return;
+/**
+ * Records that a read confirmed the data as current at `confirmedAt`.
+ *
+ * `measuredAt` is the time at which this daemon's clock was read for it: with the age of another daemon's data, the
+ * confirmation is older than that, and yet does not depend on what the clock did before.
+ */
+export function confirm(
+  freshness: Freshness,
+  confirmedAt: number,
+  { measuredAt = confirmedAt }: { measuredAt?: number } = {},
+): void {
+  if (measuredAt < freshness.invalidBefore) return;
   if (
     freshness.confirmedAt !== undefined && freshness.confirmedAt >= confirmedAt
   ) return;
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import type { EventOf } from "../event/types.ts";
 import { createGroupPlanner } from "../formation/leadership.ts";
 import { planGroups } from "../formation/plan.ts";
+import { createReadSharing, updateSource } from "../read_sharing/upstream.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { createAverage } from "../util/ewma.ts";
@@ -29,7 +30,7 @@
 /** Creates a gateway without configuration and runners. */
 export function createGateway(
   settings: GatewaySettings,
-  { zone, now }: { zone: string; now: number },
+  { zone, now, patience }: { zone: string; now: number; patience: number },
 ): Gateway {
   return {
     zone,
@@ -47,6 +48,7 @@
     workShare: createAverage(1 / MIN_RETRY_DAEMONS),
     workShareMeasuredAt: now,
     groupPlanner: createGroupPlanner(now),
+    readSharing: createReadSharing(settings.self, { now, patience }),
     settings,
     stoppingSince: 0,
   };
@@ -74,6 +76,7 @@
     gateway.workShareMeasuredAt = state.now;
     recordWorkShare(gateway, state.now);
   }
+  yield* updateSource(state);
   if (state.phase !== "serving") return yield* checkStop(state, gateway);
   yield* planGroups(state);
 }
--- a/packages/core/src/gateway/handlers.ts
+++ b/packages/core/src/gateway/handlers.ts
@@ -8,6 +8,13 @@
 import { completeOrder } from "../formation/orders.ts";
 import { admitRequest } from "./admit.ts";
 import { closeRequest } from "./finish.ts";
+import { answerPoll, removeFollower } from "../read_sharing/publish.ts";
+import {
+  acceptUpstream,
+  applyDaemons,
+  confirmUpstream,
+  loseUpstream,
+} from "../read_sharing/upstream.ts";
 import { stopGateway } from "./gateway.ts";
 import {
   endResponse,
@@ -39,4 +46,10 @@
   order_completed: completeOrder,
   runner_checked: recordHealthCheck,
   gateway_stop_ordered: stopGateway,
+  daemons_read: applyDaemons,
+  upstream_began: acceptUpstream,
+  upstream_answered: confirmUpstream,
+  upstream_lost: loseUpstream,
+  follower_polled: answerPoll,
+  follower_left: removeFollower,
 };
--- a/packages/core/src/gateway/occupancy.ts
+++ b/packages/core/src/gateway/occupancy.ts
@@ -16,6 +16,7 @@
   MEAN_LOAD_WEIGHT,
   WORK_SHARE_WEIGHT,
 } from "./constants.ts";
+import { canServe } from "./runner_index.ts";
 import type { Gateway, LoadSample, Runner, RunnerStats } from "./types.ts";
 
 function kindOf({ service, model, zone }: Runner): string {
@@ -93,7 +94,7 @@
   let total = 0;
   for (const runner of gateway.runners.values()) {
     const expected = expectedRemoteRequests(gateway, runner, now);
-    if (expected === undefined || !isServing(runner)) continue;
+    if (expected === undefined || !canServe(runner)) continue;
     const inFlight = gateway.runnerStats.get(runner.id)?.inFlight ?? 0;
     local += inFlight;
     total += inFlight + expected;
@@ -101,9 +102,3 @@
   if (total === 0) return;
   addSample(gateway.workShare, local / total, { weight: WORK_SHARE_WEIGHT });
 }
-
-function isServing({ state, domain, membership }: Runner): boolean {
-  if (state !== "ready") return false;
-  if (domain === undefined) return true;
-  return membership?.rank === 0 && membership.state === "open";
-}
--- a/packages/core/src/gateway/runner_index.ts
+++ b/packages/core/src/gateway/runner_index.ts
@@ -31,6 +31,14 @@
   return kinds;
 }
 
+/** Returns whether a runner can serve requests: it belongs to a plain service, or is the head of an open group. */
+export function canServe(runner: Runner): boolean {
+  if (runner.state !== "ready") return false;
+  if (runner.domain === undefined) return true;
+  const { membership } = runner;
+  return membership?.state === "open" && membership.rank === 0;
+}
+
 function removeFromIndex({ runnerIndex }: Gateway, runner: Runner): void {
   for (const kind of workKindsOf(runner)) {
     const key = workKey(kind);
--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -6,25 +6,36 @@
 import type { EventOf } from "../event/types.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
+import { publishRouting, publishRunners } from "../read_sharing/publish.ts";
 import { confirm, invalidate } from "./freshness.ts";
 import { createRoutingTable } from "./routes.ts";
-import { indexRunner, removeRunner } from "./runner_index.ts";
+import { canServe, indexRunner, removeRunner } from "./runner_index.ts";
 import { serveWaiting } from "./send.ts";
 import type { Gateway, Runner } from "./types.ts";
 
 /** Handles a read of the runner list: its changes, or the complete list. */
 export function* applyRunners(
   state: State,
-  { runners, removedIds, isWhole, confirmedAt }: EventOf<"runners_read">,
+  event: EventOf<"runners_read">,
 ): Effects {
   const gateway = state.gateway!;
-  confirm(gateway.runnersFreshness, confirmedAt);
-  const removed = isWhole ? findUnlisted(gateway, runners) : removedIds;
-  for (const id of removed) yield* applyRemoval(gateway, id);
+  const { runners, isWhole, confirmedAt } = event;
+  const { readSharing } = gateway;
+  const isPassedOn = confirmedAt === undefined;
+  readSharing.runnersOffset = Math.max(readSharing.runnersOffset, event.offset);
+  if (!isPassedOn) confirm(gateway.runnersFreshness, confirmedAt);
+  if (!isPassedOn && isWhole) readSharing.hasWholeList = true;
+  const removedIds = isWhole
+    ? findUnlisted(gateway, runners)
+    : event.removedIds;
+  for (const id of removedIds) yield* applyRemoval(gateway, id, { isPassedOn });
   for (const runner of runners) {
     if (!gateway.runners.has(runner.id)) gateway.lastRunnerAddedAt = state.now;
     yield* applyEntry(gateway, runner);
   }
+  if (!isPassedOn) {
+    yield* publishRunners(state, { read: runners, removedIds });
+  }
   for (const key of gateway.waitingRequests.keys()) {
     yield* serveWaiting(state, gateway, key);
   }
@@ -35,11 +46,19 @@
   return [...gateway.runners.keys()].filter((id) => !listed.has(id));
 }
 
-function* applyRemoval(gateway: Gateway, id: string): Effects {
-  if (!removeRunner(gateway, id)) return;
+function* applyRemoval(
+  gateway: Gateway,
+  id: string,
+  { isPassedOn }: { isPassedOn: boolean },
+): Effects {
+  const known = gateway.runners.get(id);
+  if (known === undefined) return;
+  removeRunner(gateway, id);
   const stats = gateway.runnerStats.get(id);
   if (stats?.inFlight === 0) gateway.runnerStats.delete(id);
   gateway.groupPlanner.healthChecks.delete(id);
+  // An upstream does not pass on runners that serve no requests, so their absence says nothing.
+  if (isPassedOn && !canServe(known)) return;
   yield { kind: "log", event: "runner_gone", fields: { runner: id } };
 }
 
@@ -85,7 +104,7 @@
   { document, confirmedAt }: EventOf<"routing_read">,
 ): Effects {
   const gateway = state.gateway!;
-  confirm(gateway.routingFreshness, confirmedAt);
+  if (confirmedAt !== undefined) confirmByStore(gateway, confirmedAt);
   const inForce = gateway.routing?.document.version;
   if (inForce !== undefined && document.version <= inForce) return;
   gateway.routing = createRoutingTable(document);
@@ -96,10 +115,24 @@
       version: document.version,
       before: inForce,
       routes: document.routes.length,
-      ageMs: Math.round(state.now - confirmedAt),
+      ageMs: confirmedAt && Math.round(state.now - confirmedAt),
     },
   };
   yield { kind: "limits_in_force", limits: document.limits };
+  if (confirmedAt !== undefined) yield* publishRouting(state, document);
+}
+
+/** Records that a read of the store confirmed the configuration. */
+function confirmByStore(
+  { routingFreshness, readSharing }: Gateway,
+  confirmedAt: number,
+): void {
+  confirm(routingFreshness, confirmedAt);
+  if (confirmedAt < routingFreshness.invalidBefore) return;
+  readSharing.storeConfirmedAt = Math.max(
+    readSharing.storeConfirmedAt,
+    confirmedAt,
+  );
 }
 
 /** Handles a read that returned no change. */
@@ -107,11 +140,9 @@
   state: State,
   { topic, confirmedAt }: EventOf<"freshness_confirmed">,
 ): Effects {
-  const { routingFreshness, runnersFreshness } = state.gateway!;
-  confirm(
-    topic === "routing" ? routingFreshness : runnersFreshness,
-    confirmedAt,
-  );
+  const gateway = state.gateway!;
+  if (topic === "routing") confirmByStore(gateway, confirmedAt);
+  else confirm(gateway.runnersFreshness, confirmedAt);
   return noEffects();
 }
 
@@ -125,6 +156,7 @@
   invalidate(gateway.routingFreshness, state.now);
   invalidate(gateway.runnersFreshness, state.now);
   gateway.groupPlanner.leadership.renewedAt = -Infinity;
+  gateway.readSharing.storeConfirmedAt = -Infinity;
   yield {
     kind: "log",
     event: "clock_jumped",
--- a/packages/core/src/gateway/test_fixture.ts
+++ b/packages/core/src/gateway/test_fixture.ts
@@ -44,6 +44,7 @@
   graceMs: 8_000,
   stallMs: 6_000,
   firstStart: false,
+  self: undefined,
 };
 
 /** Creates a gateway under test without configuration and runners. */
@@ -198,6 +199,7 @@
     runners,
     removedIds: [],
     isWhole: true,
+    offset: 0,
     confirmedAt: sentAt,
   });
 }
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -1,105 +1,22 @@
 /**
- * Types of the gateway: its configuration, the runners of a shared fleet, the requests in progress, and what this
- * daemon has learned of each runner.
+ * Types of the gateway: its state, the requests in progress, and what this daemon has learned of each runner.
  *
  * @module
  */
 import type { Average } from "../util/ewma.ts";
-import type { GroupPlanner, Membership } from "../formation/types.ts";
+import type { GroupPlanner } from "../formation/types.ts";
+import type { DaemonEntry, ReadSharing } from "../read_sharing/types.ts";
+import type {
+  Route,
+  RoutingDocument,
+  Runner,
+  Service,
+  Team,
+} from "./fleet_types.ts";
 import type { Freshness } from "./freshness.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
-/** Whether a request of a route may run more than once, and whether its response is a stream. */
-export type RouteKind =
-  | "idempotent"
-  | "non_idempotent"
-  | "stream"
-  | "resumable_stream";
-
-/** One service that a route may use. */
-export interface RouteBackend {
-  service: string;
-  weight: number;
-}
-
-/** One route of the configuration. */
-export interface Route {
-  name: string;
-  host: string;
-  /** Begins and ends with a slash. */
-  prefix: string;
-  kind: RouteKind;
-  /** Time within which a request must have its final response, ms. */
-  timeoutMs: number;
-  /** Latency objective, ms; for streams it covers the time to the first event. */
-  targetLatencyMs: number;
-  /** 0 is the most urgent. */
-  priority: number;
-  backends: RouteBackend[];
-  /** Runners that one request may be sent to; a caller's own retry is a new request. */
-  maxAttempts: number;
-  /** True where callers need no key. */
-  isPublic: boolean;
-}
-
-/** One model that a pool of runners may serve. */
-export interface Model {
-  name: string;
-  /** Runners in one replica group. */
-  size: number;
-  /** Share of the requests that is expected at the start, 0 to 1. */
-  share: number;
-  /** Factor on all processing times of a group. */
-  pace: number;
-  /** Time to load the weights from the weight store, ms. */
-  loadMs: number;
-}
-
-/** Limits of a service's model engines. */
-export interface EngineProfile {
-  /** Requests that one group runs at once. */
-  slots: number;
-  /** Tokens that fit into the memory of one group. */
-  kvTokens: number;
-  models: Model[];
-  /** Weight loads from the weight store that may begin each second. */
-  loadsPerSecond: number;
-  /** Weight loads that run in parallel at full speed. */
-  loadsAtOnce: number;
-}
-
-/** One service of the configuration. */
-export interface Service {
-  name: string;
-  /** Limits of the model engines that work in groups; undefined for plain services. */
-  engine: EngineProfile | undefined;
-}
-
-/** A team with the keys of its callers. */
-export interface Team {
-  name: string;
-  keys: string[];
-  /** Overrides the priority of the route. */
-  priority: number | undefined;
-}
-
-/** Limits on what callers may send. */
-export interface CallerLimits {
-  maxHeaderBytes: number;
-  maxBodyBytes: number;
-  headerTimeoutMs: number;
-  idleTimeoutMs: number;
-}
-
-/** The whole routing configuration, as an operator published it. */
-export interface RoutingDocument {
-  version: number;
-  routes: Route[];
-  services: Service[];
-  /** Undefined where callers need no key. */
-  teams: Team[] | undefined;
-  limits: CallerLimits;
-}
+export type * from "./fleet_types.ts";
 
 /** The configuration in force, indexed for look-ups. */
 export interface RoutingTable {
@@ -110,26 +27,6 @@
   teamByKey: Map<string, Team>;
 }
 
-/** A runner's own entry in the shared runner list. */
-export interface Runner {
-  id: string;
-  service: string;
-  /** `IP:PORT`. */
-  address: string;
-  zone: string;
-  slots: number;
-  state: "ready" | "draining";
-  /** Start time of the runner's process, Unix ms. */
-  startedUnixMs: number;
-  /** Fabric domain; undefined for plain services. */
-  domain: string | undefined;
-  /** Models whose weights are staged on the runner's host. */
-  staged: string[];
-  /** Model that is loaded in the runner's memory. */
-  model: string | undefined;
-  membership: Membership | undefined;
-}
-
 /** Load that a runner reported with a response. */
 export interface LoadSample {
   running: number;
@@ -233,6 +130,7 @@
   /** Time at which the share was last measured, ms. */
   workShareMeasuredAt: number;
   groupPlanner: GroupPlanner;
+  readSharing: ReadSharing;
   settings: GatewaySettings;
   /** Time at which the stop signal arrived, ms; 0 before. */
   stoppingSince: number;
@@ -253,4 +151,6 @@
   stallMs: number;
   /** True only where the whole system starts for the first time. */
   firstStart: boolean;
+  /** This daemon as its followers see it; undefined where every daemon reads the store itself. */
+  self: DaemonEntry | undefined;
 }
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -17,6 +17,11 @@
 export { ageOf } from "./gateway/freshness.ts";
 export * from "./gateway/gateway.ts";
 export { batchDelayOf } from "./gateway/batch_delay.ts";
+export { READ_SHARING_VERSION } from "./read_sharing/constants.ts";
+export * from "./read_sharing/effect_types.ts";
+export * from "./read_sharing/event_types.ts";
+export { isLeaderCandidate, isStoreReader } from "./read_sharing/reader.ts";
+export type * from "./read_sharing/types.ts";
 export { isLeader } from "./formation/leadership.ts";
 export type {
   CallerLimits,
--- /dev/null
+++ b/packages/core/src/read_sharing/constants.ts
@@ -0,0 +1,26 @@
+/**
+ * Constants of read sharing.
+ *
+ * @module
+ */
+
+/** Version of the protocol between daemons that share reads. */
+export const READ_SHARING_VERSION = 1;
+/** An upstream that sends nothing for this long is left, ms; followers poll several times in it. */
+export const UPSTREAM_SILENCE_MS = 1_000;
+/** An upstream that does not send its data within this time is left, ms. */
+export const UPSTREAM_START_MS = 1_000;
+/** A daemon that cannot confirm the configuration for this long reads the store itself, ms. */
+export const STORE_FALLBACK_MS = 1_900;
+/** Range over which daemons spread their first reads after a loss of their upstream, ms. */
+export const FALLBACK_JITTER_MS = 600;
+/** A starting daemon waits this long for its upstream before it reads the store itself, ms. */
+export const START_PATIENCE_MS = 500;
+/** A reader without a confirmation by the store for this long is no longer followed, ms. */
+export const STORE_FAILING_MS = 2_000;
+/** Time for which a failed upstream is not followed, ms; doubles with each consecutive failure. */
+export const AVOID_UPSTREAM_MS = 2_000;
+/** Time for which a failed upstream is not followed by a daemon that has no data yet, ms. */
+export const START_AVOID_MS = 150;
+/** Maximum time for which a failing upstream is not followed, ms. */
+export const MAX_AVOID_UPSTREAM_MS = 30_000;
--- /dev/null
+++ b/packages/core/src/read_sharing/event_types.ts
@@ -0,0 +1,39 @@
+/**
+ * Events of read sharing.
+ *
+ * @module
+ */
+import type { DaemonEntry } from "./types.ts";
+
+/** Every event of read sharing, without the time at which it happened. */
+export type ReadSharingEvent =
+  | {
+    kind: "daemons_read";
+    daemons: DaemonEntry[];
+    /** True where `daemons` is the complete list. */
+    isWhole: boolean;
+    /** True where an upstream passed it on. */
+    isPassedOn: boolean;
+  }
+  /** The upstream is about to pass on its data. */
+  | { kind: "upstream_began"; node: string }
+  | {
+    kind: "upstream_answered";
+    node: string;
+    /** Time at which the poll was sent, ms. */
+    sentAt: number;
+    /** True while the upstream reads the store, with success, and has passed on its data. */
+    isReader: boolean;
+    /** Undefined where the upstream cannot confirm its data. */
+    routingAgeMs: number | undefined;
+    runnersAgeMs: number | undefined;
+  }
+  | { kind: "upstream_lost"; node: string; cause: string }
+  | {
+    kind: "follower_polled";
+    follower: string;
+    poll: number;
+    /** Offset of the store up to which the follower knows changes of runners. */
+    runnersOffset: number;
+  }
+  | { kind: "follower_left"; follower: string };
--- /dev/null
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -0,0 +1,215 @@
+/**
+ * Simulates daemons that share their reads of a store, in virtual time and without a network.
+ *
+ * @module
+ */
+import type { Effect } from "../effect/types.ts";
+import type { RoutingDocument, Runner } from "../gateway/types.ts";
+import {
+  createDocument,
+  createHarness,
+  createRunner,
+  type GatewayHarness,
+} from "../gateway/test_fixture.ts";
+import type { DaemonEntry } from "./types.ts";
+
+/** A simulated daemon. */
+export interface SimulatedDaemon {
+  entry: DaemonEntry;
+  harness: GatewayHarness;
+  isUp: boolean;
+  /** True while the store rejects the calls of this daemon. */
+  isCutFromStore: boolean;
+  upstream: { node: string; isOpen: boolean } | undefined;
+  /** Time from which on its connections deliver nothing, ms; it does not know. */
+  silentSince: number;
+  reads: number;
+}
+
+/** A simulated fleet. */
+export interface SimulatedFleet {
+  daemons: SimulatedDaemon[];
+  /** Configuration and runners that the store holds. */
+  store: { document: RoutingDocument; runners: Runner[]; offset: number };
+  advance(ms: number): void;
+  /** Returns the daemons that read the store. */
+  readers(): SimulatedDaemon[];
+  daemon(node: string): SimulatedDaemon;
+}
+
+const STEP_MS = 50;
+const READ_INTERVAL_MS = 1_000;
+const POLL_INTERVAL_MS = 400;
+
+/** Creates a fleet whose daemons start together. */
+export function createFleet(
+  zones: Readonly<Record<string, number>>,
+): SimulatedFleet {
+  const store = {
+    document: createDocument(),
+    runners: [createRunner("desk-0")],
+    offset: 1,
+  };
+  const daemons = Object.entries(zones).flatMap(([zone, count]) =>
+    Array.from({ length: count }, (_, index) => createDaemon(zone, index))
+  );
+  const entries = daemons.map(({ entry }) => entry);
+  let now = 0;
+
+  const daemon = (node: string) =>
+    daemons.find(({ entry }) => entry.node === node)!;
+
+  function deliver(to: SimulatedDaemon, effects: readonly Effect[]): void {
+    for (const effect of effects) carryOut(to, effect);
+  }
+
+  function feed(
+    to: SimulatedDaemon,
+    event: Parameters<GatewayHarness["feed"]>[0],
+  ): void {
+    deliver(to, to.harness.feed(event));
+  }
+
+  function carryOut(from: SimulatedDaemon, effect: Effect): void {
+    if (effect.kind === "read_store" && effect.isEnabled) readStore(from);
+    if (effect.kind === "reread_runners") readStore(from);
+    if (effect.kind === "unfollow_daemon") from.upstream = undefined;
+    if (effect.kind === "follow_daemon") {
+      from.upstream = { node: effect.node, isOpen: false };
+    }
+    if (effect.kind !== "send_to_followers") return;
+    for (const id of effect.followers) {
+      receive(daemon(id), from.entry.node, effect.message);
+    }
+  }
+
+  function receive(
+    to: SimulatedDaemon,
+    node: string,
+    message: Extract<Effect, { kind: "send_to_followers" }>["message"],
+  ): void {
+    if (!to.isUp || to.upstream?.node !== node) return;
+    if (now >= daemon(node).silentSince || now >= to.silentSince) return;
+    if (message.kind === "snapshot") {
+      feed(to, { kind: "upstream_began", node });
+      feed(to, {
+        kind: "runners_read",
+        runners: message.runners,
+        removedIds: [],
+        isWhole: true,
+        offset: message.runnersOffset,
+        confirmedAt: undefined,
+      });
+    }
+    if (message.kind === "runners") {
+      feed(to, {
+        kind: "runners_read",
+        runners: message.runners,
+        removedIds: message.removedIds,
+        isWhole: false,
+        offset: message.runnersOffset,
+        confirmedAt: undefined,
+      });
+    }
+    const document = message.kind === "snapshot"
+      ? message.routing
+      : message.kind === "routing"
+      ? message.document
+      : undefined;
+    if (document !== undefined) {
+      feed(to, { kind: "routing_read", document, confirmedAt: undefined });
+    }
+    if (message.kind !== "poll_answer") return;
+    feed(to, { ...message, kind: "upstream_answered", node, sentAt: now });
+  }
+
+  function readStore(by: SimulatedDaemon): void {
+    by.reads += 1;
+    if (by.isCutFromStore || now >= by.silentSince) return;
+    const { document, runners, offset } = store;
+    feed(by, {
+      kind: "runners_read",
+      runners,
+      removedIds: [],
+      isWhole: true,
+      offset,
+      confirmedAt: now,
+    });
+    feed(by, { kind: "routing_read", document, confirmedAt: now });
+  }
+
+  function poll(by: SimulatedDaemon): void {
+    const { upstream, entry } = by;
+    if (upstream === undefined) return;
+    const target = daemon(upstream.node);
+    if (!target.isUp) {
+      by.upstream = undefined;
+      return feed(by, {
+        kind: "upstream_lost",
+        node: upstream.node,
+        cause: "closed",
+      });
+    }
+    if (now >= target.silentSince || now >= by.silentSince) return;
+    feed(target, {
+      kind: "follower_polled",
+      follower: entry.node,
+      poll: now,
+      runnersOffset: by.harness.state.gateway!.readSharing.runnersOffset,
+    });
+  }
+
+  function step(): void {
+    now += STEP_MS;
+    const living = daemons.filter(({ isUp }) => isUp);
+    for (const each of living) deliver(each, each.harness.advance(STEP_MS));
+    for (const each of living) {
+      const { isReading } = each.harness.state.gateway!.readSharing;
+      if (isReading && now % READ_INTERVAL_MS === 0) readStore(each);
+      const isNew = each.upstream?.isOpen === false;
+      if (isNew || now % POLL_INTERVAL_MS === 0) poll(each);
+      if (each.upstream !== undefined) each.upstream.isOpen = true;
+    }
+  }
+
+  for (const each of daemons) {
+    feed(each, {
+      kind: "daemons_read",
+      daemons: entries,
+      isWhole: true,
+      isPassedOn: false,
+    });
+  }
+  return {
+    daemons,
+    store,
+    daemon,
+    advance(ms) {
+      for (const end = now + ms; now < end;) step();
+    },
+    readers: () =>
+      daemons.filter(({ isUp, harness }) =>
+        isUp && harness.state.gateway!.readSharing.isReading
+      ),
+  };
+}
+
+function createDaemon(zone: string, index: number): SimulatedDaemon {
+  const node = `${zone}-${index}`;
+  const entry = {
+    node,
+    zone,
+    address: "127.0.0.1:1",
+    incarnation: node,
+    cores: 1,
+  };
+  return {
+    entry,
+    harness: createHarness({ self: entry }),
+    isUp: true,
+    isCutFromStore: false,
+    upstream: undefined,
+    silentSince: Infinity,
+    reads: 0,
+  };
+}
--- /dev/null
+++ b/packages/core/src/read_sharing/types.ts
@@ -0,0 +1,106 @@
+/**
+ * Types of read sharing: a few daemons of each availability zone read the store, and the others follow one of them.
+ *
+ * @module
+ */
+import type { RoutingDocument, Runner } from "../gateway/fleet_types.ts";
+
+/** A daemon as it registered itself in the store. */
+export interface DaemonEntry {
+  node: string;
+  zone: string;
+  /** `IP:PORT` of its listener for followers. */
+  address: string;
+  incarnation: string;
+  /** Processor share of its VM, in cores; larger VMs read the store first. */
+  cores: number;
+}
+
+/** The daemon that this daemon follows. */
+export interface Upstream {
+  node: string;
+  /** Time at which this daemon began to follow it, ms. */
+  since: number;
+  /** Time at which it last sent anything, ms. */
+  heardAt: number;
+  /** True once it has sent its data. */
+  hasData: boolean;
+  /** True where it is followed only until this daemon can read the store again. */
+  isTemporary: boolean;
+}
+
+/** A daemon that is not followed for some time after it failed. */
+export interface Avoidance {
+  until: number;
+  /** Consecutive failures. */
+  failures: number;
+}
+
+/** A daemon that follows this one. */
+export interface Follower {
+  /** True once it has the data of this daemon and gets each change. */
+  hasSnapshot: boolean;
+}
+
+/** State of read sharing. */
+export interface ReadSharing {
+  /** This daemon's own entry; undefined where reads are not shared, and every daemon reads the store. */
+  self: DaemonEntry | undefined;
+  /** Known daemons by node, without this one; undefined before the first read. */
+  daemons: Map<string, DaemonEntry> | undefined;
+  startedAt: number;
+  /** True while this daemon reads the store itself. */
+  isReading: boolean;
+  /** Latest time at which a read of the store by this daemon confirmed the configuration, ms. */
+  storeConfirmedAt: number;
+  /** True while the list of runners is complete, not only those that serve requests. */
+  hasWholeList: boolean;
+  /** Offset of the store up to which changes of runners are known. */
+  runnersOffset: number;
+  upstream: Upstream | undefined;
+  avoided: Map<string, Avoidance>;
+  /** Share of {@link FALLBACK_JITTER_MS} that this daemon waits longer than others before it reads the store, 0 to 1. */
+  patience: number;
+  followers: Map<string, Follower>;
+  /** Runners as they were last sent to the followers, by id. */
+  published: Map<string, Runner>;
+}
+
+/** Message from a daemon to its followers. */
+export type UpstreamMessage =
+  | {
+    kind: "snapshot";
+    routing: RoutingDocument | undefined;
+    runners: Runner[];
+    runnersOffset: number;
+    daemons: DaemonEntry[];
+  }
+  | { kind: "routing"; document: RoutingDocument }
+  | {
+    kind: "runners";
+    runners: Runner[];
+    removedIds: string[];
+    runnersOffset: number;
+  }
+  | { kind: "daemons"; daemons: DaemonEntry[] }
+  | {
+    kind: "poll_answer";
+    /** Number of the poll that this answers. */
+    poll: number;
+    /** True while the daemon reads the store itself, with success. */
+    isReader: boolean;
+    /** Time since the configuration was confirmed as current, ms; undefined where it is not. */
+    routingAgeMs: number | undefined;
+    /** Time since the list of runners was confirmed as current, ms; undefined where it is not. */
+    runnersAgeMs: number | undefined;
+  };
+
+/** Message from a follower. */
+export interface FollowerMessage {
+  kind: "poll";
+  /** Version of the protocol. */
+  version: number;
+  poll: number;
+  /** Offset of the store up to which the follower knows changes of runners; older data is of no use to it. */
+  runnersOffset: number;
+}
--- /dev/null
+++ b/packages/core/src/read_sharing/upstream.ts
@@ -0,0 +1,255 @@
+/**
+ * Decides from where a daemon gets its data: from the store, or from another daemon that it follows.
+ *
+ * The first daemon of each availability zone reads the store, the others follow it, so that calls to the store grow
+ * with the zones and not with the daemons. A follower dates its data by when it sent its poll, less the age that the
+ * upstream reports, so that data never seems fresher than the read that confirmed it. A daemon follows only daemons
+ * that read the store themselves.
+ *
+ * @module
+ */
+import type { EventOf } from "../event/types.ts";
+import { isLeader } from "../formation/leadership.ts";
+import { ageOf, confirm } from "../gateway/freshness.ts";
+import type { Effects } from "../reduce_types.ts";
+import type { State } from "../state/types.ts";
+import {
+  AVOID_UPSTREAM_MS,
+  FALLBACK_JITTER_MS,
+  MAX_AVOID_UPSTREAM_MS,
+  START_AVOID_MS,
+  START_PATIENCE_MS,
+  STORE_FAILING_MS,
+  STORE_FALLBACK_MS,
+  UPSTREAM_SILENCE_MS,
+  UPSTREAM_START_MS,
+} from "./constants.ts";
+import { publishDaemons } from "./publish.ts";
+import { rankDaemons } from "./ranking.ts";
+import { isStoreReader } from "./reader.ts";
+import type { DaemonEntry, ReadSharing, Upstream } from "./types.ts";
+
+/** Creates the state of read sharing; without an own entry the daemon always reads the store. */
+export function createReadSharing(
+  self: DaemonEntry | undefined,
+  { now, patience }: { now: number; patience: number },
+): ReadSharing {
+  return {
+    self,
+    daemons: undefined,
+    startedAt: now,
+    isReading: self === undefined,
+    storeConfirmedAt: -Infinity,
+    hasWholeList: false,
+    runnersOffset: 0,
+    upstream: undefined,
+    avoided: new Map(),
+    patience,
+    followers: new Map(),
+    published: new Map(),
+  };
+}
+
+/** Handles a list of the registered daemons. */
+export function* applyDaemons(
+  state: State,
+  { daemons, isWhole, isPassedOn }: EventOf<"daemons_read">,
+): Effects {
+  const { readSharing } = state.gateway!;
+  const { self } = readSharing;
+  const known = isWhole || readSharing.daemons === undefined
+    ? new Map<string, DaemonEntry>()
+    : readSharing.daemons;
+  for (const daemon of daemons) {
+    if (daemon.node === self?.node) continue;
+    const before = readSharing.daemons?.get(daemon.node);
+    if (before?.incarnation !== daemon.incarnation) {
+      readSharing.avoided.delete(daemon.node);
+    }
+    known.set(daemon.node, daemon);
+  }
+  readSharing.daemons = known;
+  if (!isPassedOn) yield* publishDaemons(state, daemons);
+  yield* updateSource(state);
+}
+
+/** Handles the answer of the upstream to a poll. */
+export function* confirmUpstream(
+  state: State,
+  event: EventOf<"upstream_answered">,
+): Effects {
+  const { readSharing, routingFreshness, runnersFreshness } = state.gateway!;
+  const upstream = followed(readSharing, event.node);
+  if (upstream === undefined) return;
+  upstream.heardAt = state.now;
+  if (!event.isReader) {
+    if (upstream.hasData) yield* leaveUpstream(state, "not_reading");
+    return;
+  }
+  if (!upstream.hasData) return;
+  const { sentAt: measuredAt, routingAgeMs, runnersAgeMs } = event;
+  if (routingAgeMs !== undefined) {
+    confirm(routingFreshness, measuredAt - routingAgeMs, { measuredAt });
+  }
+  if (runnersAgeMs !== undefined) {
+    confirm(runnersFreshness, measuredAt - runnersAgeMs, { measuredAt });
+  }
+  readSharing.avoided.delete(event.node);
+}
+
+/** Handles the loss of the connection to the upstream. */
+export function* loseUpstream(
+  state: State,
+  { node, cause }: EventOf<"upstream_lost">,
+): Effects {
+  if (followed(state.gateway!.readSharing, node) === undefined) return;
+  yield* leaveUpstream(state, cause);
+  yield* updateSource(state);
+}
+
+function followed(
+  { upstream }: ReadSharing,
+  node: string,
+): Upstream | undefined {
+  return upstream?.node === node ? upstream : undefined;
+}
+
+/** Handles the first data of the upstream, which replaces what this daemon knew. */
+export function* acceptUpstream(
+  state: State,
+  { node }: EventOf<"upstream_began">,
+): Effects {
+  const { readSharing } = state.gateway!;
+  const upstream = followed(readSharing, node);
+  if (upstream === undefined) return;
+  upstream.hasData = true;
+  upstream.heardAt = state.now;
+  readSharing.hasWholeList = false;
+  forgetFollowers(readSharing);
+  if (!upstream.isTemporary) yield* setReading(state, false);
+}
+
+function* leaveUpstream(state: State, cause: string): Effects {
+  const { readSharing } = state.gateway!;
+  const { node, isTemporary, hasData } = readSharing.upstream!;
+  avoid(state, node);
+  readSharing.upstream = undefined;
+  yield { kind: "log", event: "upstream_left", fields: { node, cause } };
+  yield { kind: "unfollow_daemon", node };
+  // The upstream sent only the runners that serve requests.
+  if (isTemporary && hasData) yield { kind: "reread_runners" };
+}
+
+function avoid({ gateway, now }: State, node: string): void {
+  const { readSharing, routingFreshness } = gateway!;
+  if (routingFreshness.confirmedAt === undefined) {
+    readSharing.avoided.set(node, {
+      failures: 0,
+      until: now + START_AVOID_MS,
+    });
+    return;
+  }
+  const failures = (readSharing.avoided.get(node)?.failures ?? 0) + 1;
+  const avoidMs = AVOID_UPSTREAM_MS * 2 ** (failures - 1);
+  readSharing.avoided.set(node, {
+    failures,
+    until: now + Math.min(MAX_AVOID_UPSTREAM_MS, avoidMs),
+  });
+}
+
+/** Checks the upstream, and follows another daemon or reads the store where it fails. */
+export function* updateSource(state: State): Effects {
+  const { readSharing, groupPlanner } = state.gateway!;
+  if (readSharing.self === undefined || state.phase === "stopped") return;
+  const { upstream } = readSharing;
+  const isLeading = isLeader(groupPlanner.leadership, state.now);
+  const cause = upstream && findFault(state, upstream, { isLeading });
+  if (cause !== undefined) yield* leaveUpstream(state, cause);
+  if (readSharing.upstream === undefined && !isLeading) {
+    yield* followNext(state);
+  }
+  if (isLeading || mustRead(state)) yield* setReading(state, true);
+}
+
+/** Returns why the upstream is to be left; undefined while it serves. */
+function findFault(
+  state: State,
+  upstream: Upstream,
+  { isLeading }: { isLeading: boolean },
+): string | undefined {
+  const { now } = state;
+  if (isLeading) return "leading";
+  if (upstream.isTemporary && isStoreReader(state)) return "store_regained";
+  if (now - upstream.heardAt > UPSTREAM_SILENCE_MS) return "silent";
+  const isLate = !upstream.hasData && now - upstream.since > UPSTREAM_START_MS;
+  return isLate ? "no_data" : undefined;
+}
+
+function* followNext(state: State): Effects {
+  const { readSharing } = state.gateway!;
+  const { self, daemons, avoided, isReading } = readSharing;
+  if (daemons === undefined) return;
+  const { ahead, others } = rankDaemons(self!, { daemons: daemons.values() });
+  const isUsable = ({ node }: DaemonEntry) =>
+    (avoided.get(node)?.until ?? -Infinity) <= state.now;
+  const isFailing = isReading && !isStoreReader(state) &&
+    configurationAge(state) > STORE_FAILING_MS;
+  const preferred = ahead.find(isUsable);
+  const next = preferred ?? (isFailing ? others.find(isUsable) : undefined);
+  if (next === undefined) return;
+  const { node, address } = next;
+  readSharing.upstream = {
+    node,
+    since: state.now,
+    heardAt: state.now,
+    hasData: false,
+    isTemporary: preferred === undefined,
+  };
+  yield {
+    kind: "log",
+    event: "upstream_followed",
+    fields: { node, isTemporary: preferred === undefined },
+  };
+  yield { kind: "follow_daemon", node, address };
+}
+
+/** Returns the age of the configuration, ms; before the first confirmation, the time since the start. */
+function configurationAge({ gateway, now }: State): number {
+  const { routingFreshness, readSharing } = gateway!;
+  const age = ageOf(routingFreshness, now);
+  return Number.isFinite(age) ? age : now - readSharing.startedAt;
+}
+
+/** Returns whether this daemon has to read the store itself. */
+function mustRead(state: State): boolean {
+  const { readSharing, routingFreshness } = state.gateway!;
+  const { self, upstream, patience, daemons } = readSharing;
+  const isStarting = routingFreshness.confirmedAt === undefined;
+  if (upstream === undefined && daemons !== undefined) {
+    const { ahead } = rankDaemons(self!, { daemons: daemons.values() });
+    // After a common start, those ahead may not listen yet.
+    if (ahead.length === 0 || !isStarting) return true;
+  }
+  const limit = isStarting ? START_PATIENCE_MS : STORE_FALLBACK_MS;
+  return configurationAge(state) > limit + patience * FALLBACK_JITTER_MS;
+}
+
+/** Makes every follower get all data again, since it is not told of what changes from now on. */
+function forgetFollowers({ followers, published }: ReadSharing): void {
+  published.clear();
+  for (const follower of followers.values()) follower.hasSnapshot = false;
+}
+
+function* setReading(state: State, isReading: boolean): Effects {
+  const { readSharing } = state.gateway!;
+  if (readSharing.isReading === isReading) return;
+  readSharing.isReading = isReading;
+  readSharing.hasWholeList = false;
+  forgetFollowers(readSharing);
+  yield {
+    kind: "log",
+    event: isReading ? "store_reading_began" : "store_reading_ended",
+    fields: { upstream: readSharing.upstream?.node },
+  };
+  yield { kind: "read_store", isEnabled: isReading };
+}
--- a/packages/core/src/state/create_state.ts
+++ b/packages/core/src/state/create_state.ts
@@ -14,6 +14,7 @@
 import { createRandomSet } from "../routing/random_set.ts";
 import { createLedger } from "../usage/ledger.ts";
 import { createAverage, createRate } from "../util/ewma.ts";
+import { hashFraction } from "../util/hash.ts";
 import { createRandom } from "../util/random.ts";
 import { createTimerQueue, schedule } from "../util/timer_queue.ts";
 import type { Node, Pool, State } from "./types.ts";
@@ -54,7 +55,11 @@
     schedule(timers, now, { timer: { kind: "gateway_sweep" } });
   }
   return {
-    gateway: gateway && createGateway(gateway, { zone: node.zone, now }),
+    gateway: gateway && createGateway(gateway, {
+      zone: node.zone,
+      now,
+      patience: hashFraction(node.incarnation),
+    }),
     node,
     now,
     random: createRandom(seed),
--- a/packages/daemon/src/gateway/adapters.ts
+++ b/packages/daemon/src/gateway/adapters.ts
@@ -7,6 +7,7 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import type {
+  DaemonEntry,
   OrderOutcome,
   RoutingDocument,
   Runner,
@@ -89,6 +90,13 @@
   readFrom(offset: number, options: { waitMs: number }): Promise<KeyedRead<T>>;
 }
 
+/** Registrations of the daemons in the store, by which they find each other. */
+export interface DaemonRegistry {
+  daemons: KeyedTopic<DaemonEntry>;
+  /** Registers this daemon, in place of its earlier incarnation. */
+  register(entry: DaemonEntry): Promise<void>;
+}
+
 /** Leader election of the group planner, backed by the store. */
 export interface LeaderElection {
   /** Acquires or extends the leadership; resolves to true if this member is the leader. */
@@ -123,6 +131,7 @@
   headerCodec: HeaderCodec;
   routing: KeyedTopic<RoutingDocument>;
   runners: KeyedTopic<Runner>;
+  daemonRegistry: DaemonRegistry;
   leaderElection: LeaderElection;
   runnerControl: RunnerControl;
 }
--- /dev/null
+++ b/packages/daemon/src/gateway/follower_listener.ts
@@ -0,0 +1,117 @@
+/**
+ * Listens for the daemons that follow this one, and sends them what it reads from the store.
+ *
+ * @module
+ */
+import type {
+  EventBody,
+  LogEventName,
+  UpstreamMessage,
+} from "@primroseshed/core";
+import { type RawData, type WebSocket, WebSocketServer } from "ws";
+import { monotonicNow } from "../driver/driver.ts";
+import { decodeFollowerFrame, encodeFrame } from "./sharing_frames.ts";
+
+/** Options of {@link startFollowerListener}. */
+export interface FollowerListenerOptions {
+  /** `IP:PORT`. */
+  address: string;
+  dispatch(event: EventBody): void;
+  log(event: LogEventName, fields?: Record<string, unknown>): void;
+}
+
+/** Listener for followers. */
+export interface FollowerListener {
+  send(followers: readonly string[], message: UpstreamMessage): void;
+  close(): void;
+}
+
+interface FollowerConnection {
+  socket: WebSocket;
+  lastPollAt: number;
+}
+
+/** Largest frame of a follower, bytes. */
+const MAX_POLL_BYTES = 1_024;
+/** A follower that has left more than this unread is disconnected, bytes. */
+const MAX_UNREAD_BYTES = 8 * 1024 * 1024;
+/** A follower that does not poll for this long is disconnected, ms. */
+const FOLLOWER_TIMEOUT_MS = 3_000;
+const CHECK_INTERVAL_MS = 1_000;
+const BACKLOG = 1_024;
+
+/** Starts the listener. */
+export async function startFollowerListener(
+  { address, dispatch, log }: FollowerListenerOptions,
+): Promise<FollowerListener> {
+  const [host, port] = address.split(":");
+  const connections = new Map<string, FollowerConnection>();
+  let count = 0;
+  const server = new WebSocketServer({
+    host: host!,
+    port: Number(port),
+    backlog: BACKLOG,
+    maxPayload: MAX_POLL_BYTES,
+    perMessageDeflate: false,
+  });
+
+  function accept(socket: WebSocket, remote: string | undefined): void {
+    count += 1;
+    const id = `${remote ?? "unknown"}#${count}`;
+    const connection = { socket, lastPollAt: monotonicNow() };
+    connections.set(id, connection);
+    socket.on("message", (data: RawData) => {
+      connection.lastPollAt = monotonicNow();
+      handlePoll(id, socket, data);
+    });
+    socket.on("error", () => socket.terminate());
+    socket.on("close", () => {
+      connections.delete(id);
+      dispatch({ kind: "follower_left", follower: id });
+    });
+  }
+
+  function handlePoll(id: string, socket: WebSocket, data: RawData): void {
+    try {
+      const { poll, runnersOffset } = decodeFollowerFrame(data);
+      dispatch({ kind: "follower_polled", follower: id, poll, runnersOffset });
+    } catch (error) {
+      log("peer_frame_dropped", { follower: id, cause: String(error) });
+      socket.terminate();
+    }
+  }
+
+  const timer = setInterval(() => {
+    const now = monotonicNow();
+    for (const { socket, lastPollAt } of connections.values()) {
+      if (now - lastPollAt > FOLLOWER_TIMEOUT_MS) socket.terminate();
+    }
+  }, CHECK_INTERVAL_MS);
+
+  server.on(
+    "connection",
+    (socket, request) => accept(socket, request.socket.remoteAddress),
+  );
+  await new Promise<void>((resolve, reject) => {
+    server.once("listening", resolve);
+    server.once("error", reject);
+  });
+  server.on("error", (error) => log("internal_error", { cause: error.stack }));
+
+  return {
+    send(followers, message) {
+      const frame = encodeFrame(message);
+      for (const id of followers) {
+        const socket = connections.get(id)?.socket;
+        if (socket === undefined) continue;
+        if (socket.bufferedAmount > MAX_UNREAD_BYTES) socket.terminate();
+        else socket.send(frame);
+      }
+    },
+    close() {
+      clearInterval(timer);
+      for (const { socket } of connections.values()) socket.terminate();
+      server.close();
+    },
+  };
+}
--- a/packages/daemon/src/gateway/leadership_renewal.ts
+++ b/packages/daemon/src/gateway/leadership_renewal.ts
@@ -13,6 +13,8 @@
   /** Name of this incarnation of the daemon. */
   member: string;
   intervalMs: number;
+  /** Returns whether this daemon may become the leader; others make no calls. */
+  isCandidate(): boolean;
   dispatch(event: EventBody): void;
   log(event: LogEventName, fields?: Record<string, unknown>): void;
 }
@@ -26,14 +28,16 @@
 
 /** Starts to renew the leadership. */
 export function createLeadershipRenewal(
-  { leaderElection, member, intervalMs, dispatch, log }:
+  { leaderElection, member, intervalMs, isCandidate, dispatch, log }:
     LeadershipRenewalOptions,
 ): LeadershipRenewal {
   let isFailing = false;
   let isRenewing = false;
+  let hasJoined = false;
 
   async function renew(): Promise<void> {
-    if (isRenewing) return;
+    if (isRenewing || !isCandidate()) return;
+    hasJoined = true;
     isRenewing = true;
     const sentAt = monotonicNow();
     try {
@@ -67,6 +71,7 @@
     beginTerm: () => void requestTerm(),
     stop() {
       clearInterval(timer);
+      if (!hasJoined) return;
       leaderElection.resign(member).catch((error: Error) =>
         log("belief_lost", { topic: "duty", cause: error.message })
       );
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -16,18 +16,29 @@
 
 /** Schema and defaults of the settings. */
 export const gatewaySettingsSchema = z.strictObject({
-  node: z.strictObject({ name: z.string(), zone: z.string() }),
+  node: z.strictObject({
+    name: z.string(),
+    zone: z.string(),
+    /** Processor share of the VM, cores; daemons on larger VMs read the store for the others of their zone. */
+    cores: z.number().positive().default(1),
+  }),
   listen: z.strictObject({
     callers: address,
     ready: address,
     operators: address,
+    /** For other daemons, which then share the reads of the store; every daemon reads for itself where it is unset. */
+    followers: address.optional(),
   }),
   store: z.strictObject({
     address,
     /** Longest time for which a read of the configuration waits for a change. */
-    routingWaitMs: milliseconds.default(1_500),
+    routingWaitMs: milliseconds.default(1_000),
     /** Longest time for which a read of the list of runners waits for a change. */
     runnersWaitMs: milliseconds.default(1_500),
+    /** Longest time for which a read of the registered daemons waits for a change. */
+    daemonsWaitMs: milliseconds.default(20_000),
+    /** Time for which registrations of daemons are batched. */
+    daemonsGatherMs: milliseconds.default(2_000),
     /** Shortest time for which changes of runners are batched. */
     gatherMs: milliseconds.default(200),
     /** Additional batching time for each known runner. */
--- a/packages/daemon/src/gateway/topic_subscription.ts
+++ b/packages/daemon/src/gateway/topic_subscription.ts
@@ -1,7 +1,8 @@
 /**
  * Subscribes to a keyed topic of the store: reads all its records once, then each change.
  *
- * Reads wait in the store for a change, so a read that finds nothing confirms that the known records are current.
+ * Reads wait in the store for a change, so a read that finds nothing confirms that the known records are current. A
+ * subscription that is paused makes no calls; it begins with all records again.
  *
  * @module
  */
@@ -14,6 +15,8 @@
   records: KeyedRecord<T>[];
   /** True if `records` holds every key of the topic. */
   isWhole: boolean;
+  /** Offset after the newest of these records. */
+  offset: number;
   /** The topic held no newer records than these up to this time, monotonic ms. */
   confirmedAt: number;
 }
@@ -42,10 +45,6 @@
 /** Share of a wait that counts for a confirmation, since the store's clock may run faster than the daemon's. */
 const TRUSTED_WAIT_SHARE = 0.95;
 
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 /**
  * Returns the time up to which a read without records confirms that there were none, monotonic ms.
  *
@@ -70,71 +69,118 @@
     : sentAt + allowedMs * TRUSTED_WAIT_SHARE;
 }
 
-/** Subscribes to a topic until the returned function is called. */
+/** A subscription to a topic. */
+export interface Subscription {
+  /** Pauses the reads, or begins them again with all records. */
+  setEnabled(isEnabled: boolean): void;
+  /** Reads all records again. */
+  reread(): void;
+  /** Ends the subscription. */
+  stop(): void;
+}
+
+/** Subscribes to a topic. */
 export function subscribeToTopic<T>(
   { name, topic, waitMs, isConfirmed, batchDelayMs, onUpdate, log }:
     SubscriptionOptions<T>,
-): () => void {
+  { isEnabled: isEnabledAtFirst = true }: { isEnabled?: boolean } = {},
+): Subscription {
   let isStopped = false;
+  let isEnabled = isEnabledAtFirst;
+  /** Number of the current pass over the topic; the results of reads of an earlier one are dropped. */
+  let pass = 0;
   let next: number | undefined;
   let failures = 0;
+  let wake: (() => void) | undefined;
 
-  async function readOnce(): Promise<number> {
+  async function readOnce(current: number): Promise<number> {
     const sentAt = monotonicNow();
+    const publish = (update: TopicUpdate<T>) => {
+      if (current !== pass) return;
+      next = update.offset;
+      deliver(update);
+    };
     if (next === undefined) {
-      const whole = await topic.readAll();
-      next = whole.next;
-      publish({ records: whole.records, isWhole: true, confirmedAt: sentAt });
+      const { records, next: offset } = await topic.readAll();
+      publish({ records, isWhole: true, offset, confirmedAt: sentAt });
       return 0;
     }
     // After a failure or a suspension the last confirmation is old; a read that does not wait renews it at once.
     const allowedMs = failures > 0 || !isConfirmed() ? 0 : waitMs;
     const read = await topic.readFrom(next, { waitMs: allowedMs });
+    if (current !== pass) return 0;
     if (read.kind === "trimmed") {
       log("log_trimmed", { topic: name, offset: next });
       next = undefined;
       return 0;
     }
-    next = read.next;
-    const { records } = read;
+    const { records, next: offset } = read;
     const waitedMs = monotonicNow() - sentAt;
     const confirmedAt = records.length > 0
       ? sentAt
       : confirmedAtOf({ sentAt, waitedMs, allowedMs });
-    publish({ records, isWhole: false, confirmedAt });
+    publish({ records, isWhole: false, offset, confirmedAt });
     if (records.length > 0) return batchDelayMs();
     // Prevents a tight loop if the store does not wait.
     return waitedMs < allowedMs / 2 ? MIN_PAUSE_MS : 0;
   }
 
-  function publish(update: TopicUpdate<T>): void {
+  function deliver(update: TopicUpdate<T>): void {
     for (const { key, problem } of update.records) {
       if (problem !== undefined) {
         log("entry_unreadable", { topic: name, key, problem });
       }
     }
-    if (!isStopped) onUpdate(update);
+    onUpdate(update);
   }
 
-  async function run(): Promise<void> {
-    while (!isStopped) {
+  function pause(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, ms);
+      wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
+  async function run(current: number): Promise<void> {
+    while (current === pass) {
       try {
-        const pauseMs = await readOnce();
+        const pauseMs = await readOnce(current);
         if (failures > 0) log("belief_regained", { topic: name, failures });
         failures = 0;
-        if (pauseMs > 0) await sleep(pauseMs);
+        if (pauseMs > 0 && current === pass) await pause(pauseMs);
       } catch (error) {
+        if (current !== pass) return;
         failures += 1;
         if (failures === 1) {
           log("belief_lost", { topic: name, cause: (error as Error).message });
         }
-        await sleep(Math.min(MAX_PAUSE_MS, BASE_PAUSE_MS * 2 ** failures));
+        await pause(Math.min(MAX_PAUSE_MS, BASE_PAUSE_MS * 2 ** failures));
       }
     }
   }
 
-  void run();
-  return () => {
-    isStopped = true;
+  function restart(): void {
+    pass += 1;
+    next = undefined;
+    failures = 0;
+    wake?.();
+    if (isEnabled && !isStopped) void run(pass);
+  }
+
+  restart();
+  return {
+    setEnabled(value) {
+      if (value === isEnabled) return;
+      isEnabled = value;
+      restart();
+    },
+    reread: () => isEnabled && restart(),
+    stop() {
+      isStopped = true;
+      restart();
+    },
   };
 }
--- a/packages/daemon/src/gateway/topic_subscription_test.ts
+++ b/packages/daemon/src/gateway/topic_subscription_test.ts
@@ -33,7 +33,7 @@
   { isConfirmed = () => true }: { isConfirmed?: () => boolean } = {},
 ) {
   const updates: TopicUpdate<string>[] = [];
-  const stop = subscribeToTopic({
+  const subscription = subscribeToTopic({
     name: "t",
     topic,
     waitMs: 1_000,
@@ -43,7 +43,7 @@
     log: () => undefined,
   });
   await new Promise((resolve) => setTimeout(resolve, ms));
-  stop();
+  subscription.stop();
   return updates;
 }
 
--- /dev/null
+++ b/packages/daemon/src/gateway/upstream_client.ts
@@ -0,0 +1,164 @@
+/**
+ * Follows another daemon: connects to it, polls it, and passes on what it sends as events.
+ *
+ * @module
+ */
+import {
+  type EventBody,
+  type LogEventName,
+  READ_SHARING_VERSION,
+  type UpstreamMessage,
+} from "@primroseshed/core";
+import { type RawData, WebSocket } from "ws";
+import { monotonicNow } from "../driver/driver.ts";
+import {
+  decodeUpstreamFrame,
+  encodeFrame,
+  MAX_SHARING_FRAME_BYTES,
+} from "./sharing_frames.ts";
+
+/** Options of {@link createUpstreamClient}. */
+export interface UpstreamClientOptions {
+  /** Time within which a connection must be made, ms. */
+  connectTimeoutMs: number;
+  /** Returns the offset of the store up to which changes of runners are known. */
+  runnersOffset(): number;
+  dispatch(event: EventBody): void;
+  log(event: LogEventName, fields?: Record<string, unknown>): void;
+}
+
+/** Client of the daemon that this daemon follows. */
+export interface UpstreamClient {
+  /** Follows a daemon, and no other one. */
+  follow(node: string, address: string): void;
+  unfollow(): void;
+}
+
+/** Interval between two polls, ms. */
+const POLL_INTERVAL_MS = 400;
+
+/** Creates the client. */
+export function createUpstreamClient(
+  { connectTimeoutMs, runnersOffset, dispatch, log }: UpstreamClientOptions,
+): UpstreamClient {
+  let current: WebSocket | undefined;
+
+  function follow(node: string, address: string): void {
+    unfollow();
+    const socket = new WebSocket(`ws://${address}`, {
+      handshakeTimeout: connectTimeoutMs,
+      maxPayload: MAX_SHARING_FRAME_BYTES,
+      perMessageDeflate: false,
+    });
+    current = socket;
+    let pollCount = 0;
+    let timer: NodeJS.Timeout | undefined;
+    const sentAt = new Map<number, number>();
+
+    function poll(): void {
+      pollCount += 1;
+      sentAt.set(pollCount, monotonicNow());
+      socket.send(encodeFrame({
+        kind: "poll",
+        version: READ_SHARING_VERSION,
+        poll: pollCount,
+        runnersOffset: runnersOffset(),
+      }));
+    }
+
+    const handlers: {
+      [K in UpstreamMessage["kind"]]: (
+        message: Extract<UpstreamMessage, { kind: K }>,
+      ) => void;
+    } = {
+      snapshot({ routing, runners, runnersOffset: offset, daemons }) {
+        dispatch({ kind: "upstream_began", node });
+        if (routing !== undefined) passRouting(routing);
+        passRunners({ runners, removedIds: [], isWhole: true, offset });
+        passDaemons(daemons);
+      },
+      routing: ({ document }) => passRouting(document),
+      runners: ({ runners, removedIds, runnersOffset: offset }) =>
+        passRunners({ runners, removedIds, isWhole: false, offset }),
+      daemons: ({ daemons }) => passDaemons(daemons),
+      poll_answer({ poll: answered, isReader, routingAgeMs, runnersAgeMs }) {
+        const pollSentAt = sentAt.get(answered);
+        if (pollSentAt === undefined) return;
+        for (const each of sentAt.keys()) {
+          if (each <= answered) sentAt.delete(each);
+        }
+        dispatch({
+          kind: "upstream_answered",
+          node,
+          sentAt: pollSentAt,
+          isReader,
+          routingAgeMs,
+          runnersAgeMs,
+        });
+      },
+    };
+
+    function handleFrame(data: RawData): void {
+      if (current !== socket) return;
+      let message: UpstreamMessage;
+      try {
+        message = decodeUpstreamFrame(data);
+      } catch (error) {
+        log("peer_frame_dropped", { node, cause: (error as Error).message });
+        return lose("malformed frame");
+      }
+      (handlers[message.kind] as (message: UpstreamMessage) => void)(message);
+    }
+
+    function lose(cause: string): void {
+      clearInterval(timer);
+      socket.terminate();
+      if (current !== socket) return;
+      current = undefined;
+      dispatch({ kind: "upstream_lost", node, cause });
+    }
+
+    socket.on("open", () => {
+      if (current !== socket) return socket.terminate();
+      poll();
+      timer = setInterval(poll, POLL_INTERVAL_MS);
+    });
+    socket.on("message", handleFrame);
+    socket.on("error", (error) => lose(error.message));
+    socket.on("close", () => lose("closed"));
+  }
+
+  function passRouting(
+    document: Extract<EventBody, { kind: "routing_read" }>["document"],
+  ): void {
+    dispatch({ kind: "routing_read", document, confirmedAt: undefined });
+  }
+
+  function passRunners(
+    read: Omit<
+      Extract<EventBody, { kind: "runners_read" }>,
+      "kind" | "confirmedAt"
+    >,
+  ): void {
+    dispatch({ kind: "runners_read", ...read, confirmedAt: undefined });
+  }
+
+  function passDaemons(
+    daemons: Extract<EventBody, { kind: "daemons_read" }>["daemons"],
+  ): void {
+    dispatch({
+      kind: "daemons_read",
+      daemons,
+      isWhole: false,
+      isPassedOn: true,
+    });
+  }
+
+  function unfollow(): void {
+    const socket = current;
+    current = undefined;
+    socket?.terminate();
+  }
+
+  return { follow, unfollow };
+}
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -6,14 +6,11 @@
 import { randomBytes } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import {
-  batchDelayOf,
   createState,
   type Effect,
   type EventBody,
   isGatewayReady,
-  isLeader,
-  type RoutingDocument,
-  type Runner,
+  isLeaderCandidate,
   type State,
 } from "@primroseshed/core";
 import { createAgents } from "../backend/transport.ts";
@@ -30,7 +27,9 @@
 import { createOperatorListener } from "./operator_listener.ts";
 import type { Relay } from "./relay.ts";
 import type { GatewaySettingsFile } from "./settings.ts";
-import { subscribeToTopic, type TopicUpdate } from "./topic_subscription.ts";
+import { startFollowerListener } from "./follower_listener.ts";
+import { startStoreReads } from "./store_reads.ts";
+import { createUpstreamClient } from "./upstream_client.ts";
 
 /** A running gateway. */
 export interface GatewayDaemon {
@@ -65,26 +64,6 @@
   });
 }
 
-function runnersEvent(update: TopicUpdate<Runner>): EventBody {
-  const { records, isWhole, confirmedAt } = update;
-  const newest = new Map(records.map(({ key, value }) => [key, value]));
-  const runners = [...newest.values()].filter((each) => each !== undefined);
-  const removedIds = [...newest].filter(([, value]) => value === undefined)
-    .map(([key]) => key);
-  return { kind: "runners_read", runners, removedIds, isWhole, confirmedAt };
-}
-
-function routingEvent(update: TopicUpdate<RoutingDocument>): EventBody {
-  const { records, confirmedAt } = update;
-  const documents = records.map(({ value }) => value)
-    .filter((each) => each !== undefined)
-    .sort((left, right) => left.version - right.version);
-  const document = documents.at(-1);
-  return document === undefined
-    ? { kind: "freshness_confirmed", topic: "routing", confirmedAt }
-    : { kind: "routing_read", document, confirmedAt };
-}
-
 /**
  * Creates and starts a gateway.
  *
@@ -101,8 +80,15 @@
 ): Promise<GatewayDaemon> {
   const { node, store, timing, bounds } = settings;
   const incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
+  const { followers: followersAddress } = settings.listen;
   const state = createState(
-    { ...node, site: node.zone, incarnation, balancerLagMs: 0 },
+    {
+      name: node.name,
+      zone: node.zone,
+      site: node.zone,
+      incarnation,
+      balancerLagMs: 0,
+    },
     {
       seed: randomBytes(INCARNATION_BYTES).readUInt32LE() % SEED_RANGE,
       now: monotonicNow(),
@@ -110,6 +96,13 @@
         ...bounds,
         retryWindowMs: bounds.retryWindowS * MS_PER_SECOND,
         graceMs: bounds.graceS * MS_PER_SECOND,
+        self: followersAddress === undefined ? undefined : {
+          node: node.name,
+          zone: node.zone,
+          address: followersAddress,
+          incarnation,
+          cores: node.cores,
+        },
       },
     },
   );
@@ -175,6 +168,12 @@
       log(event, fields);
       metrics.count(event, fields);
     },
+    read_store: ({ isEnabled }) => storeReads.setEnabled(isEnabled),
+    reread_runners: () => storeReads.rereadRunners(),
+    follow_daemon: ({ node, address }) => upstream.follow(node, address),
+    unfollow_daemon: () => upstream.unfollow(),
+    send_to_followers: ({ followers: ids, message }) =>
+      followers?.send(ids, message),
     exit: ({ interruptedRequests }) => shutDown(interruptedRequests),
   };
 
@@ -208,7 +207,9 @@
   });
 
   function shutDown(interruptedRequests: number): void {
-    for (const stop of subscriptions) stop();
+    storeReads.stop();
+    upstream.unfollow();
+    followers?.close();
     leadership.stop();
     callers.server.close();
     callers.server.closeAllConnections();
@@ -222,42 +223,30 @@
   await listen(ready, settings.listen.ready);
   await listen(operators, settings.listen.operators);
   log("started", { ...settings.listen, zone: node.zone, incarnation });
+  const upstream = createUpstreamClient({
+    connectTimeoutMs: timing.connectTimeoutMs,
+    runnersOffset: () => state.gateway!.readSharing.runnersOffset,
+    dispatch,
+    log,
+  });
+  const followers = followersAddress === undefined
+    ? undefined
+    : await startFollowerListener({ address: followersAddress, dispatch, log });
   const leadership = createLeadershipRenewal({
     leaderElection: adapters.leaderElection,
     member: `${node.name}#${incarnation}`,
     intervalMs: store.dutyEveryMs,
+    isCandidate: () => isLeaderCandidate(state),
+    dispatch,
+    log,
+  });
+  const storeReads = startStoreReads({
+    adapters,
+    settings: store,
+    state,
     dispatch,
     log,
   });
-  const subscriptions = [
-    subscribeToTopic({
-      name: "routing",
-      topic: adapters.routing,
-      waitMs: store.routingWaitMs,
-      isConfirmed: () =>
-        state.gateway!.routingFreshness.confirmedAt !== undefined,
-      batchDelayMs: () => 0,
-      onUpdate: (update) => dispatch(routingEvent(update)),
-      log,
-    }),
-    subscribeToTopic({
-      name: "runners",
-      topic: adapters.runners,
-      waitMs: store.runnersWaitMs,
-      isConfirmed: () =>
-        state.gateway!.runnersFreshness.confirmedAt !== undefined,
-      batchDelayMs: () =>
-        batchDelayOf(store, {
-          runners: state.gateway!.runners.size,
-          isPlanner: isLeader(
-            state.gateway!.groupPlanner.leadership,
-            monotonicNow(),
-          ),
-        }),
-      onUpdate: (update) => dispatch(runnersEvent(update)),
-      log,
-    }),
-  ];
 
   return {
     state,
