--- a/packages/core/src/gateway/event_types.ts
+++ b/packages/core/src/gateway/event_types.ts
@@ -63,6 +63,13 @@
     attempt: number;
     lastEvent: string | undefined;
   }
+  | {
+    kind: "relay_blocked";
+    request: string;
+    attempt: number;
+    /** True once the caller leaves too much unread; false once it has read on. */
+    isBlocked: boolean;
+  }
   | {
     kind: "response_ended";
     request: string;
--- a/packages/core/src/gateway/handlers.ts
+++ b/packages/core/src/gateway/handlers.ts
@@ -19,6 +19,7 @@
 import {
   endResponse,
   failResponse,
+  recordBlocked,
   recordProgress,
   startResponse,
 } from "./response.ts";
@@ -39,6 +40,7 @@
   routed_request_closed: closeRequest,
   response_started: startResponse,
   response_progressed: recordProgress,
+  relay_blocked: recordBlocked,
   response_ended: endResponse,
   response_failed: failResponse,
   leadership_renewed: renewLeadership,
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { EventOf } from "../event/types.ts";
-import type { Effects } from "../reduce_types.ts";
+import { type Effects, noEffects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { runnerStatsOf } from "./choose.ts";
 import { endRequest, logEnd } from "./finish.ts";
@@ -70,6 +70,19 @@
   yield { kind: "first_event", priority, ms: state.now - arrivedAt };
 }
 
+/** Handles a caller that reads more slowly than its runner sends, which is no stall of the runner. */
+export function recordBlocked(
+  state: State,
+  event: EventOf<"relay_blocked">,
+): Effects {
+  const request = findByAttempt(state.gateway!, event);
+  if (request !== undefined) {
+    request.currentAttempt!.isBlocked = event.isBlocked;
+    request.currentAttempt!.lastByteAt = state.now;
+  }
+  return noEffects();
+}
+
 /** Handles the end of a complete response. */
 export function* endResponse(
   state: State,
--- a/packages/core/src/gateway/routed_request_test.ts
+++ b/packages/core/src/gateway/routed_request_test.ts
@@ -213,6 +213,45 @@
     expect(effectsOf(effects, "send_to_runner")).to.have.length(1);
   });
 
+  it("are not moved while their caller reads slowly, which is no fault of the runner", () => {
+    const harness = startChat();
+    startStream(harness);
+    const block = (isBlocked: boolean) =>
+      harness.feed({
+        kind: "relay_blocked",
+        request: "r1",
+        attempt: 1,
+        isBlocked,
+      });
+    block(true);
+    expect(effectsOf(harness.advance(3_000), "cancel")).to.deep.equal([]);
+    block(false);
+    expect(effectsOf(harness.advance(1_000), "send_to_runner")).to.have
+      .length(1);
+  });
+
+  it("are moved where a runner sends bytes but no whole event", () => {
+    const harness = startChat();
+    startStream(harness);
+    harness.advance(500);
+    expect(effectsOf(harness.advance(200), "send_to_runner")).to.have
+      .length(1);
+  });
+
+  it("that pause longer than usual are not cut off while no other group is left", () => {
+    const harness = startChat(1);
+    startStream(harness);
+    harness.advance(1_500);
+    const effects = harness.feed({
+      kind: "response_progressed",
+      request: "r1",
+      attempt: 1,
+      lastEvent: "8",
+    });
+    expect(refusalOf(effects)).to.equal(undefined);
+    expect(harness.state.gateway!.requests.size).to.equal(1);
+  });
+
   it("are never sent twice where they cannot be resumed", () => {
     const harness = createHarness();
     const chat = createRoute({
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -72,6 +72,7 @@
     lastByteAt: state.now,
     hasHeaders: false,
     isStreaming: false,
+    isBlocked: false,
   };
   yield {
     kind: "log",
--- a/packages/core/src/gateway/sweep.ts
+++ b/packages/core/src/gateway/sweep.ts
@@ -76,7 +76,7 @@
   { route, currentAttempt: attempt }: RoutedRequest,
   now: number,
 ): Outcome | undefined {
-  if (attempt === undefined) return undefined;
+  if (attempt === undefined || attempt.isBlocked) return undefined;
   const silence = now - attempt.lastByteAt;
   if (!isStream(route)) {
     const limit = route.targetLatencyMs * SLOW_RESPONSE_OBJECTIVES;
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -64,6 +64,8 @@
   hasHeaders: boolean;
   /** True once a stream has begun. */
   isStreaming: boolean;
+  /** True while the caller does not read what it was sent, so that the runner's response is paused. */
+  isBlocked: boolean;
 }
 
 /** A caller's request while the gateway handles it. */
--- a/packages/daemon/src/gateway/adapters.ts
+++ b/packages/daemon/src/gateway/adapters.ts
@@ -40,8 +40,8 @@
 /** Metadata of a runner's response, read from its status and headers. */
 export interface ResponseMetadata {
   verdict: Verdict;
-  /** True if the response carries the runner's signature and belongs to this request. */
-  isGenuine: boolean;
+  /** True if the response belongs to another request, or is a success without the runner's signature. */
+  isForeign: boolean;
   load: { running: number; waiting: number } | undefined;
 }
 
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -33,6 +33,8 @@
   server: Server;
   /** Applies new limits on what callers may send. */
   setLimits(limits: CallerLimits): void;
+  /** Accepts no more connections, lets open requests end within `maxWaitMs`, also those still being read, and closes. */
+  close(options: { maxWaitMs: number }): Promise<void>;
 }
 
 /** The gateway keeps idle connections open this much longer than callers reuse them, ms. */
@@ -44,6 +46,8 @@
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
+/** Interval at which a closing listener checks for open requests, ms. */
+const CLOSE_CHECK_MS = 20;
 /** Limit of the HTTP parser, bytes; the limits in force apply below it. */
 const MAX_HEADER_BYTES = 64 * 1024;
 const HEADERS_TOO_LARGE = 431;
@@ -55,6 +59,7 @@
   const { headerCodec, agents, relays, isStopping, dispatch, log } = options;
   let limits = INITIAL_LIMITS;
   let requestCount = 0;
+  let readingCount = 0;
 
   async function serve(
     request: IncomingMessage,
@@ -70,7 +75,9 @@
       response.end();
       return;
     }
-    const body = await readBody(request, { maxBytes: limits.maxBodyBytes });
+    readingCount += 1;
+    const body = await readBody(request, { maxBytes: limits.maxBodyBytes })
+      .finally(() => readingCount -= 1);
     if (response.destroyed) return;
     const metadata = headerCodec.readRequest(request.headers);
     requestCount += 1;
@@ -137,5 +144,14 @@
     server.keepAliveTimeout = next.idleTimeoutMs + IDLE_MARGIN_MS;
   }
   setLimits(INITIAL_LIMITS);
-  return { server, setLimits };
+
+  async function close({ maxWaitMs }: { maxWaitMs: number }): Promise<void> {
+    server.close();
+    const deadline = Date.now() + maxWaitMs;
+    while (readingCount + relays.size > 0 && Date.now() < deadline) {
+      await new Promise((resolve) => setTimeout(resolve, CLOSE_CHECK_MS));
+    }
+    server.closeAllConnections();
+  }
+  return { server, setLimits, close };
 }
--- a/packages/daemon/src/gateway/event_splitter.ts
+++ b/packages/daemon/src/gateway/event_splitter.ts
@@ -18,8 +18,8 @@
 export interface EventSplitter {
   /** Adds bytes and returns the events that are now complete, if any. */
   push(chunk: Buffer): CompleteEvents | undefined;
-  /** Returns true while part of an event is buffered. */
-  hasPartial(): boolean;
+  /** Returns the bytes of an incomplete event that are buffered. */
+  partialBytes(): number;
 }
 
 /** Returns the position after the last empty line, or 0. */
@@ -47,7 +47,7 @@
  * ```ts
  * const splitter = createEventSplitter();
  * splitter.push(Buffer.from("id: 1\ndata: a\n\nid: 2\n"))?.lastEvent; // "1"
- * splitter.hasPartial(); // true
+ * splitter.partialBytes(); // 6
  * ```
  */
 export function createEventSplitter(): EventSplitter {
@@ -63,6 +63,6 @@
       const complete = bytes.subarray(0, end);
       return { bytes: complete, lastEvent: findLastEventId(complete) };
     },
-    hasPartial: () => partial.length > 0,
+    partialBytes: () => partial.length,
   };
 }
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -62,6 +62,8 @@
 
 /** Largest response that is buffered until it is complete, bytes. */
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+/** Largest event of a stream, bytes. */
+const MAX_EVENT_BYTES = 1024 * 1024;
 /** Bytes that a caller may leave unread before the response of its runner is paused. */
 const MAX_UNREAD_BYTES = 256 * 1024;
 const MS_PER_SECOND = 1_000;
@@ -121,13 +123,27 @@
     response.write(bytes);
     if (response.writableLength < MAX_UNREAD_BYTES) return;
     upstream.attempt?.pause();
-    response.once("drain", () => upstream.attempt?.resume());
+    reportBlocked(upstream, true);
+    response.once("drain", () => {
+      upstream.attempt?.resume();
+      reportBlocked(upstream, false);
+    });
+  }
+
+  function reportBlocked(
+    { number: attempt }: UpstreamResponse,
+    isBlocked: boolean,
+  ): void {
+    dispatch({ kind: "relay_blocked", request: name, attempt, isBlocked });
   }
 
   function onData(upstream: UpstreamResponse, chunk: Buffer): void {
     const isEvents = upstream.isStream && upstream.metadata?.verdict === "ran";
     if (!isEvents) return bufferChunk(upstream, chunk);
     const complete = upstream.splitter.push(chunk);
+    if (upstream.splitter.partialBytes() > MAX_EVENT_BYTES) {
+      return fail(upstream, "broken_frame");
+    }
     if (complete === undefined) return;
     if (!isRelaying) writeHead(upstream);
     writeEvents(upstream, complete.bytes);
@@ -176,8 +192,7 @@
       verdict: metadata.verdict,
       load: metadata.load,
     });
-    const isForeign = status < 300 && !metadata.isGenuine;
-    if (isForeign) fail(upstream, "foreign_answer");
+    if (metadata.isForeign) fail(upstream, "foreign_answer");
   }
 
   /**
@@ -189,7 +204,7 @@
   }
 
   function onEnd(upstream: UpstreamResponse): void {
-    if (upstream.splitter.hasPartial() || isEndAmbiguous(upstream)) {
+    if (upstream.splitter.partialBytes() > 0 || isEndAmbiguous(upstream)) {
       return fail(upstream, "body_cut_off");
     }
     const { status, metadata } = upstream;
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -52,6 +52,8 @@
 
 const INCARNATION_BYTES = 4;
 const MS_PER_SECOND = 1_000;
+/** Remaining grace time at which the last connections are closed, ms. */
+const EXIT_MARGIN_MS = 200;
 const SEED_RANGE = 2 ** 31;
 /** Length of the operating system's queue of new connections; a burst of callers must not lose its first packets. */
 const BACKLOG = 1_024;
@@ -174,7 +176,14 @@
     unfollow_daemon: () => upstream.unfollow(),
     send_to_followers: ({ followers: ids, message }) =>
       followers?.send(ids, message),
-    exit: ({ interruptedRequests }) => shutDown(interruptedRequests),
+    exit({ interruptedRequests }) {
+      const { stoppingSince, settings: { graceMs } } = state.gateway!;
+      const maxWaitMs = stoppingSince + graceMs - EXIT_MARGIN_MS -
+        monotonicNow();
+      void callers.close({ maxWaitMs }).then(() =>
+        shutDown(interruptedRequests)
+      );
+    },
   };
 
   const driver = createDriver({
