--- a/packages/core/src/read_sharing/ranking.ts
+++ b/packages/core/src/read_sharing/ranking.ts
@@ -5,25 +5,22 @@
  * @module
  */
 import { hashText } from "../util/hash.ts";
-import type { DaemonEntry } from "./types.ts";
+import type { DaemonEntry, RankedDaemons } from "./types.ts";
 
-/** Orders daemons: those on larger VMs first, then by a hash of zone and node. */
-function byRank(left: DaemonEntry, right: DaemonEntry): number {
-  return right.cores - left.cores ||
-    rankHash(left) - rankHash(right) ||
-    (left.node < right.node ? -1 : 1);
+interface RankedDaemon {
+  daemon: DaemonEntry;
+  hash: number;
 }
 
-function rankHash({ zone, node }: DaemonEntry): number {
-  return hashText(`${zone} ${node}`);
+function withHash(daemon: DaemonEntry): RankedDaemon {
+  return { daemon, hash: hashText(`${daemon.zone} ${daemon.node}`) };
 }
 
-/** Daemons that another one may follow, the best first. */
-export interface RankedDaemons {
-  /** Daemons of the same zone that read the store before this one does. */
-  ahead: DaemonEntry[];
-  /** Daemons of the same zone that follow this one, then those of other zones. */
-  others: DaemonEntry[];
+/** Orders daemons: those on larger VMs first, then by a hash of zone and node. */
+function byRank(left: RankedDaemon, right: RankedDaemon): number {
+  return right.daemon.cores - left.daemon.cores ||
+    left.hash - right.hash ||
+    (left.daemon.node < right.daemon.node ? -1 : 1);
 }
 
 /**
@@ -38,14 +35,17 @@
   self: DaemonEntry,
   { daemons }: { daemons: Iterable<DaemonEntry> },
 ): RankedDaemons {
+  const own = withHash(self);
   const others = [...daemons].filter(({ node }) => node !== self.node)
-    .sort(byRank);
-  const local = others.filter(({ zone }) => zone === self.zone);
+    .map(withHash).sort(byRank);
+  const isLocal = ({ daemon }: RankedDaemon) => daemon.zone === self.zone;
+  const local = others.filter(isLocal);
+  const listOf = (ranked: RankedDaemon[]) => ranked.map(({ daemon }) => daemon);
   return {
-    ahead: local.filter((each) => byRank(each, self) < 0),
-    others: [
-      ...local.filter((each) => byRank(each, self) > 0),
-      ...others.filter(({ zone }) => zone !== self.zone),
-    ],
+    ahead: listOf(local.filter((each) => byRank(each, own) < 0)),
+    others: listOf([
+      ...local.filter((each) => byRank(each, own) > 0),
+      ...others.filter((each) => !isLocal(each)),
+    ]),
   };
 }
--- a/packages/core/src/read_sharing/types.ts
+++ b/packages/core/src/read_sharing/types.ts
@@ -16,6 +16,14 @@
   cores: number;
 }
 
+/** Daemons that another one may follow, the best first. */
+export interface RankedDaemons {
+  /** Daemons of the same zone that read the store before this one does. */
+  ahead: DaemonEntry[];
+  /** Daemons of the same zone that follow this one, then those of other zones. */
+  others: DaemonEntry[];
+}
+
 /** The daemon that this daemon follows. */
 export interface Upstream {
   node: string;
@@ -48,6 +56,8 @@
   self: DaemonEntry | undefined;
   /** Known daemons by node, without this one; undefined before the first read. */
   daemons: Map<string, DaemonEntry> | undefined;
+  /** The known daemons in the order in which this one would follow them. */
+  ranked: RankedDaemons;
   startedAt: number;
   /** True while this daemon reads the store itself. */
   isReading: boolean;
--- a/packages/core/src/read_sharing/upstream.ts
+++ b/packages/core/src/read_sharing/upstream.ts
@@ -37,6 +37,7 @@
   return {
     self,
     daemons: undefined,
+    ranked: { ahead: [], others: [] },
     startedAt: now,
     isReading: self === undefined,
     storeConfirmedAt: -Infinity,
@@ -69,6 +70,9 @@
     known.set(daemon.node, daemon);
   }
   readSharing.daemons = known;
+  if (self !== undefined) {
+    readSharing.ranked = rankDaemons(self, { daemons: known.values() });
+  }
   if (!isPassedOn) yield* publishDaemons(state, daemons);
   yield* updateSource(state);
 }
@@ -187,9 +191,7 @@
 
 function* followNext(state: State): Effects {
   const { readSharing } = state.gateway!;
-  const { self, daemons, avoided, isReading } = readSharing;
-  if (daemons === undefined) return;
-  const { ahead, others } = rankDaemons(self!, { daemons: daemons.values() });
+  const { ranked: { ahead, others }, avoided, isReading } = readSharing;
   const isUsable = ({ node }: DaemonEntry) =>
     (avoided.get(node)?.until ?? -Infinity) <= state.now;
   const isFailing = isReading && !isStoreReader(state) &&
@@ -223,10 +225,9 @@
 /** Returns whether this daemon has to read the store itself. */
 function mustRead(state: State): boolean {
   const { readSharing, routingFreshness } = state.gateway!;
-  const { self, upstream, patience, daemons } = readSharing;
+  const { ranked: { ahead }, upstream, patience, daemons } = readSharing;
   const isStarting = routingFreshness.confirmedAt === undefined;
   if (upstream === undefined && daemons !== undefined) {
-    const { ahead } = rankDaemons(self!, { daemons: daemons.values() });
     // After a common start, those ahead may not listen yet.
     if (ahead.length === 0 || !isStarting) return true;
   }
