--- a/packages/core/src/formation/health_checks.ts
+++ b/packages/core/src/formation/health_checks.ts
@@ -11,7 +11,9 @@
   HEALTH_CHECK_INTERVAL_MS,
   HEALTH_CHECK_MS_PER_MEMBER,
 } from "./constants.ts";
+import type { Runner } from "../gateway/fleet_types.ts";
 import type { GroupView } from "./group_view.ts";
+import type { HealthCheck, HealthStatus } from "./types.ts";
 
 /** Sends a health check to each group member whose last check is older than the interval. */
 export function* checkGroupMembers(state: State, views: GroupView[]): Effects {
@@ -26,9 +28,11 @@
       if (runner === undefined) continue;
       const check = groupPlanner.healthChecks.get(runner.id);
       if (check?.isPending) continue;
-      if (check !== undefined && state.now - check.sentAt < intervalMs) {
-        continue;
-      }
+      // A failed check is repeated soon: the group stands still if its member is dead.
+      const dueMs = isDoubtful(check, runner)
+        ? HEALTH_CHECK_INTERVAL_MS
+        : intervalMs;
+      if (check !== undefined && state.now - check.sentAt < dueMs) continue;
       const failures = check?.runnerStartedUnixMs === runner.startedUnixMs
         ? check.failures
         : 0;
@@ -50,20 +54,38 @@
   }
 }
 
+/** Returns whether a runner failed its last check, but not often enough to be presumed dead. */
+function isDoubtful(
+  check: HealthCheck | undefined,
+  { startedUnixMs }: Runner,
+): boolean {
+  return check !== undefined && check.failures > 0 &&
+    check.failures < DEAD_AFTER_FAILURES &&
+    check.runnerStartedUnixMs === startedUnixMs;
+}
+
+/** Consecutive failures after a check, by its result. A runner that does not listen any more is dead without a second check. */
+const FAILURES: Readonly<Record<HealthStatus, (before: number) => number>> = {
+  alive: () => 0,
+  silent: (before) => before + 1,
+  refused: (before) => Math.max(before + 1, DEAD_AFTER_FAILURES),
+};
+
 /** Handles the result of a health check. */
 export function* recordHealthCheck(
   state: State,
-  { runner, alive, report }: EventOf<"runner_checked">,
+  { runner, status, report }: EventOf<"runner_checked">,
 ): Effects {
   const check = state.gateway!.groupPlanner.healthChecks.get(runner);
   if (check === undefined) return;
   check.isPending = false;
-  check.failures = alive ? 0 : check.failures + 1;
   check.report = report ?? check.report;
-  if (check.failures !== DEAD_AFTER_FAILURES) return;
+  const wasDead = check.failures >= DEAD_AFTER_FAILURES;
+  check.failures = FAILURES[status](check.failures);
+  if (wasDead || check.failures < DEAD_AFTER_FAILURES) return;
   yield {
     kind: "log",
     event: "runner_silent",
-    fields: { runner, misses: check.failures },
+    fields: { runner, status, misses: check.failures },
   };
 }
--- a/packages/core/src/formation/health_checks_test.ts
+++ b/packages/core/src/formation/health_checks_test.ts
@@ -5,7 +5,7 @@
   effectsOf,
   MODELS,
 } from "../gateway/test_fixture.ts";
-import type { GroupView } from "./group_view.ts";
+import { type GroupView, isPresumedDead } from "./group_view.ts";
 import { checkGroupMembers } from "./health_checks.ts";
 
 /** Time for ten rounds of health checks of 3,100 runners, s. */
@@ -43,7 +43,7 @@
       harness.feed({
         kind: "runner_checked",
         runner,
-        alive: true,
+        status: "alive",
         report: undefined,
       });
     }
@@ -52,7 +52,41 @@
   return sent / SECONDS;
 }
 
+/** Returns how long it takes until one member of a large pool is presumed dead, ms. */
+function detectionMs(status: "silent" | "refused"): number {
+  const harness = createHarness();
+  const views = createViews(380);
+  const dead = views[200]!.members[1]!;
+  let diedAt: number | undefined;
+  while (harness.state.now < 20_000) {
+    const checks = effectsOf(
+      [...checkGroupMembers(harness.state, views)],
+      "check_runner",
+    );
+    for (const { runner } of checks) {
+      const isDead = harness.state.now > 5_000 && runner === dead.id;
+      if (isDead) diedAt ??= harness.state.now;
+      harness.feed({
+        kind: "runner_checked",
+        runner,
+        status: isDead ? status : "alive",
+        report: undefined,
+      });
+    }
+    if (isPresumedDead(harness.state.gateway!.groupPlanner, dead)) {
+      return harness.state.now - diedAt!;
+    }
+    harness.advance(100);
+  }
+  return Infinity;
+}
+
 describe("health checks", () => {
+  it("find a crash among 760 members with the first check, a silent one soon after it", () => {
+    expect(detectionMs("refused")).to.equal(0);
+    expect(detectionMs("silent")).to.be.at.most(400);
+  });
+
   it("reach each member of a small pool three times a second", () => {
     expect(checksPerSecond(30)).to.be.within(60 * 3, 60 * 3.5);
   });
--- a/packages/core/src/formation/test_pool.ts
+++ b/packages/core/src/formation/test_pool.ts
@@ -205,9 +205,9 @@
     }
     if (effect.kind === "check_runner") {
       const { runner } = effect;
-      const alive = !dead.has(runner);
-      const report = alive ? reports.get(runner) : undefined;
-      harness.feed({ kind: "runner_checked", runner, alive, report });
+      const status = dead.has(runner) ? "silent" : "alive";
+      const report = status === "alive" ? reports.get(runner) : undefined;
+      harness.feed({ kind: "runner_checked", runner, status, report });
     }
     if (effect.kind !== "order_runner") return;
     const { runner, fence, order } = effect;
--- a/packages/core/src/formation/types.ts
+++ b/packages/core/src/formation/types.ts
@@ -80,6 +80,9 @@
   report: RunnerReport | undefined;
 }
 
+/** Result of a health check: `refused` where nothing listens at the runner's address, `silent` where nothing responds. */
+export type HealthStatus = "alive" | "silent" | "refused";
+
 /** Work of a runner, as the runner reports it. */
 export interface RunnerReport {
   running: number;
--- a/packages/core/src/gateway/event_types.ts
+++ b/packages/core/src/gateway/event_types.ts
@@ -3,7 +3,11 @@
  *
  * @module
  */
-import type { OrderOutcome, RunnerReport } from "../formation/types.ts";
+import type {
+  HealthStatus,
+  OrderOutcome,
+  RunnerReport,
+} from "../formation/types.ts";
 import type { ReadSharingEvent } from "../read_sharing/event_types.ts";
 import type { Outcome, Verdict } from "../verdict/types.ts";
 import type { RoutingDocument, Runner } from "./types.ts";
@@ -49,6 +53,8 @@
     lastEvent: string | undefined;
   }
   | { kind: "routed_request_closed"; request: string }
+  /** The request of an attempt is about to leave on a connection. */
+  | { kind: "attempt_sent"; request: string; attempt: number }
   | {
     kind: "response_started";
     request: string;
@@ -96,8 +102,7 @@
   | {
     kind: "runner_checked";
     runner: string;
-    /** True where the runner responded. */
-    alive: boolean;
+    status: HealthStatus;
     /** Undefined where the runner did not respond, or its report cannot be read. */
     report: RunnerReport | undefined;
   }
--- a/packages/core/src/gateway/finish.ts
+++ b/packages/core/src/gateway/finish.ts
@@ -67,7 +67,7 @@
   const { id, currentAttempt: attempt } = request;
   if (attempt !== undefined) {
     // The runner may already have begun.
-    request.mayHaveRun = true;
+    if (attempt.isSent) request.mayHaveRun = true;
     yield { kind: "cancel", request: id, attempt: attempt.number };
   }
   const verdict = request.mayHaveRun ? "may_have_run" : "not_run";
--- a/packages/core/src/gateway/handlers.ts
+++ b/packages/core/src/gateway/handlers.ts
@@ -21,6 +21,7 @@
   failResponse,
   recordBlocked,
   recordProgress,
+  recordSend,
   startResponse,
 } from "./response.ts";
 import {
@@ -38,6 +39,7 @@
   clock_jumped: invalidateAll,
   routed_request_arrived: admitRequest,
   routed_request_closed: closeRequest,
+  attempt_sent: recordSend,
   response_started: startResponse,
   response_progressed: recordProgress,
   relay_blocked: recordBlocked,
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -21,6 +21,16 @@
   return request?.currentAttempt?.number === attempt ? request : undefined;
 }
 
+/** Handles a request that leaves on a connection to its runner. */
+export function recordSend(
+  state: State,
+  event: EventOf<"attempt_sent">,
+): Effects {
+  const request = findByAttempt(state.gateway!, event);
+  if (request !== undefined) request.currentAttempt!.isSent = true;
+  return noEffects();
+}
+
 /** Handles the headers of a runner's response. */
 export function* startResponse(
   state: State,
--- a/packages/core/src/gateway/routed_request_test.ts
+++ b/packages/core/src/gateway/routed_request_test.ts
@@ -139,6 +139,18 @@
     });
   });
 
+  it("refuses a request as not run at its timeout where it is still connecting", () => {
+    const harness = createHarness({}, { canConnect: false });
+    publish(harness, { runners: [createRunner("desk-0")] });
+    sendRequest(harness, "r1", { path: "/book/1" });
+    const effects = harness.advance(900);
+    expect(effectsOf(effects, "cancel")).to.have.length(1);
+    expect(refusalOf(effects)).to.include({
+      code: "deadline_passed",
+      verdict: "not_run",
+    });
+  });
+
   it("cancels the attempt as soon as the caller closes the connection", () => {
     const harness = startDesk();
     sendRequest(harness, "r1");
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -70,6 +70,7 @@
     runner: id,
     sentAt: state.now,
     lastByteAt: state.now,
+    isSent: false,
     hasHeaders: false,
     isStreaming: false,
     isBlocked: false,
--- a/packages/core/src/gateway/sweep.ts
+++ b/packages/core/src/gateway/sweep.ts
@@ -78,9 +78,10 @@
 ): Outcome | undefined {
   if (attempt === undefined || attempt.isBlocked) return undefined;
   const silence = now - attempt.lastByteAt;
+  const late = attempt.isSent ? "response_timeout" : "connect_timeout";
   if (!isStream(route)) {
     const limit = route.targetLatencyMs * SLOW_RESPONSE_OBJECTIVES;
-    return silence > limit ? "response_timeout" : undefined;
+    return silence > limit ? late : undefined;
   }
   if (attempt.hasHeaders) {
     return silence > STREAM_STALL_MS ? "body_cut_off" : undefined;
@@ -89,5 +90,5 @@
     MIN_FIRST_EVENT_MS,
     route.targetLatencyMs * FIRST_EVENT_OBJECTIVES,
   );
-  return silence > limit ? "response_timeout" : undefined;
+  return silence > limit ? late : undefined;
 }
--- a/packages/core/src/gateway/test_fixture.ts
+++ b/packages/core/src/gateway/test_fixture.ts
@@ -47,9 +47,10 @@
   self: undefined,
 };
 
-/** Creates a gateway under test without configuration and runners. */
+/** Creates a gateway under test without configuration and runners; requests leave at once where it can connect. */
 export function createHarness(
   settings: Partial<GatewaySettings> = {},
+  { canConnect = true }: { canConnect?: boolean } = {},
 ): GatewayHarness {
   const state = createState({
     name: "entry-1",
@@ -63,6 +64,10 @@
   const feed = (event: EventBody) => {
     const yielded = reduce(state, { ...event, at: now });
     effects.push(...yielded);
+    for (const { request, attempt } of effectsOf(yielded, "send_to_runner")) {
+      if (!canConnect) continue;
+      reduce(state, { kind: "attempt_sent", request, attempt, at: now });
+    }
     return yielded;
   };
   return {
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -60,6 +60,8 @@
   sentAt: number;
   /** Time at which the last byte of the response arrived, ms; before the first byte, the time of the send. */
   lastByteAt: number;
+  /** True once the request was handed to a connection; before, it cannot have run. */
+  isSent: boolean;
   /** True once the response headers have arrived. */
   hasHeaders: boolean;
   /** True once a stream has begun. */
--- a/packages/daemon/src/backend/transport.ts
+++ b/packages/daemon/src/backend/transport.ts
@@ -46,6 +46,8 @@
 
 /** Callbacks of an attempt. */
 export interface AttemptEvents {
+  /** Called before the first byte of the request leaves. */
+  onSend?(): void;
   onHeaders(
     status: number,
     headers: Record<string, string | string[] | undefined>,
@@ -137,7 +139,8 @@
   agent.dispatch(request, {
     onRequestStart(started) {
       controller = started;
-      if (isOver) started.abort(new Error("cancelled"));
+      if (isOver) return started.abort(new Error("cancelled"));
+      events.onSend?.();
     },
     onResponseStart(_controller, status, headers) {
       if (status < 200 || isOver) return;
--- a/packages/daemon/src/gateway/adapters.ts
+++ b/packages/daemon/src/gateway/adapters.ts
@@ -8,6 +8,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type {
   DaemonEntry,
+  HealthStatus,
   OrderOutcome,
   RoutingDocument,
   Runner,
@@ -109,7 +110,7 @@
 
 /** Result of a health check of a runner. */
 export interface HealthCheckResult {
-  alive: boolean;
+  status: HealthStatus;
   /** Undefined if the runner sent none. */
   report?: RunnerReport;
   /** Reason why the report of a runner that responded cannot be read. */
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -253,6 +253,12 @@
         bodyTimeout: 0,
       }, {
         events: {
+          onSend: () =>
+            dispatch({
+              kind: "attempt_sent",
+              request: name,
+              attempt: effect.attempt,
+            }),
           onHeaders: (status, headers) => onHeaders(upstream, status, headers),
           onData: (chunk) => onData(upstream, chunk),
           onEnd: () => onEnd(upstream),
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -145,13 +145,12 @@
   }
 
   async function checkHealth(runner: string, address: string): Promise<void> {
-    const { alive, report, problem } = await adapters.runnerControl.checkHealth(
-      address,
-    );
+    const { status, report, problem } = await adapters.runnerControl
+      .checkHealth(address);
     if (problem !== undefined) {
       log("entry_unreadable", { topic: "report", key: runner, problem });
     }
-    dispatch({ kind: "runner_checked", runner, alive, report });
+    dispatch({ kind: "runner_checked", runner, status, report });
   }
 
   const handlers: Partial<EffectHandlers> = {
--- a/packages/system_tests/src/transport_test.ts
+++ b/packages/system_tests/src/transport_test.ts
@@ -1,4 +1,9 @@
-import { createServer, type Server, type Socket } from "node:net";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
 import { type Outcome, verdictOf } from "@primroseshed/core";
 import { createAgents, startAttempt } from "@primroseshed/daemon";
 import { expect } from "chai";
@@ -159,4 +164,36 @@
       );
     });
   }
+
+  it("sends nothing where it is cancelled before its connection is made", async () => {
+    let received = 0;
+    const server = createServer((socket) => {
+      socket.on("data", (bytes) => received += bytes.length);
+      socket.on("error", () => undefined);
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as AddressInfo;
+    const agents = createAgents({ connectTimeoutMs: 300 });
+    let sends = 0;
+    const attempt = startAttempt(agents.fresh, {
+      origin: `http://127.0.0.1:${port}`,
+      path: "/book/1",
+      method: "POST",
+      body: Buffer.from("x"),
+    }, {
+      events: {
+        onSend: () => sends += 1,
+        onHeaders: () => undefined,
+        onData: () => undefined,
+        onEnd: () => undefined,
+        onFailure: () => undefined,
+      },
+    });
+    attempt.cancel();
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    expect({ sends, received }).to.deep.equal({ sends: 0, received: 0 });
+    server.close();
+  });
 });
