--- a/packages/core/src/gateway/choose.ts
+++ b/packages/core/src/gateway/choose.ts
@@ -18,26 +18,9 @@
 } from "./constants.ts";
 import { occupancyOf } from "./occupancy.ts";
 import { candidatesFor } from "./runner_index.ts";
+import { runnerStatsOf } from "./runner_stats.ts";
 import type { Gateway, RoutedRequest, Runner, RunnerStats } from "./types.ts";
 
-/** Returns the stats of a runner, created where there are none yet. */
-export function runnerStatsOf(gateway: Gateway, runner: string): RunnerStats {
-  let stats = gateway.runnerStats.get(runner);
-  if (stats === undefined) {
-    stats = {
-      runner,
-      inFlight: 0,
-      streaming: 0,
-      load: undefined,
-      avoidUntil: -Infinity,
-      failures: 0,
-      lastSeenAt: -Infinity,
-    };
-    gateway.runnerStats.set(runner, stats);
-  }
-  return stats;
-}
-
 function slotsOf(gateway: Gateway, runner: Runner): number {
   const engine = gateway.routing?.services.get(runner.service)?.engine;
   return engine?.slots ?? runner.slots;
--- a/packages/core/src/gateway/choose_test.ts
+++ b/packages/core/src/gateway/choose_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { runnerStatsOf } from "./choose.ts";
+import { runnerStatsOf } from "./runner_stats.ts";
 import {
   createDocument,
   createHarness,
--- a/packages/core/src/gateway/finish.ts
+++ b/packages/core/src/gateway/finish.ts
@@ -6,7 +6,7 @@
 import type { EventOf } from "../event/types.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
-import { runnerStatsOf } from "./choose.ts";
+import { runnerStatsOf } from "./runner_stats.ts";
 import type { Refusal } from "./lookup.ts";
 import { workKey } from "./runner_index.ts";
 import { leaveQueue, serveWaiting } from "./send.ts";
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import { createGroupPlanner } from "../formation/leadership.ts";
 import { planGroups } from "../formation/plan.ts";
 import { createReadSharing, updateSource } from "../read_sharing/upstream.ts";
+import { passOnSuspects } from "../read_sharing/suspects.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { createAverage } from "../util/ewma.ts";
@@ -45,6 +46,7 @@
     waitingRequests: new Map(),
     retryBudgets: new Map(),
     meanLoads: new Map(),
+    servingCount: 0,
     workShare: createAverage(1 / MIN_RETRY_DAEMONS),
     workShareMeasuredAt: now,
     groupPlanner: createGroupPlanner(now),
@@ -77,6 +79,7 @@
     recordWorkShare(gateway, state.now);
   }
   yield* updateSource(state);
+  yield* passOnSuspects(state);
   if (state.phase !== "serving") return yield* checkStop(state, gateway);
   yield* planGroups(state);
 }
--- a/packages/core/src/gateway/handlers.ts
+++ b/packages/core/src/gateway/handlers.ts
@@ -9,6 +9,7 @@
 import { admitRequest } from "./admit.ts";
 import { closeRequest } from "./finish.ts";
 import { answerPoll, removeFollower } from "../read_sharing/publish.ts";
+import { applySuspects } from "../read_sharing/suspects.ts";
 import {
   acceptUpstream,
   applyDaemons,
@@ -56,4 +57,5 @@
   upstream_lost: loseUpstream,
   follower_polled: answerPoll,
   follower_left: removeFollower,
+  suspects_reported: applySuspects,
 };
--- a/packages/core/src/gateway/occupancy_test.ts
+++ b/packages/core/src/gateway/occupancy_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { runnerStatsOf } from "./choose.ts";
+import { runnerStatsOf } from "./runner_stats.ts";
 import { occupancyOf, recordLoad, recordWorkShare } from "./occupancy.ts";
 import {
   createHarness,
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -6,7 +6,7 @@
 import type { EventOf } from "../event/types.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
-import { runnerStatsOf } from "./choose.ts";
+import { runnerStatsOf } from "./runner_stats.ts";
 import { endRequest, logEnd } from "./finish.ts";
 import { recordLoad } from "./occupancy.ts";
 import { failAttempt } from "./retry.ts";
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -3,11 +3,13 @@
  *
  * @module
  */
+import { recordSuspect } from "../read_sharing/suspects.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import type { Outcome } from "../verdict/types.ts";
 import { verdictOf } from "../verdict/verdict_table.ts";
-import { chooseRunner, runnerStatsOf } from "./choose.ts";
+import { chooseRunner } from "./choose.ts";
+import { runnerStatsOf } from "./runner_stats.ts";
 import {
   AVOID_MS,
   MAX_AVOID_MS,
@@ -89,16 +91,32 @@
 ): void {
   if (isRelayable || outcome === "cancelled") return;
   const stats = runnerStatsOf(gateway, runner);
+  if (SUSPICIOUS_OUTCOMES.has(outcome)) {
+    recordSuspect(gateway.readSharing, runner);
+  }
   stats.failures += 1;
   const avoidMs = AVOID_MS * 2 ** (stats.failures - 1);
   stats.avoidUntil = state.now + Math.min(MAX_AVOID_MS, avoidMs);
 }
 
+/** Outcomes of attempts whose request never left. */
+const UNSENT_OUTCOMES: ReadonlySet<Outcome> = new Set([
+  "connect_refused",
+  "connect_timeout",
+  "reset_before_send",
+]);
+
+/** Outcomes that a dead or silent runner causes, which others would meet too. */
+const SUSPICIOUS_OUTCOMES: ReadonlySet<Outcome> = new Set([
+  "connect_refused",
+  "connect_timeout",
+  "response_timeout",
+  "body_cut_off",
+]);
+
 /** Returns whether the runner or its address rejected the attempt in a way that leaves the route's limit as it was. */
 function isUncounted(request: RoutedRequest, outcome: Outcome): boolean {
-  if (outcome === "connect_refused" || outcome === "reset_before_send") {
-    return true;
-  }
+  if (UNSENT_OUTCOMES.has(outcome)) return true;
   // A refusal here would cut off a response that the caller already has a part of.
   return request.isRelaying && verdictOf(outcome) === "not_run" &&
     request.attempts < request.route.maxAttempts + MAX_REJECTED_SENDS;
@@ -127,7 +145,7 @@
     canUseReserved: true,
   });
   if (runner === undefined && !request.isRelaying) return { kind: "end" };
-  if (outcome !== "connect_refused" && outcome !== "reset_before_send") {
+  if (!UNSENT_OUTCOMES.has(outcome)) {
     const budget = retryBudgetOf(gateway, request.service);
     if (!takeRetry(budget, state.now, retryLimitsOf(gateway))) {
       return { kind: "end" };
--- a/packages/core/src/gateway/runner_index.ts
+++ b/packages/core/src/gateway/runner_index.ts
@@ -39,7 +39,9 @@
   return membership?.state === "open" && membership.rank === 0;
 }
 
-function removeFromIndex({ runnerIndex }: Gateway, runner: Runner): void {
+function removeFromIndex(gateway: Gateway, runner: Runner): void {
+  const { runnerIndex } = gateway;
+  if (canServe(runner)) gateway.servingCount -= 1;
   for (const kind of workKindsOf(runner)) {
     const key = workKey(kind);
     const candidates = runnerIndex.get(key);
@@ -53,6 +55,7 @@
   const known = gateway.runners.get(runner.id);
   if (known !== undefined) removeFromIndex(gateway, known);
   gateway.runners.set(runner.id, runner);
+  if (canServe(runner)) gateway.servingCount += 1;
   for (const kind of workKindsOf(runner)) {
     const key = workKey(kind);
     const candidates = gateway.runnerIndex.get(key) ??
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -5,7 +5,8 @@
  */
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
-import { chooseRunner, runnerStatsOf } from "./choose.ts";
+import { chooseRunner } from "./choose.ts";
+import { runnerStatsOf } from "./runner_stats.ts";
 import { MAX_URGENCY } from "./constants.ts";
 import { canRepeat, isStream } from "./routes.ts";
 import { workKey } from "./runner_index.ts";
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -129,6 +129,8 @@
   retryBudgets: Map<string, RetryBudget>;
   /** Mean loads by kind of runner: service, model and availability zone. */
   meanLoads: Map<string, MeanLoad>;
+  /** Number of known runners that can serve requests. */
+  servingCount: number;
   /** This daemon's share of the requests at all runners, 0 to 1. */
   workShare: Average;
   /** Time at which the share was last measured, ms. */
--- a/packages/core/src/read_sharing/constants.ts
+++ b/packages/core/src/read_sharing/constants.ts
@@ -22,5 +22,11 @@
 export const AVOID_UPSTREAM_MS = 2_000;
 /** Time for which a failed upstream is not followed by a daemon that has no data yet, ms. */
 export const START_AVOID_MS = 150;
+/** Time for which a runner is avoided that another daemon failed to reach, ms; health checks of the planner take longer. */
+export const SUSPECT_MS = 1_000;
+/** A runner that this daemon heard from within this time is not suspected, ms. */
+export const SUSPECT_EVIDENCE_MS = 250;
+/** Largest share of the runners that are avoided for what other daemons say, whose own network may be at fault. */
+export const MAX_SUSPECT_SHARE = 0.25;
 /** Maximum time for which a failing upstream is not followed, ms. */
 export const MAX_AVOID_UPSTREAM_MS = 30_000;
--- a/packages/core/src/read_sharing/effect_types.ts
+++ b/packages/core/src/read_sharing/effect_types.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { UpstreamMessage } from "./types.ts";
+import type { FollowerMessage, UpstreamMessage } from "./types.ts";
 
 /** Every effect of read sharing. */
 export type ReadSharingEffect =
@@ -14,6 +14,7 @@
   /** Connects to the follower listener of a daemon, `IP:PORT`, and polls it. */
   | { kind: "follow_daemon"; node: string; address: string }
   | { kind: "unfollow_daemon"; node: string }
+  | { kind: "send_to_upstream"; message: FollowerMessage }
   | {
     kind: "send_to_followers";
     followers: string[];
--- a/packages/core/src/read_sharing/event_types.ts
+++ b/packages/core/src/read_sharing/event_types.ts
@@ -36,4 +36,6 @@
     /** Offset of the store up to which the follower knows changes of runners. */
     runnersOffset: number;
   }
-  | { kind: "follower_left"; follower: string };
+  | { kind: "follower_left"; follower: string }
+  /** Another daemon failed to reach these runners. */
+  | { kind: "suspects_reported"; runners: string[] };
--- a/packages/core/src/read_sharing/publish.ts
+++ b/packages/core/src/read_sharing/publish.ts
@@ -70,7 +70,8 @@
   return { kind: "send_to_followers" as const, followers, message };
 }
 
-function* publish(state: State, message: UpstreamMessage): Effects {
+/** Sends a message to the followers that have this daemon's data. */
+export function* publish(state: State, message: UpstreamMessage): Effects {
   const { followers } = state.gateway!.readSharing;
   const ids = [...followers].filter(([, { hasSnapshot }]) => hasSnapshot)
     .map(([id]) => id);
--- a/packages/core/src/read_sharing/test_fleet.ts
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -77,6 +77,12 @@
     if (effect.kind === "follow_daemon") {
       from.upstream = { node: effect.node, isOpen: false };
     }
+    if (effect.kind === "send_to_upstream" && from.upstream !== undefined) {
+      const { message } = effect;
+      if (message.kind !== "suspects") return;
+      const { runners } = message;
+      feed(daemon(from.upstream.node), { kind: "suspects_reported", runners });
+    }
     if (effect.kind !== "send_to_followers") return;
     for (const id of effect.followers) {
       receive(daemon(id), from.entry.node, effect.message);
@@ -101,6 +107,9 @@
         confirmedAt: undefined,
       });
     }
+    if (message.kind === "suspects") {
+      feed(to, { kind: "suspects_reported", runners: message.runners });
+    }
     if (message.kind === "runners") {
       feed(to, {
         kind: "runners_read",
--- a/packages/core/src/read_sharing/types.ts
+++ b/packages/core/src/read_sharing/types.ts
@@ -72,6 +72,10 @@
   /** Share of {@link FALLBACK_JITTER_MS} that this daemon waits longer than others before it reads the store, 0 to 1. */
   patience: number;
   followers: Map<string, Follower>;
+  /** Runners that this daemon failed to reach, or heard so of, and has not passed on yet. */
+  suspects: Set<string>;
+  /** Time until which a runner is avoided since another daemon failed to reach it, ms, by id. */
+  suspectedUntil: Map<string, number>;
   /** Runners as they were last sent to the followers, by id. */
   published: Map<string, Runner>;
 }
@@ -93,6 +97,8 @@
     runnersOffset: number;
   }
   | { kind: "daemons"; daemons: DaemonEntry[] }
+  /** Runners that other daemons failed to reach. */
+  | { kind: "suspects"; runners: string[] }
   | {
     kind: "poll_answer";
     /** Number of the poll that this answers. */
@@ -106,11 +112,14 @@
   };
 
 /** Message from a follower. */
-export interface FollowerMessage {
-  kind: "poll";
-  /** Version of the protocol. */
-  version: number;
-  poll: number;
-  /** Offset of the store up to which the follower knows changes of runners; older data is of no use to it. */
-  runnersOffset: number;
-}
+export type FollowerMessage =
+  | {
+    kind: "poll";
+    /** Version of the protocol. */
+    version: number;
+    poll: number;
+    /** Offset of the store up to which the follower knows changes of runners; older data is of no use to it. */
+    runnersOffset: number;
+  }
+  /** Runners that the follower failed to reach. */
+  | { kind: "suspects"; runners: string[] };
--- a/packages/core/src/read_sharing/upstream.ts
+++ b/packages/core/src/read_sharing/upstream.ts
@@ -47,6 +47,8 @@
     avoided: new Map(),
     patience,
     followers: new Map(),
+    suspects: new Set(),
+    suspectedUntil: new Map(),
     published: new Map(),
   };
 }
--- a/packages/daemon/src/backend/transport.ts
+++ b/packages/daemon/src/backend/transport.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type { Outcome } from "@primroseshed/core";
-import { Agent, buildConnector, type Dispatcher } from "undici";
+import type { Socket } from "node:net";
+import { Agent, buildConnector, type Dispatcher, errors } from "undici";
 
 /** Outcomes by the codes of errors that arise only before a connection exists. */
 const CONNECT_OUTCOMES: Readonly<Record<string, Outcome>> = {
@@ -97,17 +98,27 @@
  * The client reports a response as complete if its connection is reset before the end of a body without a length, or
  * closed within a chunked body with the header `connection: close`, so {@link startAttempt} checks the recorded event.
  */
-function createConnector(timeout: number): buildConnector.connector {
-  const connect = buildConnector({ timeout });
-  return (options, callback) =>
-    connect(options, (...result) => {
+function createConnector(timeoutMs: number): buildConnector.connector {
+  const connect = buildConnector({ timeout: 0 }) as Connect;
+  return (options, callback) => {
+    const connecting = connect(options, (...result) => {
+      clearTimeout(timer);
       const [, socket] = result;
       socket?.prependListener("error", () => recordSocketEvent("error"));
       socket?.prependListener("end", () => recordSocketEvent("end"));
       callback(...result);
     });
+    // The connector's own timeout is up to a second late.
+    const timer = setTimeout(
+      () => connecting.destroy(new errors.ConnectTimeoutError()),
+      timeoutMs,
+    );
+  };
 }
 
+/** A connector returns the socket that is connecting, which its type leaves out. */
+type Connect = (...args: Parameters<buildConnector.connector>) => Socket;
+
 /** Returns true if the end of a body is known without the end of its connection. */
 export function isFramed(headers: Record<string, unknown>): boolean {
   return headers["transfer-encoding"] !== undefined ||
--- a/packages/daemon/src/gateway/follower_listener.ts
+++ b/packages/daemon/src/gateway/follower_listener.ts
@@ -5,6 +5,7 @@
  */
 import type {
   EventBody,
+  FollowerMessage,
   LogEventName,
   UpstreamMessage,
 } from "@primroseshed/core";
@@ -32,7 +33,7 @@
 }
 
 /** Largest frame of a follower, bytes. */
-const MAX_POLL_BYTES = 1_024;
+const MAX_POLL_BYTES = 64 * 1024;
 /** A follower that has left more than this unread is disconnected, bytes. */
 const MAX_UNREAD_BYTES = 8 * 1024 * 1024;
 /** A follower that does not poll for this long is disconnected, ms. */
@@ -40,6 +41,14 @@
 const CHECK_INTERVAL_MS = 1_000;
 const BACKLOG = 1_024;
 
+function eventOf(follower: string, message: FollowerMessage): EventBody {
+  if (message.kind === "suspects") {
+    return { kind: "suspects_reported", runners: message.runners };
+  }
+  const { poll, runnersOffset } = message;
+  return { kind: "follower_polled", follower, poll, runnersOffset };
+}
+
 /** Starts the listener. */
 export async function startFollowerListener(
   { address, dispatch, log }: FollowerListenerOptions,
@@ -62,7 +71,7 @@
     connections.set(id, connection);
     socket.on("message", (data: RawData) => {
       connection.lastPollAt = monotonicNow();
-      handlePoll(id, socket, data);
+      handleFrame(id, socket, data);
     });
     socket.on("error", () => socket.terminate());
     socket.on("close", () => {
@@ -71,10 +80,9 @@
     });
   }
 
-  function handlePoll(id: string, socket: WebSocket, data: RawData): void {
+  function handleFrame(id: string, socket: WebSocket, data: RawData): void {
     try {
-      const { poll, runnersOffset } = decodeFollowerFrame(data);
-      dispatch({ kind: "follower_polled", follower: id, poll, runnersOffset });
+      dispatch(eventOf(id, decodeFollowerFrame(data)));
     } catch (error) {
       log("peer_frame_dropped", { follower: id, cause: String(error) });
       socket.terminate();
--- a/packages/daemon/src/gateway/sharing_frames.ts
+++ b/packages/daemon/src/gateway/sharing_frames.ts
@@ -105,6 +105,11 @@
   cores: z.number(),
 });
 
+const suspects = z.object({
+  kind: z.literal("suspects"),
+  runners: z.array(z.string()),
+});
+
 const upstreamMessage = z.discriminatedUnion("kind", [
   z.object({
     kind: z.literal("snapshot"),
@@ -121,6 +126,7 @@
     runnersOffset: count,
   }),
   z.object({ kind: z.literal("daemons"), daemons: z.array(daemon) }),
+  suspects,
   z.object({
     kind: z.literal("poll_answer"),
     poll: count,
@@ -130,12 +136,15 @@
   }),
 ]);
 
-const followerMessage = z.object({
-  kind: z.literal("poll"),
-  version: z.literal(READ_SHARING_VERSION),
-  poll: count,
-  runnersOffset: count,
-});
+const followerMessage = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("poll"),
+    version: z.literal(READ_SHARING_VERSION),
+    poll: count,
+    runnersOffset: count,
+  }),
+  suspects,
+]);
 
 function unpack(data: RawData): unknown {
   const bytes = Array.isArray(data) ? Buffer.concat(data) : Buffer.from(
--- a/packages/daemon/src/gateway/upstream_client.ts
+++ b/packages/daemon/src/gateway/upstream_client.ts
@@ -5,6 +5,7 @@
  */
 import {
   type EventBody,
+  type FollowerMessage,
   type LogEventName,
   READ_SHARING_VERSION,
   type UpstreamMessage,
@@ -32,6 +33,8 @@
   /** Follows a daemon, and no other one. */
   follow(node: string, address: string): void;
   unfollow(): void;
+  /** Sends a message to the daemon that is followed, if it is connected. */
+  send(message: FollowerMessage): void;
 }
 
 /** Interval between two polls, ms. */
@@ -81,6 +84,8 @@
       runners: ({ runners, removedIds, runnersOffset: offset }) =>
         passRunners({ runners, removedIds, isWhole: false, offset }),
       daemons: ({ daemons }) => passDaemons(daemons),
+      suspects: ({ runners }) =>
+        dispatch({ kind: "suspects_reported", runners }),
       poll_answer({ poll: answered, isReader, routingAgeMs, runnersAgeMs }) {
         const pollSentAt = sentAt.get(answered);
         if (pollSentAt === undefined) return;
@@ -160,5 +165,12 @@
     socket?.terminate();
   }
 
-  return { follow, unfollow };
+  return {
+    follow,
+    unfollow,
+    send(message) {
+      if (current?.readyState !== WebSocket.OPEN) return;
+      current.send(encodeFrame(message));
+    },
+  };
 }
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -173,6 +173,7 @@
     reread_runners: () => storeReads.rereadRunners(),
     follow_daemon: ({ node, address }) => upstream.follow(node, address),
     unfollow_daemon: () => upstream.unfollow(),
+    send_to_upstream: ({ message }) => upstream.send(message),
     send_to_followers: ({ followers: ids, message }) =>
       followers?.send(ids, message),
     exit({ interruptedRequests }) {
--- a/packages/system_tests/src/transport_test.ts
+++ b/packages/system_tests/src/transport_test.ts
@@ -165,6 +165,17 @@
     });
   }
 
+  it("gives up a connection attempt when its time is over, not up to a second later", async () => {
+    const { port, server } = await listen(() => undefined);
+    const row = ROWS.find(({ name }) => name === "silent TLS peer")!;
+    for (let attempt = 0; attempt < 4; attempt += 1) {
+      const startedAt = Date.now();
+      expect(await runAttempt(row, port)).to.equal("connect_timeout");
+      expect(Date.now() - startedAt).to.be.within(290, 450);
+    }
+    server.close();
+  });
+
   it("sends nothing where it is cancelled before its connection is made", async () => {
     let received = 0;
     const server = createServer((socket) => {
