--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -21,6 +21,7 @@
 import { isStream, pickService } from "./routes.ts";
 import { hasCandidates } from "./runner_index.ts";
 import { joinQueue, leaveQueue, sendToRunner } from "./send.ts";
+import { hastenSweep } from "./sweep_schedule.ts";
 import type { Gateway, Route, RoutedRequest, Team } from "./types.ts";
 
 const STOPPING: Refusal = {
@@ -94,6 +95,7 @@
     retryLimitsOf(gateway),
   );
   yield* sendOrQueue(state, gateway, request);
+  hastenSweep(state);
 }
 
 function createRoutedRequest(
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -16,8 +16,12 @@
 export const ROTATION_AGE_SHARE = 0.6;
 /** Age of the configuration beyond which a look-up without a result may be out of date, ms. */
 export const STALE_LOOKUP_MS = 2_500;
-/** Interval at which requests are swept, ms. */
+/** Interval of sweeps while requests wait for a free slot, ms. */
 export const SWEEP_INTERVAL_MS = 50;
+/** Interval of sweeps while requests are in flight, or groups are planned, ms. */
+export const BUSY_SWEEP_INTERVAL_MS = 100;
+/** Interval of sweeps of an idle daemon, ms. */
+export const IDLE_SWEEP_INTERVAL_MS = 250;
 /** Share of the latency objective that a request may wait for a free slot. */
 export const MAX_WAIT_SHARE = 0.125;
 /** Time for which a stream that broke off may wait for a slot to be resumed in, ms; callers give up after 2 s of silence. */
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -12,13 +12,11 @@
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { createAverage } from "../util/ewma.ts";
-import { schedule } from "../util/timer_queue.ts";
 import {
   MIN_RETRY_DAEMONS,
   ROTATION_AGE_SHARE,
   STOP_LISTEN_MS,
   STOP_MARGIN_MS,
-  SWEEP_INTERVAL_MS,
   WORK_SHARE_INTERVAL_MS,
 } from "./constants.ts";
 import { failRequest } from "./finish.ts";
@@ -26,6 +24,7 @@
 import { hasFreshKeys } from "./lookup.ts";
 import { recordWorkShare } from "./occupancy.ts";
 import { sweepRequests } from "./sweep.ts";
+import { scheduleSweep } from "./sweep_schedule.ts";
 import type { Gateway, GatewaySettings } from "./types.ts";
 
 /** Creates a gateway without configuration and runners. */
@@ -40,6 +39,7 @@
     runnersFreshness: createFreshness(),
     runners: new Map(),
     runnerIndex: new Map(),
+    nextSweepAt: now,
     lastRunnerAddedAt: now,
     runnerStats: new Map(),
     requests: new Map(),
@@ -70,9 +70,8 @@
 /** Handles the periodic sweep: requests, this daemon's share of the work, replica groups and a pending stop. */
 export function* sweepGateway(state: State): Effects {
   const gateway = state.gateway!;
-  schedule(state.timers, state.now + SWEEP_INTERVAL_MS, {
-    timer: { kind: "gateway_sweep" },
-  });
+  // A sooner sweep has taken the place of this one.
+  if (state.now < gateway.nextSweepAt) return;
   yield* sweepRequests(state, gateway);
   if (state.now - gateway.workShareMeasuredAt >= WORK_SHARE_INTERVAL_MS) {
     gateway.workShareMeasuredAt = state.now;
@@ -80,8 +79,9 @@
   }
   yield* updateSource(state);
   yield* passOnSuspects(state);
-  if (state.phase !== "serving") return yield* checkStop(state, gateway);
-  yield* planGroups(state);
+  if (state.phase === "serving") yield* planGroups(state);
+  else yield* checkStop(state, gateway);
+  scheduleSweep(state);
 }
 
 /** Handles a stop signal. */
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -23,6 +23,7 @@
 import { takeRetry } from "./retry_budget.ts";
 import { canRepeat } from "./routes.ts";
 import { joinQueue, sendToRunner } from "./send.ts";
+import { hastenSweep } from "./sweep_schedule.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 
 /** A failed attempt of a request. */
@@ -93,6 +94,7 @@
   const stats = runnerStatsOf(gateway, runner);
   if (SUSPICIOUS_OUTCOMES.has(outcome)) {
     recordSuspect(gateway.readSharing, runner);
+    hastenSweep(state);
   }
   stats.failures += 1;
   const avoidMs = AVOID_MS * 2 ** (stats.failures - 1);
@@ -164,6 +166,7 @@
 ): Effects {
   request.waitUntil = state.now + RESUME_WAIT_MS;
   joinQueue(gateway, request);
+  hastenSweep(state);
   yield {
     kind: "log",
     event: "resume_waits",
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -120,6 +120,8 @@
   runners: Map<string, Runner>;
   /** Runner index: the candidates of each kind of work, by runner id. */
   runnerIndex: Map<string, Map<string, Runner>>;
+  /** Time of the next sweep, ms. */
+  nextSweepAt: number;
   /** Time at which a new runner was last added to the list, ms. */
   lastRunnerAddedAt: number;
   runnerStats: Map<string, RunnerStats>;
--- a/packages/core/src/read_sharing/suspects.ts
+++ b/packages/core/src/read_sharing/suspects.ts
@@ -9,6 +9,7 @@
  */
 import type { EventOf } from "../event/types.ts";
 import { runnerStatsOf } from "../gateway/runner_stats.ts";
+import { hastenSweep } from "../gateway/sweep_schedule.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import {
@@ -43,6 +44,7 @@
     stats.avoidUntil = Math.max(stats.avoidUntil, state.now + SUSPECT_MS);
     if (isReading) suspects.add(id);
   }
+  hastenSweep(state);
   return noEffects();
 }
 
