--- a/packages/core/src/gateway/batch_delay.ts
+++ b/packages/core/src/gateway/batch_delay.ts
@@ -16,8 +16,12 @@
   gatherMsPerRunner: number;
   /** Maximum time for which changes are batched. */
   maxGatherMs: number;
-  /** Time for which the daemon that plans the replica groups batches changes. */
+  /** Minimum time for which the daemon that plans the replica groups batches changes. */
   plannerGatherMs: number;
+  /** Time per listed runner for that daemon. */
+  plannerGatherMsPerRunner: number;
+  /** Maximum time for that daemon, since groups without a member wait for it. */
+  maxPlannerGatherMs: number;
 }
 
 /**
@@ -29,10 +33,15 @@
  * ```
  */
 export function batchDelayOf(
-  { gatherMs, gatherMsPerRunner, maxGatherMs, plannerGatherMs }:
-    BatchDelaySettings,
+  settings: BatchDelaySettings,
   { runners, isPlanner }: { runners: number; isPlanner: boolean },
 ): number {
-  if (isPlanner) return plannerGatherMs;
-  return Math.min(maxGatherMs, Math.max(gatherMs, gatherMsPerRunner * runners));
+  const [min, perRunner, max] = isPlanner
+    ? [
+      settings.plannerGatherMs,
+      settings.plannerGatherMsPerRunner,
+      settings.maxPlannerGatherMs,
+    ]
+    : [settings.gatherMs, settings.gatherMsPerRunner, settings.maxGatherMs];
+  return Math.min(max, Math.max(min, perRunner * runners));
 }
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -45,8 +45,12 @@
     gatherMsPerRunner: milliseconds.default(5),
     /** Longest time for which changes of runners are batched. */
     maxGatherMs: milliseconds.default(1_500),
-    /** Batching time while this daemon plans the groups. */
+    /** Shortest batching time while this daemon plans the groups. */
     plannerGatherMs: milliseconds.default(40),
+    /** Additional batching time for each known runner while this daemon plans the groups. */
+    plannerGatherMsPerRunner: milliseconds.default(0.5),
+    /** Longest batching time while this daemon plans the groups. */
+    maxPlannerGatherMs: milliseconds.default(120),
     /** A call without a response fails this long after the end of its wait. */
     timeoutMs: milliseconds.default(1_200),
     dutyEveryMs: milliseconds.default(330),
