--- a/packages/core/src/read_sharing/upstream.ts
+++ b/packages/core/src/read_sharing/upstream.ts
@@ -140,7 +140,11 @@
   const { node, isTemporary, hasData } = readSharing.upstream!;
   avoid(state, node);
   readSharing.upstream = undefined;
-  yield { kind: "log", event: "upstream_left", fields: { node, cause } };
+  yield {
+    kind: "log",
+    event: "upstream_left",
+    fields: { upstream: node, cause, configAge: knownAge(state) },
+  };
   yield { kind: "unfollow_daemon", node };
   // The upstream sent only the runners that serve requests.
   if (isTemporary && hasData) yield { kind: "reread_runners" };
@@ -212,11 +216,21 @@
   yield {
     kind: "log",
     event: "upstream_followed",
-    fields: { node, isTemporary: preferred === undefined },
+    fields: {
+      upstream: node,
+      isTemporary: preferred === undefined,
+      configAge: knownAge(state),
+    },
   };
   yield { kind: "follow_daemon", node, address };
 }
 
+/** Returns the age of the configuration for a log line, ms; undefined while it is not confirmed. */
+function knownAge({ gateway, now }: State): number | undefined {
+  const age = ageOf(gateway!.routingFreshness, now);
+  return Number.isFinite(age) ? Math.round(age) : undefined;
+}
+
 /** Returns the age of the configuration, ms; before the first confirmation, the time since the start. */
 function configurationAge({ gateway, now }: State): number {
   const { routingFreshness, readSharing } = gateway!;
@@ -252,7 +266,10 @@
   yield {
     kind: "log",
     event: isReading ? "store_reading_began" : "store_reading_ended",
-    fields: { upstream: readSharing.upstream?.node },
+    fields: {
+      upstream: readSharing.upstream?.node,
+      configAge: knownAge(state),
+    },
   };
   yield { kind: "read_store", isEnabled: isReading };
 }
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -7,6 +7,7 @@
   ageOf,
   isGatewayReady,
   isLeader,
+  isStoreReader,
   type LogEventName,
   type State,
 } from "@primroseshed/core";
@@ -185,6 +186,24 @@
     "Requests known to this daemon",
     () => gateway.requests.size,
   );
+  addGauge(
+    "primrose_store_reader",
+    "1 while this daemon reads the store itself, with success",
+    () => isStoreReader(state) ? 1 : 0,
+  );
+  addGauge(
+    "primrose_followers",
+    "Daemons that follow this one",
+    () => gateway.readSharing.followers.size,
+  );
+  addGauge(
+    "primrose_suspected_runners",
+    "Runners that are avoided since another daemon could not reach them",
+    () =>
+      [...gateway.readSharing.suspectedUntil.values()].filter((until) =>
+        until > now()
+      ).length,
+  );
   addGauge(
     "primrose_planner_duty",
     "1 while this daemon plans replica groups",
--- a/packages/daemon/src/gateway/status.ts
+++ b/packages/daemon/src/gateway/status.ts
@@ -8,6 +8,7 @@
   type Gateway,
   isGatewayReady,
   isLeader,
+  isStoreReader,
   type Runner,
   type State,
 } from "@primroseshed/core";
@@ -28,6 +29,10 @@
   requests: number;
   /** True while this daemon plans the replica groups. */
   plans: boolean;
+  /** True while this daemon reads the store itself, with success. */
+  readsStore: boolean;
+  /** Daemon that it takes the store's data from; null where there is none. */
+  upstream: string | null;
   peers: [];
   problems: string[];
 }
@@ -103,6 +108,8 @@
     logReachable: isReachable,
     requests: gateway.requests.size,
     plans: isLeader(gateway.groupPlanner.leadership, now),
+    readsStore: isStoreReader(state),
+    upstream: gateway.readSharing.upstream?.node ?? null,
     peers: [],
     problems: listProblems(state, { isReady, isReachable }),
   };
--- a/packages/daemon/src/gateway/upstream_client.ts
+++ b/packages/daemon/src/gateway/upstream_client.ts
@@ -109,7 +109,10 @@
       try {
         message = decodeUpstreamFrame(data);
       } catch (error) {
-        log("peer_frame_dropped", { node, cause: (error as Error).message });
+        log("peer_frame_dropped", {
+          upstream: node,
+          cause: (error as Error).message,
+        });
         return lose("malformed frame");
       }
       (handlers[message.kind] as (message: UpstreamMessage) => void)(message);
