--- a/packages/core/src/read_sharing/constants.ts
+++ b/packages/core/src/read_sharing/constants.ts
@@ -10,6 +10,8 @@
 export const UPSTREAM_SILENCE_MS = 1_000;
 /** An upstream that does not send its data within this time is left, ms. */
 export const UPSTREAM_START_MS = 1_000;
+/** An upstream that says that it does not read the store is left after this time, in which it may begin to, ms. */
+export const NOT_READING_MS = 400;
 /** A daemon that cannot confirm the configuration for this long reads the store itself, ms. */
 export const STORE_FALLBACK_MS = 1_900;
 /** Range over which daemons spread their first reads after a loss of their upstream, ms. */
--- a/packages/core/src/read_sharing/upstream.ts
+++ b/packages/core/src/read_sharing/upstream.ts
@@ -17,6 +17,7 @@
   AVOID_UPSTREAM_MS,
   FALLBACK_JITTER_MS,
   MAX_AVOID_UPSTREAM_MS,
+  NOT_READING_MS,
   START_AVOID_MS,
   START_PATIENCE_MS,
   STORE_FAILING_MS,
@@ -89,7 +90,10 @@
   if (upstream === undefined) return;
   upstream.heardAt = state.now;
   if (!event.isReader) {
-    if (upstream.hasData) yield* leaveUpstream(state, "not_reading");
+    const hasWaited = state.now - upstream.since > NOT_READING_MS;
+    if (upstream.hasData || hasWaited) {
+      yield* leaveUpstream(state, "not_reading");
+    }
     return;
   }
   if (!upstream.hasData) return;
--- a/packages/daemon/src/gateway/leadership_renewal.ts
+++ b/packages/daemon/src/gateway/leadership_renewal.ts
@@ -36,7 +36,8 @@
   let hasJoined = false;
 
   async function renew(): Promise<void> {
-    if (isRenewing || !isCandidate()) return;
+    if (isRenewing) return;
+    if (!isCandidate()) return await leave();
     hasJoined = true;
     isRenewing = true;
     const sentAt = monotonicNow();
@@ -55,6 +56,17 @@
     }
   }
 
+  /** Leaves at once, since the store would hand on a leadership only after the member's time has passed. */
+  async function leave(): Promise<void> {
+    if (!hasJoined) return;
+    hasJoined = false;
+    try {
+      await leaderElection.resign(member);
+    } catch (error) {
+      log("belief_lost", { topic: "duty", cause: (error as Error).message });
+    }
+  }
+
   async function requestTerm(): Promise<void> {
     try {
       const term = await leaderElection.beginTerm(member);
@@ -71,10 +83,7 @@
     beginTerm: () => void requestTerm(),
     stop() {
       clearInterval(timer);
-      if (!hasJoined) return;
-      leaderElection.resign(member).catch((error: Error) =>
-        log("belief_lost", { topic: "duty", cause: error.message })
-      );
+      void leave();
     },
   };
 }
