--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -20,7 +20,7 @@
 } from "./constants.ts";
 import { endRequest, failRequest, logEnd, releaseAttempt } from "./finish.ts";
 import { retryBudgetOf, retryLimitsOf } from "./retry_allowance.ts";
-import { takeRetry } from "./retry_budget.ts";
+import { hasRetry, takeRetry } from "./retry_budget.ts";
 import { canRepeat } from "./routes.ts";
 import { joinQueue, sendToRunner } from "./send.ts";
 import { hastenSweep } from "./sweep_schedule.ts";
@@ -158,6 +158,23 @@
     : { kind: "send", runner: runner.id };
 }
 
+/** Returns whether a request that makes no progress can be sent to another runner now. */
+export function canMove(
+  state: State,
+  gateway: Gateway,
+  request: RoutedRequest,
+): boolean {
+  const { route, countedAttempts, service } = request;
+  if (!canRepeat(route) || countedAttempts >= route.maxAttempts) return false;
+  if (request.expiresAt - state.now < MIN_REMAINING_MS) return false;
+  const budget = retryBudgetOf(gateway, service);
+  if (!hasRetry(budget, state.now, retryLimitsOf(gateway))) return false;
+  const runner = chooseRunner(state, gateway, request, {
+    canUseReserved: true,
+  });
+  return runner !== undefined;
+}
+
 /** Queues a stream that broke off until a slot is free in which it can be resumed. */
 function* waitToResume(
   state: State,
--- a/packages/core/src/gateway/retry_budget.ts
+++ b/packages/core/src/gateway/retry_budget.ts
@@ -45,6 +45,22 @@
   sliceAt(budget, now, windowMs).requests += 1;
 }
 
+/** Returns whether a retry is left in the budget. */
+export function hasRetry(
+  budget: RetryBudget,
+  now: number,
+  { windowMs, ratio, slack }: RetryLimits,
+): boolean {
+  sliceAt(budget, now, windowMs);
+  let requests = 0;
+  let retries = 0;
+  for (const each of budget.slices) {
+    requests += each.requests;
+    retries += each.retries;
+  }
+  return retries + 1 <= requests * ratio + slack;
+}
+
 /**
  * Takes one retry from the budget; returns false where none is left.
  *
@@ -59,16 +75,9 @@
 export function takeRetry(
   budget: RetryBudget,
   now: number,
-  { windowMs, ratio, slack }: RetryLimits,
+  limits: RetryLimits,
 ): boolean {
-  const slice = sliceAt(budget, now, windowMs);
-  let requests = 0;
-  let retries = 0;
-  for (const each of budget.slices) {
-    requests += each.requests;
-    retries += each.retries;
-  }
-  if (retries + 1 > requests * ratio + slack) return false;
-  slice.retries += 1;
+  if (!hasRetry(budget, now, limits)) return false;
+  sliceAt(budget, now, limits.windowMs).retries += 1;
   return true;
 }
--- a/packages/core/src/gateway/sweep.ts
+++ b/packages/core/src/gateway/sweep.ts
@@ -15,8 +15,8 @@
   STREAM_STALL_MS,
 } from "./constants.ts";
 import { failRequest } from "./finish.ts";
-import { failAttempt } from "./retry.ts";
-import { canRepeat, isStream } from "./routes.ts";
+import { canMove, failAttempt } from "./retry.ts";
+import { isStream } from "./routes.ts";
 import { serveWaiting } from "./send.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 
@@ -45,7 +45,8 @@
   if (request.isWaiting) return yield* checkWait(state, gateway, request);
   if (request.currentAttempt === undefined) return;
   const outcome = stallOf(request, state.now);
-  if (outcome === undefined || !canResend(request)) return;
+  // A stream that only pauses goes on where it has nowhere else to go.
+  if (outcome === undefined || !canMove(state, gateway, request)) return;
   yield {
     kind: "cancel",
     request: request.id,
@@ -67,10 +68,6 @@
   });
 }
 
-function canResend({ route, countedAttempts }: RoutedRequest): boolean {
-  return canRepeat(route) && countedAttempts < route.maxAttempts;
-}
-
 /** Returns the outcome of an attempt that takes too long; undefined while it may go on. */
 function stallOf(
   { route, currentAttempt: attempt }: RoutedRequest,
--- a/packages/core/src/gateway/test_fixture.ts
+++ b/packages/core/src/gateway/test_fixture.ts
@@ -9,6 +9,7 @@
 import { reduce } from "../reduce.ts";
 import { createState } from "../state/create_state.ts";
 import type { State } from "../state/types.ts";
+import type { Outcome } from "../verdict/types.ts";
 import type {
   EngineProfile,
   GatewaySettings,
@@ -252,3 +253,19 @@
       createRunner(`${domain}-${index}`, { service: "llm", domain }),
   );
 }
+
+/** Fails an attempt and returns the effects. */
+export function failAttempt(
+  harness: GatewayHarness,
+  request: string,
+  { attempt = 1, outcome }: { attempt?: number; outcome: Outcome },
+): Effect[] {
+  return harness.feed({ kind: "response_failed", request, attempt, outcome });
+}
+
+/** Returns the first refusal among effects. */
+export function refusalOf(
+  effects: readonly Effect[],
+): EffectOf<"refuse"> | undefined {
+  return effectsOf(effects, "refuse")[0];
+}
