--- a/packages/core/src/read_sharing/constants.ts
+++ b/packages/core/src/read_sharing/constants.ts
@@ -20,6 +20,10 @@
 export const START_PATIENCE_MS = 500;
 /** A reader without a confirmation by the store for this long is no longer followed, ms. */
 export const STORE_FAILING_MS = 2_000;
+/** Daemons of each availability zone that may lead the group planner. */
+export const CANDIDATES_PER_ZONE = 2;
+/** A daemon that has read the store for this long may lead the group planner, whatever its rank, ms. */
+export const STEADY_READER_MS = 5_000;
 /** Time for which a failed upstream is not followed, ms; doubles with each consecutive failure. */
 export const AVOID_UPSTREAM_MS = 2_000;
 /** Time for which a failed upstream is not followed by a daemon that has no data yet, ms. */
--- a/packages/core/src/read_sharing/read_sharing_test.ts
+++ b/packages/core/src/read_sharing/read_sharing_test.ts
@@ -6,6 +6,7 @@
   createRunner,
 } from "../gateway/test_fixture.ts";
 import { rankDaemons } from "./ranking.ts";
+import { isLeaderCandidate } from "./reader.ts";
 import { createFleet, type SimulatedDaemon } from "./test_fleet.ts";
 import type { DaemonEntry } from "./types.ts";
 
@@ -108,6 +109,44 @@
   });
 });
 
+describe("candidates for the leadership of the group planner", () => {
+  const candidatesOf = (daemons: readonly SimulatedDaemon[]) =>
+    daemons.filter(({ harness }) => isLeaderCandidate(harness.state))
+      .map(({ entry: { node } }) => node);
+
+  it("are two of each zone, whatever the number of daemons", () => {
+    const fleet = createFleet({ a: 1, b: 2, c: 30 });
+    fleet.advance(3_000);
+    expect(candidatesOf(fleet.daemons)).to.have.length(1 + 2 + 2);
+  });
+
+  it("stay the same while daemons lose their upstream and read the store for a while", () => {
+    const fleet = createFleet({ a: 8 });
+    fleet.advance(3_000);
+    const before = candidatesOf(fleet.daemons);
+    for (let round = 0; round < 5; round += 1) {
+      for (const daemon of fleet.daemons) fleet.resetUpstream(daemon);
+      for (let elapsed = 0; elapsed < 2_000; elapsed += 100) {
+        fleet.advance(100);
+        expect(candidatesOf(fleet.daemons)).to.deep.equal(before);
+      }
+    }
+  });
+
+  it("are joined by a daemon that reads the store for long, since those ahead may be gone for good", () => {
+    const fleet = createFleet({ a: 4 });
+    fleet.advance(3_000);
+    const last = fleet.daemons.filter(({ harness }) =>
+      !isLeaderCandidate(harness.state)
+    );
+    const [left, gone] = last;
+    for (const daemon of fleet.daemons) daemon.isUp = daemon === left;
+    expect(gone).to.not.equal(undefined);
+    fleet.advance(15_000);
+    expect(candidatesOf([left!])).to.deep.equal([left!.entry.node]);
+  });
+});
+
 describe("a daemon that the store turns away", () => {
   it("is kept up to date by a neighbor, and serves its callers", () => {
     const fleet = createFleet({ a: 4 });
--- a/packages/core/src/read_sharing/reader.ts
+++ b/packages/core/src/read_sharing/reader.ts
@@ -4,7 +4,11 @@
  * @module
  */
 import type { State } from "../state/types.ts";
-import { STORE_FAILING_MS } from "./constants.ts";
+import {
+  CANDIDATES_PER_ZONE,
+  STEADY_READER_MS,
+  STORE_FAILING_MS,
+} from "./constants.ts";
 
 /** Returns whether this daemon's own reads of the store succeed, so that others may follow it. */
 export function isStoreReader({ gateway, phase, now }: State): boolean {
@@ -13,9 +17,19 @@
     now - storeConfirmedAt < STORE_FAILING_MS;
 }
 
-/** Returns whether this daemon may become the leader of the group planner: it reads the whole list of runners itself. */
-export function isLeaderCandidate({ gateway, phase }: State): boolean {
-  const { isReading, hasWholeList, upstream } = gateway!.readSharing;
-  return phase === "serving" && isReading && hasWholeList &&
-    upstream === undefined;
+/**
+ * Returns whether this daemon may become the leader of the group planner.
+ *
+ * The store deals the leadership anew with each change of its candidates, and each new leader has to measure the demand
+ * again. So the candidates are the first daemons of each zone by rank, whether or not they read the store at the moment,
+ * and those that have read it for long since all ahead of them are gone.
+ */
+export function isLeaderCandidate({ gateway, phase, now }: State): boolean {
+  const { self, daemons, ranked, isReading, readingSince } =
+    gateway!.readSharing;
+  if (phase !== "serving") return false;
+  if (self === undefined) return true;
+  if (daemons === undefined) return false;
+  return ranked.ahead.length < CANDIDATES_PER_ZONE ||
+    (isReading && now - readingSince >= STEADY_READER_MS);
 }
--- a/packages/core/src/read_sharing/test_fleet.ts
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -32,6 +32,8 @@
   /** Configuration and runners that the store holds. */
   store: { document: RoutingDocument; runners: Runner[]; offset: number };
   advance(ms: number): void;
+  /** Resets the connection of a daemon to its upstream, if it has one. */
+  resetUpstream(daemon: SimulatedDaemon): void;
   /** Returns the daemons that read the store. */
   readers(): SimulatedDaemon[];
   daemon(node: string): SimulatedDaemon;
@@ -73,7 +75,7 @@
   function carryOut(from: SimulatedDaemon, effect: Effect): void {
     if (effect.kind === "read_store" && effect.isEnabled) readStore(from);
     if (effect.kind === "reread_runners") readStore(from);
-    if (effect.kind === "unfollow_daemon") from.upstream = undefined;
+    if (effect.kind === "unfollow_daemon") endFollowing(from);
     if (effect.kind === "follow_daemon") {
       from.upstream = { node: effect.node, isOpen: false };
     }
@@ -89,6 +91,16 @@
     }
   }
 
+  /** Closes the connection to the upstream, of which the upstream learns. */
+  function endFollowing(by: SimulatedDaemon): string | undefined {
+    const node = by.upstream?.node;
+    by.upstream = undefined;
+    if (node !== undefined) {
+      feed(daemon(node), { kind: "follower_left", follower: by.entry.node });
+    }
+    return node;
+  }
+
   function receive(
     to: SimulatedDaemon,
     node: string,
@@ -196,6 +208,11 @@
     advance(ms) {
       for (const end = now + ms; now < end;) step();
     },
+    resetUpstream(by) {
+      const node = endFollowing(by);
+      if (node === undefined) return;
+      feed(by, { kind: "upstream_lost", node, cause: "reset" });
+    },
     readers: () =>
       daemons.filter(({ isUp, harness }) =>
         isUp && harness.state.gateway!.readSharing.isReading
--- a/packages/core/src/read_sharing/types.ts
+++ b/packages/core/src/read_sharing/types.ts
@@ -61,6 +61,8 @@
   startedAt: number;
   /** True while this daemon reads the store itself. */
   isReading: boolean;
+  /** Time at which this daemon last began to read the store, ms. */
+  readingSince: number;
   /** Latest time at which a read of the store by this daemon confirmed the configuration, ms. */
   storeConfirmedAt: number;
   /** True while the list of runners is complete, not only those that serve requests. */
--- a/packages/core/src/read_sharing/upstream.ts
+++ b/packages/core/src/read_sharing/upstream.ts
@@ -41,6 +41,7 @@
     ranked: { ahead: [], others: [] },
     startedAt: now,
     isReading: self === undefined,
+    readingSince: now,
     storeConfirmedAt: -Infinity,
     hasWholeList: false,
     runnersOffset: 0,
@@ -265,6 +266,7 @@
   const { readSharing } = state.gateway!;
   if (readSharing.isReading === isReading) return;
   readSharing.isReading = isReading;
+  if (isReading) readSharing.readingSince = state.now;
   readSharing.hasWholeList = false;
   forgetFollowers(readSharing);
   yield {
