--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -118,6 +118,7 @@
     expiresAt: state.now + timeoutMs,
     promptTokens: event.promptTokens,
     maxOutputTokens: event.maxOutputTokens,
+    promptParts: event.promptParts,
     countedAttempts: 0,
     triedRunners: new Set(),
     currentAttempt: undefined,
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -32,6 +32,8 @@
 export const RETRY_AFTER_MS = 1_000;
 /** Delay after which to retry at a daemon that just started or lost its connection to the store, ms. */
 export const NOT_READY_RETRY_AFTER_MS = 500;
+/** Parts of a prompt that a log line names. */
+export const MAX_LOGGED_PARTS = 8;
 /** Remaining time below which a request is not sent again, since no runner can respond in time, ms. */
 export const MIN_REMAINING_MS = 20;
 /** A stream that has begun and delivers no byte for this long has stalled, ms. */
--- a/packages/core/src/gateway/event_types.ts
+++ b/packages/core/src/gateway/event_types.ts
@@ -49,6 +49,8 @@
     model: string | undefined;
     promptTokens: number;
     maxOutputTokens: number;
+    /** Ids of the parts of the prompt that other requests may share, in order. */
+    promptParts: readonly string[];
     /** Id of the last event that the caller already has, where it resumes a stream. */
     lastEvent: string | undefined;
   }
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -72,6 +72,7 @@
   const request = findByAttempt(gateway, event);
   if (request === undefined) return;
   request.currentAttempt!.lastByteAt = state.now;
+  request.currentAttempt!.progressCount += 1;
   runnerStatsOf(gateway, request.currentAttempt!.runner).lastSeenAt = state.now;
   request.lastEvent = event.lastEvent ?? request.lastEvent;
   if (request.hasEvents) return;
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -13,6 +13,7 @@
 import {
   AVOID_MS,
   MAX_AVOID_MS,
+  MAX_LOGGED_PARTS,
   MAX_REJECTED_SENDS,
   MIN_REMAINING_MS,
   RESUME_WAIT_MS,
@@ -40,7 +41,8 @@
   gateway: Gateway,
   { request, outcome, isRelayable }: FailedAttempt,
 ): Effects {
-  const { runner, number: attempt } = request.currentAttempt!;
+  const { runner, number: attempt, hasHeaders, progressCount, sentAt } = request
+    .currentAttempt!;
   const stats = runnerStatsOf(gateway, runner);
   const verdict = verdictOf(outcome);
   recordFailure(state, gateway, { runner, outcome, isRelayable });
@@ -57,6 +59,10 @@
       verdict,
       lastEvent: request.lastEvent,
       inFlight: stats.inFlight,
+      hasHeaders,
+      progress: progressCount,
+      afterMs: Math.round(state.now - sentAt),
+      parts: describeParts(request),
     },
   };
   const next = nextStep(state, gateway, { request, outcome });
@@ -81,6 +87,12 @@
   });
 }
 
+/** Returns the parts of a prompt for a log line; undefined where it has none. */
+function describeParts({ promptParts }: RoutedRequest): string | undefined {
+  if (promptParts.length === 0) return undefined;
+  return promptParts.slice(0, MAX_LOGGED_PARTS).join(",");
+}
+
 function recordFailure(
   state: State,
   gateway: Gateway,
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -74,6 +74,7 @@
     isSent: false,
     hasHeaders: false,
     isStreaming: false,
+    progressCount: 0,
     isBlocked: false,
   };
   yield {
--- a/packages/core/src/gateway/stream_test.ts
+++ b/packages/core/src/gateway/stream_test.ts
@@ -153,6 +153,7 @@
       model: "small",
       promptTokens: 2_000_000,
       maxOutputTokens: 10,
+      promptParts: [],
       lastEvent: undefined,
     });
     expect(refusalOf(effects)?.verdict).to.equal("not_run");
--- a/packages/core/src/gateway/test_fixture.ts
+++ b/packages/core/src/gateway/test_fixture.ts
@@ -214,11 +214,18 @@
 export function sendRequest(
   harness: GatewayHarness,
   request: string,
-  { path = "/loans/1", key = "key-a", model, deadlineMs = 1_500 }: {
+  {
+    path = "/loans/1",
+    key = "key-a",
+    model,
+    deadlineMs = 1_500,
+    promptParts = [],
+  }: {
     path?: string;
     key?: string;
     model?: string;
     deadlineMs?: number;
+    promptParts?: readonly string[];
   } = {},
 ): Effect[] {
   return harness.feed({
@@ -231,6 +238,7 @@
     model,
     promptTokens: 100,
     maxOutputTokens: 100,
+    promptParts,
     lastEvent: undefined,
   });
 }
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -66,6 +66,8 @@
   hasHeaders: boolean;
   /** True once a stream has begun. */
   isStreaming: boolean;
+  /** Times at which whole events arrived. */
+  progressCount: number;
   /** True while the caller does not read what it was sent, so that the runner's response is paused. */
   isBlocked: boolean;
 }
@@ -83,6 +85,8 @@
   expiresAt: number;
   promptTokens: number;
   maxOutputTokens: number;
+  /** Ids of the parts of the prompt that other requests may share, in order. */
+  promptParts: readonly string[];
   /** Attempts that count towards the route's limit; those that failed to connect are left out. */
   countedAttempts: number;
   triedRunners: Set<string>;
--- a/packages/daemon/src/gateway/adapters.ts
+++ b/packages/daemon/src/gateway/adapters.ts
@@ -26,6 +26,8 @@
   model: string | undefined;
   promptTokens: number;
   maxOutputTokens: number;
+  /** Ids of the parts of the prompt that other requests may share, in order. */
+  promptParts: readonly string[];
   lastEvent: string | undefined;
 }
 
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -108,6 +108,7 @@
       model: metadata.model,
       promptTokens: metadata.promptTokens,
       maxOutputTokens: metadata.maxOutputTokens,
+      promptParts: metadata.promptParts,
       lastEvent: metadata.lastEvent,
     });
   }
