--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -34,6 +34,10 @@
   attempt_failed: event(1105, "warn", "attempt at a backend server failed"),
   stream_resumed: event(1106, "info", "stream resumed on another group"),
   stream_lost: event(1107, "error", "stream ended with an error"),
+  part_suspected: event(1117, "warn", "part of a prompt suspected of a crash"),
+  part_quarantined: event(1118, "warn", "part of a prompt quarantined"),
+  part_cleared: event(1119, "info", "part of a prompt cleared of suspicion"),
+  part_tried: event(1120, "info", "quarantined part of a prompt is tried"),
   resume_waits: event(1116, "info", "broken stream waits for a free slot"),
   request_sent: event(1111, "info", "request sent to a runner"),
   batch_preempted: event(
@@ -107,6 +111,11 @@
     "warn",
     "registration in the store failed",
   ),
+  parts_unshared: event(
+    1610,
+    "warn",
+    "records of prompt parts could not be written",
+  ),
   peer_refused: event(1603, "warn", "peer refused"),
   peer_frame_dropped: event(1604, "warn", "peer frame dropped"),
   usage_published: event(1701, "info", "usage published"),
--- a/packages/core/src/effect/types.ts
+++ b/packages/core/src/effect/types.ts
@@ -12,6 +12,7 @@
   UsageCounter,
 } from "../fold/types.ts";
 import type { GatewayEffect } from "../gateway/effect_types.ts";
+import type { QuarantineEffect } from "../quarantine/effect_types.ts";
 import type { PeerMessage } from "../peer/types.ts";
 import type { Verdict } from "../verdict/types.ts";
 
@@ -32,6 +33,7 @@
   | "already_ran"
   | "log_unavailable"
   | "not_ready"
+  | "prompt_quarantined"
   | "stopping";
 
 /** An order to one engine. Orders are idempotent and carry a fencing number; the engine's status confirms them. */
@@ -48,6 +50,7 @@
 /** An effect of the reducer. */
 export type Effect =
   | GatewayEffect
+  | QuarantineEffect
   | {
     kind: "refuse";
     request: string;
--- a/packages/core/src/event/types.ts
+++ b/packages/core/src/event/types.ts
@@ -10,6 +10,7 @@
 import type { Outcome } from "../verdict/types.ts";
 import type { StoredResponse } from "../fold/types.ts";
 import type { GatewayEvent } from "../gateway/event_types.ts";
+import type { QuarantineEvent } from "../quarantine/event_types.ts";
 
 /** A caller's request without its body, which stays in the adapter that received it. */
 export interface Arrival {
@@ -64,6 +65,7 @@
 /** An event of the reducer, without its time. */
 export type EventBody =
   | GatewayEvent
+  | QuarantineEvent
   | { kind: "tick" }
   | ({ kind: "request_arrived" } & Arrival)
   | { kind: "caller_gone"; request: string }
--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -15,6 +15,7 @@
 } from "./constants.ts";
 import { failRequest } from "./finish.ts";
 import { ageOf } from "./freshness.ts";
+import { quarantineRefusal, tryHeldPart } from "./held_requests.ts";
 import { lookUp, NOT_READY, type Refusal } from "./lookup.ts";
 import { retryBudgetOf, retryLimitsOf } from "./retry_allowance.ts";
 import { countRequest } from "./retry_budget.ts";
@@ -88,6 +89,9 @@
     return yield* refuseArrival(id, STOPPING, { age });
   }
   const request = createRoutedRequest(state, event, found);
+  yield* tryHeldPart(state, request);
+  const held = quarantineRefusal(state, request);
+  if (held !== undefined) return yield* refuseArrival(id, held, { age });
   gateway.requests.set(id, request);
   countRequest(
     retryBudgetOf(gateway, request.service),
@@ -128,6 +132,7 @@
     lastEvent: event.lastEvent,
     hasEvents: false,
     isWaiting: false,
+    isTrial: false,
     waitUntil: state.now + route.targetLatencyMs * MAX_WAIT_SHARE,
   };
 }
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import type { EventOf } from "../event/types.ts";
 import { createGroupPlanner } from "../formation/leadership.ts";
 import { planGroups } from "../formation/plan.ts";
+import { pruneSuspects } from "../quarantine/mod.ts";
 import { passOnSuspects } from "../read_sharing/suspects.ts";
 import { createReadSharing, updateSource } from "../read_sharing/upstream.ts";
 import type { Effects } from "../reduce_types.ts";
@@ -79,6 +80,7 @@
   }
   yield* updateSource(state);
   yield* passOnSuspects(state);
+  yield* pruneSuspects(state);
   if (state.phase === "serving") yield* planGroups(state);
   else yield* checkStop(state, gateway);
   scheduleSweep(state);
--- a/packages/core/src/gateway/handlers.ts
+++ b/packages/core/src/gateway/handlers.ts
@@ -3,9 +3,13 @@
  *
  * @module
  */
+import type { EventOf } from "../event/types.ts";
 import { recordHealthCheck } from "../formation/health_checks.ts";
 import { beginTerm, renewLeadership } from "../formation/leadership.ts";
 import { completeOrder } from "../formation/orders.ts";
+import { confirmCrash, dismissCuts } from "../quarantine/mod.ts";
+import type { Effects } from "../reduce_types.ts";
+import type { State } from "../state/types.ts";
 import { admitRequest } from "./admit.ts";
 import { closeRequest } from "./finish.ts";
 import { answerPoll, removeFollower } from "../read_sharing/publish.ts";
@@ -49,7 +53,11 @@
   leadership_renewed: renewLeadership,
   term_begun: beginTerm,
   order_completed: completeOrder,
-  runner_checked: recordHealthCheck,
+  *runner_checked(state: State, event: EventOf<"runner_checked">): Effects {
+    if (event.status === "refused") yield* confirmCrash(state, event.runner);
+    if (event.status === "alive") dismissCuts(state, event.runner);
+    yield* recordHealthCheck(state, event);
+  },
   gateway_stop_ordered: stopGateway,
   daemons_read: applyDaemons,
   upstream_began: acceptUpstream,
--- /dev/null
+++ b/packages/core/src/gateway/held_requests.ts
@@ -0,0 +1,99 @@
+/**
+ * Applies the quarantine to requests: refuses those with a quarantined part, and reports what became of the others.
+ *
+ * @module
+ */
+import {
+  beginTrial,
+  confirmCrash,
+  findHeld,
+  isTrialDue,
+  recordCut,
+  recordServed,
+  SOUND_AFTER_MS,
+  untilTrial,
+} from "../quarantine/mod.ts";
+import { type Effects, noEffects } from "../reduce_types.ts";
+import type { State } from "../state/types.ts";
+import type { Outcome } from "../verdict/types.ts";
+import type { Refusal } from "./lookup.ts";
+import { isStream } from "./routes.ts";
+import type { RoutedRequest } from "./types.ts";
+
+/** Outcomes that a crash of the runner causes, among other things. */
+const CUT_OUTCOMES: ReadonlySet<Outcome> = new Set([
+  "body_cut_off",
+  "reset_after_send",
+]);
+
+/** Returns why a request with a quarantined part is refused; undefined where it may be sent. */
+export function quarantineRefusal(
+  state: State,
+  { promptParts, isTrial }: Pick<RoutedRequest, "promptParts" | "isTrial">,
+): Refusal | undefined {
+  if (isTrial) return undefined;
+  const held = findHeld(state, promptParts);
+  if (held === undefined) return undefined;
+  return {
+    code: "prompt_quarantined",
+    message:
+      `Part ${held.record.part} of the prompt has crashed every runner that served it; send the request without it`,
+    retryAfterMs: Math.ceil(untilTrial(held, state.now)),
+  };
+}
+
+/** Lets a request through as the trial of its quarantined part, where one is due. */
+export function* tryHeldPart(state: State, request: RoutedRequest): Effects {
+  const held = findHeld(state, request.promptParts);
+  if (held === undefined || !isTrialDue(state, held)) return;
+  request.isTrial = true;
+  yield* beginTrial(state, held, { request: request.id });
+}
+
+/** Reports an attempt whose connection failed, and checks whether its runner has crashed. */
+export function* reportCut(
+  state: State,
+  request: RoutedRequest,
+  outcome: Outcome,
+): Effects {
+  const { runner, isSound, chains } = request.currentAttempt!;
+  if (outcome === "connect_refused") return yield* confirmCrash(state, runner);
+  if (isSound || !CUT_OUTCOMES.has(outcome)) return;
+  const cut = {
+    runner,
+    request: request.id,
+    parts: request.promptParts,
+    chains,
+  };
+  if (!recordCut(state, cut)) return;
+  const address = state.gateway!.runners.get(runner)?.address;
+  if (address === undefined) return yield* confirmCrash(state, runner);
+  yield { kind: "check_runner", runner, address };
+}
+
+/** Reports a response that has been arriving for long enough to show that the prompt is sound. */
+export function reportProgress(state: State, request: RoutedRequest): Effects {
+  const attempt = request.currentAttempt!;
+  const isLong = state.now - attempt.headersAt >= SOUND_AFTER_MS;
+  return isLong ? reportServed(state, request) : noEffects();
+}
+
+/** Reports a complete response; a stream without an event shows nothing. */
+export function reportCompletion(
+  state: State,
+  request: RoutedRequest,
+): Effects {
+  const isEmpty = isStream(request.route) &&
+    request.currentAttempt!.progressCount === 0;
+  return isEmpty ? noEffects() : reportServed(state, request);
+}
+
+function* reportServed(state: State, request: RoutedRequest): Effects {
+  const attempt = request.currentAttempt!;
+  if (attempt.isSound) return;
+  attempt.isSound = true;
+  yield* recordServed(state, {
+    request: request.id,
+    parts: request.promptParts,
+  });
+}
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -8,6 +8,11 @@
 import type { State } from "../state/types.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
 import { endRequest, logEnd } from "./finish.ts";
+import {
+  reportCompletion,
+  reportCut,
+  reportProgress,
+} from "./held_requests.ts";
 import { recordLoad } from "./occupancy.ts";
 import { failAttempt } from "./retry.ts";
 import { isStream } from "./routes.ts";
@@ -42,6 +47,7 @@
   const attempt = request.currentAttempt!;
   const stats = runnerStatsOf(gateway, attempt.runner);
   attempt.hasHeaders = true;
+  attempt.headersAt = state.now;
   attempt.lastByteAt = state.now;
   stats.lastSeenAt = state.now;
   if (event.load !== undefined) {
@@ -75,6 +81,7 @@
   request.currentAttempt!.progressCount += 1;
   runnerStatsOf(gateway, request.currentAttempt!.runner).lastSeenAt = state.now;
   request.lastEvent = event.lastEvent ?? request.lastEvent;
+  yield* reportProgress(state, request);
   if (request.hasEvents) return;
   request.hasEvents = true;
   const { priority, arrivedAt } = request;
@@ -116,6 +123,7 @@
     });
   }
   stats.failures = 0;
+  yield* reportCompletion(state, request);
   yield logEnd(state, request, { status, runner, verdict: "ran" });
   if (!request.isRelaying) {
     yield { kind: "relay", request: request.id, attempt: event.attempt };
@@ -132,6 +140,7 @@
   const gateway = state.gateway!;
   const request = findByAttempt(gateway, event);
   if (request === undefined) return;
+  yield* reportCut(state, request, event.outcome);
   yield* failAttempt(state, gateway, {
     request,
     outcome: event.outcome,
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { recordSuspect } from "../read_sharing/suspects.ts";
+import { findHeld } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import type { Outcome } from "../verdict/types.ts";
@@ -154,7 +155,8 @@
   const mayResend = (!request.mayHaveRun || canRepeat(route)) &&
     request.countedAttempts < route.maxAttempts &&
     remainingMs >= MIN_REMAINING_MS;
-  if (!mayResend) return { kind: "end" };
+  const isHeld = findHeld(state, request.promptParts) !== undefined;
+  if (!mayResend || isHeld) return { kind: "end" };
   const runner = chooseRunner(state, gateway, request, {
     canUseReserved: true,
   });
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -4,10 +4,12 @@
  * @module
  */
 import type { Effects } from "../reduce_types.ts";
+import { knownChains } from "../quarantine/mod.ts";
 import type { State } from "../state/types.ts";
 import { chooseRunner } from "./choose.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
 import { MAX_URGENCY } from "./constants.ts";
+import { quarantineRefusal } from "./held_requests.ts";
 import { canRepeat, isStream } from "./routes.ts";
 import { workKey } from "./runner_index.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
@@ -45,6 +47,7 @@
   const requests = [...queue].flatMap((id) => gateway.requests.get(id) ?? []);
   requests.sort(byUrgency);
   for (const request of requests) {
+    if (quarantineRefusal(state, request) !== undefined) continue;
     const runner = chooseRunner(state, gateway, request, {
       canUseReserved: request.mayHaveRun,
     });
@@ -75,6 +78,9 @@
     hasHeaders: false,
     isStreaming: false,
     progressCount: 0,
+    headersAt: 0,
+    isSound: false,
+    chains: knownChains(state.quarantine, request.promptParts),
     isBlocked: false,
   };
   yield {
--- a/packages/core/src/gateway/sweep.ts
+++ b/packages/core/src/gateway/sweep.ts
@@ -15,6 +15,7 @@
   STREAM_STALL_MS,
 } from "./constants.ts";
 import { failRequest } from "./finish.ts";
+import { quarantineRefusal } from "./held_requests.ts";
 import { canMove, failAttempt } from "./retry.ts";
 import { isStream } from "./routes.ts";
 import { serveWaiting } from "./send.ts";
@@ -60,6 +61,10 @@
   gateway: Gateway,
   request: RoutedRequest,
 ): Effects {
+  const refusal = quarantineRefusal(state, request);
+  if (refusal !== undefined) {
+    return yield* failRequest(state, gateway, request, refusal);
+  }
   if (state.now < request.waitUntil) return;
   yield* failRequest(state, gateway, request, {
     code: "overloaded",
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -5,6 +5,7 @@
  */
 import type { Average } from "../util/ewma.ts";
 import type { GroupPlanner } from "../formation/types.ts";
+import type { KnownChains } from "../quarantine/types.ts";
 import type { DaemonEntry, ReadSharing } from "../read_sharing/types.ts";
 import type {
   Route,
@@ -68,6 +69,12 @@
   isStreaming: boolean;
   /** Times at which whole events arrived. */
   progressCount: number;
+  /** Time at which the response headers arrived, ms. */
+  headersAt: number;
+  /** True once the response has shown that its prompt crashes nothing. */
+  isSound: boolean;
+  /** Chains of crashes under the parts of the prompt that were known at the send. */
+  chains: KnownChains;
   /** True while the caller does not read what it was sent, so that the runner's response is paused. */
   isBlocked: boolean;
 }
@@ -102,6 +109,8 @@
   hasEvents: boolean;
   /** True while the request waits for a free slot. */
   isWaiting: boolean;
+  /** True where the request is a trial of a quarantined part of its prompt. */
+  isTrial: boolean;
   /** Time until which the request may wait for a free slot, ms. */
   waitUntil: number;
 }
--- a/packages/core/src/peer/digest.ts
+++ b/packages/core/src/peer/digest.ts
@@ -13,6 +13,7 @@
 import { handleFoldRestored } from "../fold/log_reader.ts";
 import { markLeaving } from "../health/leaving.ts";
 import { listDemands, shareLimits } from "../limit/limits.ts";
+import { applyParts } from "../quarantine/mod.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import { perRank } from "../request/types.ts";
 import type { Peer, Pool, State } from "../state/types.ts";
@@ -232,6 +233,10 @@
   *config_answer(state, _peer, { config }) {
     yield* applyConfig(state, config);
   },
+  *parts(state, _peer, { records }) {
+    const readings = records.map((record) => ({ record, ageMs: 0 }));
+    yield* applyParts(state, readings);
+  },
   *fold_request(state, peer) {
     if (state.caughtUp) {
       yield send(peer, { kind: "fold_answer", dump: dumpFold(state.fold) });
--- a/packages/core/src/peer/types.ts
+++ b/packages/core/src/peer/types.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Rank } from "../config/types.ts";
+import type { PartRecord } from "../quarantine/types.ts";
 import type { AcceptedConfig, FoldDump } from "../fold/types.ts";
 
 /** Concurrent requests an entry needs in one deployment, by rank. */
@@ -31,5 +32,7 @@
   | { kind: "digest"; digest: Digest }
   | { kind: "config_request"; above: number }
   | { kind: "config_answer"; config: AcceptedConfig }
+  /** Parts of prompts under which engines crashed, or which have proved sound. */
+  | { kind: "parts"; records: PartRecord[] }
   | { kind: "fold_request" }
   | { kind: "fold_answer"; dump: FoldDump };
--- /dev/null
+++ b/packages/core/src/quarantine/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Quarantine of parts of prompts that crash every runner that writes an answer on them.
+ *
+ * @module
+ */
+export { SOUND_AFTER_MS } from "./constants.ts";
+export * from "./evidence.ts";
+export * from "./hold.ts";
+export * from "./suspects.ts";
+export type * from "./types.ts";
--- a/packages/core/src/quarantine/test_fleet.ts
+++ b/packages/core/src/quarantine/test_fleet.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import type { Effect } from "../effect/types.ts";
+import type { PartRecord } from "./types.ts";
 import {
   createHarness,
   createHead,
@@ -26,7 +27,10 @@
 /** Time for which a crashed runner does not listen, ms. */
 const DOWN_MS = 4_000;
 const STEP_MS = 10;
+const RENEW_INTERVAL_MS = 300;
 const CONFIRM_INTERVAL_MS = 1_000;
+/** Time from a write of a record to the store until the other daemons have read it, ms. */
+const SHARE_MS = 60;
 
 /** A request that was sent to a runner. */
 export interface SentRequest {
@@ -39,6 +43,12 @@
   hasBegun: boolean;
 }
 
+interface SharedRecords {
+  records: readonly PartRecord[];
+  /** Time at which the daemons have read them, ms. */
+  readAt: number;
+}
+
 interface RunningAttempt {
   daemon: GatewayHarness;
   sent: SentRequest;
@@ -71,6 +81,12 @@
   ): Effect[];
   /** Crashes a runner for a cause of its own. */
   crash(runner: string): void;
+  /** Resets the connections of a runner that goes on. */
+  reset(runner: string): void;
+  /** Makes a daemon the leader, and no other one. */
+  lead(daemon: number): void;
+  /** Ids of the runners. */
+  runners: string[];
   /** Advances the time and calls `onStep` with each step's time, ms. */
   run(ms: number, onStep?: (now: number) => void): void;
 }
@@ -98,9 +114,14 @@
     now: () => now,
     request,
     crash: (id) => crash(runners.get(id)!),
+    reset: (id) => cutAll(runners.get(id)!),
+    lead: (index) => leader = index,
+    runners: list.map(({ id }) => id),
     run,
   };
   let now = 0;
+  let leader = 0;
+  let shared: SharedRecords[] = [];
 
   type Event = Parameters<GatewayHarness["feed"]>[0];
 
@@ -119,6 +140,9 @@
         );
       }
     }
+    for (const { records } of effectsOf(effects, "share_parts")) {
+      shared.push({ records, readAt: now + SHARE_MS });
+    }
     for (const { runner } of effectsOf(effects, "check_runner")) {
       const isDown = runners.get(runner)!.downUntil > now;
       const status = isDown ? "refused" : "alive";
@@ -160,6 +184,10 @@
   function crash(runner: SimulatedRunner): void {
     fleet.crashes.push(now);
     runner.downUntil = now + DOWN_MS;
+    cutAll(runner);
+  }
+
+  function cutAll(runner: SimulatedRunner): void {
     for (const { daemon, sent } of runner.running.splice(0)) {
       feed(daemon, {
         kind: "response_failed",
@@ -226,8 +254,31 @@
     }
   }
 
+  function passOnRecords(): void {
+    const due = shared.filter(({ readAt }) => readAt <= now);
+    shared = shared.filter(({ readAt }) => readAt > now);
+    for (const { records } of due) {
+      const readings = records.map((record) => ({ record, ageMs: 0 }));
+      for (const daemon of daemons) {
+        feed(daemon, { kind: "parts_read", readings });
+      }
+    }
+  }
+
+  function renewLeadership(): void {
+    daemons.forEach((daemon, index) =>
+      feed(daemon, {
+        kind: "leadership_renewed",
+        isGranted: index === leader,
+        sentAt: now,
+      })
+    );
+  }
+
   function step(): void {
     now += STEP_MS;
+    passOnRecords();
+    if (now % RENEW_INTERVAL_MS === 0) renewLeadership();
     if (now % CONFIRM_INTERVAL_MS === 0) confirmStore();
     for (const daemon of daemons) carryOut(daemon, daemon.advance(STEP_MS));
     for (const runner of runners.values()) {
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -28,6 +28,7 @@
   handleMemberReport,
   handleUnreachableMember,
 } from "./health/members.ts";
+import { applyParts, pruneSuspects } from "./quarantine/mod.ts";
 import { GATEWAY_HANDLERS } from "./gateway/handlers.ts";
 import { sweepGateway } from "./gateway/gateway.ts";
 import { updateVmList } from "./health/leaving.ts";
@@ -69,6 +70,7 @@
 
 const HANDLERS: Handlers = {
   ...GATEWAY_HANDLERS,
+  parts_read: (state, { readings }) => applyParts(state, readings),
   tick: noEffects,
   request_arrived: handleArrival,
   caller_gone: handleDisconnect,
@@ -124,6 +126,7 @@
   yield* writeSnapshots(state);
   yield* wakeAllWaiters(state);
   yield* publishUsage(state);
+  yield* pruneSuspects(state);
   for (const pool of state.pools.values()) {
     for (const rank of RANKS) pruneIdle(pool.queues[rank]);
     updateHeaviestUse(state, pool);
--- a/packages/core/src/state/create_state.ts
+++ b/packages/core/src/state/create_state.ts
@@ -10,6 +10,7 @@
 import { createGateway } from "../gateway/gateway.ts";
 import type { GatewaySettings } from "../gateway/types.ts";
 import { perRank } from "../request/types.ts";
+import { createQuarantine } from "../quarantine/mod.ts";
 import { createPrefixIndex } from "../routing/prefix_index.ts";
 import { createRandomSet } from "../routing/random_set.ts";
 import { createLedger } from "../usage/ledger.ts";
@@ -83,6 +84,7 @@
       claimEnds: new Map(),
       retryAt: now,
     },
+    quarantine: createQuarantine(now),
     requests: new Map(),
     pools: new Map(),
     targets: new Map(),
--- a/packages/core/src/state/types.ts
+++ b/packages/core/src/state/types.ts
@@ -23,6 +23,7 @@
 import type { Planner } from "../planner/types.ts";
 import type { Request } from "../request/types.ts";
 import type { PrefixIndex } from "../routing/prefix_index.ts";
+import type { Quarantine } from "../quarantine/types.ts";
 import type { RandomSet } from "../routing/random_set.ts";
 import type { UsageLedger } from "../usage/types.ts";
 import type { Average, Rate } from "../util/ewma.ts";
@@ -193,6 +194,8 @@
   /** Whether the fold has caught up with the log. */
   caughtUp: boolean;
   log: LogLink;
+  /** Parts of prompts that are held back since runners crashed on them. */
+  quarantine: Quarantine;
   requests: Map<string, Request>;
   pools: Map<string, Pool>;
   targets: Map<string, Target>;
--- a/packages/daemon/src/gateway/adapters.ts
+++ b/packages/daemon/src/gateway/adapters.ts
@@ -10,6 +10,8 @@
   DaemonEntry,
   HealthStatus,
   OrderOutcome,
+  PartReading,
+  PartRecord,
   RoutingDocument,
   Runner,
   RunnerOrder,
@@ -100,6 +102,13 @@
   register(entry: DaemonEntry): Promise<void>;
 }
 
+/** What the daemons know of parts of prompts that crash runners, kept in the store. */
+export interface PartRegistry {
+  parts: KeyedTopic<PartReading>;
+  write(records: readonly PartRecord[]): Promise<void>;
+  delete(parts: readonly string[]): Promise<void>;
+}
+
 /** Leader election of the group planner, backed by the store. */
 export interface LeaderElection {
   /** Acquires or extends the leadership; resolves to true if this member is the leader. */
@@ -135,6 +144,7 @@
   routing: KeyedTopic<RoutingDocument>;
   runners: KeyedTopic<Runner>;
   daemonRegistry: DaemonRegistry;
+  partRegistry: PartRegistry;
   leaderElection: LeaderElection;
   runnerControl: RunnerControl;
 }
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -6,6 +6,7 @@
 import {
   ageOf,
   isGatewayReady,
+  isHeld,
   isLeader,
   isStoreReader,
   type LogEventName,
@@ -204,6 +205,14 @@
         until > now()
       ).length,
   );
+  addGauge(
+    "primrose_quarantined_parts",
+    "Parts of prompts that are held back since runners crashed on them",
+    () =>
+      [...state.quarantine.suspects.values()].filter(({ record }) =>
+        isHeld(record)
+      ).length,
+  );
   addGauge(
     "primrose_planner_duty",
     "1 while this daemon plans replica groups",
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -39,6 +39,8 @@
     daemonsWaitMs: milliseconds.default(20_000),
     /** Time for which registrations of daemons are batched. */
     daemonsGatherMs: milliseconds.default(2_000),
+    /** Longest time for which a read of the suspected parts of prompts waits for a change. */
+    partsWaitMs: milliseconds.default(5_000),
     /** Shortest time for which changes of runners are batched. */
     gatherMs: milliseconds.default(200),
     /** Additional batching time for each known runner. */
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -28,6 +28,7 @@
 import type { Relay } from "./relay.ts";
 import type { GatewaySettingsFile } from "./settings.ts";
 import { startFollowerListener } from "./follower_listener.ts";
+import { startPartSharing } from "./part_sharing.ts";
 import { startStoreReads } from "./store_reads.ts";
 import { createUpstreamClient } from "./upstream_client.ts";
 
@@ -176,6 +177,8 @@
     send_to_upstream: ({ message }) => upstream.send(message),
     send_to_followers: ({ followers: ids, message }) =>
       followers?.send(ids, message),
+    share_parts: ({ records }) => partSharing.write(records),
+    forget_parts: ({ parts }) => partSharing.delete(parts),
     exit({ interruptedRequests }) {
       const { stoppingSince, settings: { graceMs } } = state.gateway!;
       const maxWaitMs = stoppingSince + graceMs - EXIT_MARGIN_MS -
@@ -217,6 +220,7 @@
 
   function shutDown(interruptedRequests: number): void {
     storeReads.stop();
+    partSharing.stop();
     upstream.unfollow();
     followers?.close();
     leadership.stop();
@@ -257,6 +261,13 @@
     log,
   });
 
+  const partSharing = startPartSharing({
+    registry: adapters.partRegistry,
+    waitMs: store.partsWaitMs,
+    dispatch,
+    log,
+  });
+
   return {
     state,
     stop: () => dispatch({ kind: "gateway_stop_ordered" }),
--- a/packages/daemon/src/http/errors.ts
+++ b/packages/daemon/src/http/errors.ts
@@ -42,6 +42,7 @@
   already_ran: 409,
   log_unavailable: 503,
   not_ready: 503,
+  prompt_quarantined: 503,
   stopping: 503,
 };
 
--- a/packages/daemon/src/peers/message_schema.ts
+++ b/packages/daemon/src/peers/message_schema.ts
@@ -45,11 +45,19 @@
   seen: z.array(z.string()),
 });
 
+const partRecord = z.strictObject({
+  part: name,
+  round: count,
+  crashes: count,
+  trials: count,
+});
+
 /** Every message between daemons. */
 export const messageSchema = z.discriminatedUnion("kind", [
   z.strictObject({ kind: z.literal("digest"), digest }),
   z.strictObject({ kind: z.literal("config_request"), above: count }),
   z.strictObject({ kind: z.literal("config_answer"), config }),
+  z.strictObject({ kind: z.literal("parts"), records: z.array(partRecord) }),
   z.strictObject({ kind: z.literal("fold_request") }),
   z.strictObject({ kind: z.literal("fold_answer"), dump }),
 ]);
