--- a/packages/core/src/event/types.ts
+++ b/packages/core/src/event/types.ts
@@ -24,6 +24,8 @@
   /** Largest number of output tokens that the caller allows. */
   maxOutputTokens: number;
   prefixes: readonly number[];
+  /** Ids of the parts of the prompt that other requests may share, in order; absent where the request has no prompt. */
+  promptParts?: readonly string[];
   idempotent: boolean;
   key?: string;
   /** Hash of method, path and body; requests with the same key must have the same digest. */
--- a/packages/core/src/health/members.ts
+++ b/packages/core/src/health/members.ts
@@ -7,6 +7,7 @@
 import { updateAttemptAverage } from "../capacity/load_estimate.ts";
 import { refreshTarget } from "../capacity/targets.ts";
 import type { EventOf, LoadReport, MemberStatus } from "../event/types.ts";
+import { confirmCrash, dismissCuts } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import { dispatchPool } from "../request/dispatch.ts";
 import type { MemberState, Pool, State, Target } from "../state/types.ts";
@@ -75,12 +76,16 @@
   const found = findMember(state, address);
   if (found === undefined) return;
   const { target, member } = found;
+  const isHead = target.members[0] === member;
+  const isRestarted = member.incarnation !== undefined &&
+    member.incarnation !== status.incarnation;
+  if (isHead && isRestarted) yield* confirmCrash(state, target.name);
+  if (isHead && !isRestarted) dismissCuts(state, target.name);
   member.status = status;
   member.confirmedAt = state.now;
   member.incarnation = status.incarnation;
   member.refused = false;
   yield* evaluateTarget(state, target);
-  const isHead = target.members[0] === member;
   if (isHead && status.load !== undefined) {
     yield* recordLoadReport(state, target, status);
   }
@@ -126,6 +131,10 @@
   if (cause === "refused" && found.target.epoch !== undefined) {
     yield* failOverAttempts(state, found.target);
   }
+  const isHead = found.target.members[0] === found.member;
+  if (cause === "refused" && isHead) {
+    yield* confirmCrash(state, found.target.name);
+  }
 }
 
 function isConfirmed(
--- a/packages/core/src/peer/digest.ts
+++ b/packages/core/src/peer/digest.ts
@@ -185,6 +185,11 @@
   if (!state.caughtUp) {
     yield { kind: "peer_send", peer, message: { kind: "fold_request" } };
   }
+  const records = [...state.quarantine.suspects.values()]
+    .map(({ record }) => record);
+  if (records.length > 0) {
+    yield { kind: "peer_send", peer, message: { kind: "parts", records } };
+  }
 }
 
 /** Handles a broken connection; the peer keeps its share until it is removed. */
--- a/packages/core/src/request/arrive.ts
+++ b/packages/core/src/request/arrive.ts
@@ -23,6 +23,7 @@
 import { schedule } from "../util/timer_queue.ts";
 import { enqueueRequest } from "./dispatch.ts";
 import { type Refusal, refuseRequest, replay } from "./finish.ts";
+import { isHeldBack, refuseHeld, tryHeldPart } from "./held_requests.ts";
 import { advance } from "./machine.ts";
 import type { Request } from "./types.ts";
 
@@ -75,6 +76,7 @@
     promptTokens: event.promptTokens,
     maxOutputTokens: event.maxOutputTokens,
     prefixes: event.prefixes,
+    promptParts: event.promptParts ?? [],
     idempotent: event.idempotent,
     key: event.key,
     digest: event.digest,
@@ -102,6 +104,9 @@
     deliveredTokens: 0,
     verdict: "not_run",
     lastProgressAt: state.now,
+    isTrial: false,
+    isSound: false,
+    chains: new Map(),
     reportedPromptTokens: 0,
     reportedCachedTokens: 0,
   };
@@ -175,6 +180,8 @@
   schedule(state.timers, request.deadlineAt, {
     timer: { kind: "request_expiry", request: request.request },
   });
+  yield* tryHeldPart(state, request);
+  if (isHeldBack(state, request)) return yield* refuseHeld(state, request);
   const limitRefusal = chargeLimits(state, request);
   if (limitRefusal !== undefined) {
     return yield* refuseRequest(state, request, { refusal: limitRefusal });
--- a/packages/core/src/request/dispatch.ts
+++ b/packages/core/src/request/dispatch.ts
@@ -16,6 +16,7 @@
 import type { Pool, State, Target } from "../state/types.ts";
 import { schedule } from "../util/timer_queue.ts";
 import { refuseRequest } from "./finish.ts";
+import { beginObservation, isHeldBack, refuseHeld } from "./held_requests.ts";
 import { advance } from "./machine.ts";
 import { beginPrefill } from "./attempt.ts";
 import { preemptFor } from "./preempt.ts";
@@ -82,6 +83,10 @@
   while (true) {
     const request = pool.resumptions[0] ?? pickNext(state, pool);
     if (request === undefined) return;
+    if (isHeldBack(state, request)) {
+      yield* refuseHeld(state, request);
+      continue;
+    }
     request.lowUsage = isLowUsage(state, pool, request);
     const target = chooseTarget(state, pool, request);
     if (target === undefined) {
@@ -123,6 +128,7 @@
   request.startedAt = state.now;
   request.lastProgressAt = state.now;
   request.target = target.name;
+  beginObservation(state, request);
   updateAttemptAverage(target, state.now);
   target.attempts.add(request.request);
   beginPrefill(target, request);
--- /dev/null
+++ b/packages/core/src/request/held_requests.ts
@@ -0,0 +1,88 @@
+/**
+ * Applies the quarantine to chat completions: refuses those with a quarantined part, and reports what became of others.
+ *
+ * @module
+ */
+import {
+  beginTrial,
+  findHeld,
+  isTrialDue,
+  knownChains,
+  recordCut,
+  recordServed,
+  SOUND_AFTER_MS,
+  untilTrial,
+} from "../quarantine/mod.ts";
+import { type Effects, noEffects } from "../reduce_types.ts";
+import type { State } from "../state/types.ts";
+import type { Outcome } from "../verdict/types.ts";
+import { type Refusal, refuseRequest } from "./finish.ts";
+import type { Request } from "./types.ts";
+
+/** Outcomes that a crash of the engine causes, among other things. */
+const CUT_OUTCOMES: ReadonlySet<Outcome> = new Set([
+  "body_cut_off",
+  "reset_after_send",
+]);
+
+/** Returns whether a request has a quarantined part and is not a trial of it. */
+export function isHeldBack(
+  state: State,
+  { promptParts, isTrial }: Request,
+): boolean {
+  return !isTrial && findHeld(state, promptParts) !== undefined;
+}
+
+/** Refuses a request with a quarantined part. */
+export function* refuseHeld(state: State, request: Request): Effects {
+  const held = findHeld(state, request.promptParts)!;
+  const refusal: Refusal = {
+    code: "prompt_quarantined",
+    message:
+      `Message ${held.record.part} has crashed every engine that served it; send the request without it`,
+    verdict: request.verdict,
+    retryAfterMs: Math.ceil(untilTrial(held, state.now)),
+  };
+  yield* refuseRequest(state, request, { refusal });
+}
+
+/** Lets a request through as the trial of its quarantined part, where one is due. */
+export function* tryHeldPart(state: State, request: Request): Effects {
+  const held = findHeld(state, request.promptParts);
+  if (held === undefined || !isTrialDue(state, held)) return;
+  request.isTrial = true;
+  yield* beginTrial(state, held, { request: request.request });
+}
+
+/** Records what was known of a request's parts when its attempt began. */
+export function beginObservation(state: State, request: Request): void {
+  request.isSound = false;
+  request.chains = knownChains(state.quarantine, request.promptParts);
+}
+
+/** Reports an attempt that was cut off; the next status check shows whether the engine has crashed. */
+export function reportCut(
+  state: State,
+  request: Request,
+  outcome: Outcome,
+): void {
+  const { target, promptParts: parts, chains, isSound } = request;
+  if (target === undefined || isSound || !CUT_OUTCOMES.has(outcome)) return;
+  recordCut(state, { runner: target, request: request.request, parts, chains });
+}
+
+/** Reports tokens that arrived; after some time they show that the prompt is sound. */
+export function reportProgress(state: State, request: Request): Effects {
+  const since = request.firstTokenAt ?? state.now;
+  return state.now - since >= SOUND_AFTER_MS
+    ? reportServed(state, request)
+    : noEffects();
+}
+
+/** Reports a request that was served. */
+export function* reportServed(state: State, request: Request): Effects {
+  if (request.isSound) return;
+  request.isSound = true;
+  const { request: id, promptParts: parts } = request;
+  yield* recordServed(state, { request: id, parts });
+}
--- a/packages/core/src/request/progress.ts
+++ b/packages/core/src/request/progress.ts
@@ -15,6 +15,7 @@
 import { endPrefill, releaseTarget } from "./attempt.ts";
 import { dispatchPool } from "./dispatch.ts";
 import { abandonRequest, finishRequest } from "./finish.ts";
+import { reportProgress, reportServed } from "./held_requests.ts";
 import { failAttempt, RETRY_WINDOW_MS } from "./retry.ts";
 import type { Request } from "./types.ts";
 
@@ -71,6 +72,7 @@
   }
   const target = state.targets.get(request.target ?? "");
   if (target !== undefined) endPrefill(target, request);
+  yield* reportProgress(state, request);
   request.lastTokenAt = state.now;
   request.lastProgressAt = state.now;
   request.deliveredTokens += event.tokens;
@@ -143,6 +145,7 @@
   },
 ): Effects {
   if (target !== undefined) yield* recordSuccess(state, target);
+  yield* reportServed(state, request);
   recordCompletion(state, pool, request);
   releaseTarget(state, request);
   chargeFinalCost(state, pool, request);
--- a/packages/core/src/request/retry.ts
+++ b/packages/core/src/request/retry.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { RefusalCode } from "../effect/types.ts";
+import { findHeld } from "../quarantine/mod.ts";
 import { recordFailure } from "../health/ejection.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { Pool, State } from "../state/types.ts";
@@ -15,6 +16,7 @@
 import { releaseTarget } from "./attempt.ts";
 import { dispatchPool, enqueueRequest } from "./dispatch.ts";
 import { refuseRequest } from "./finish.ts";
+import { reportCut } from "./held_requests.ts";
 import { advance } from "./machine.ts";
 import type { Request } from "./types.ts";
 
@@ -57,6 +59,7 @@
       attempt: request.attempt,
     },
   };
+  reportCut(state, request, outcome);
   if (request.target !== undefined) request.excluded.push(request.target);
   releaseTarget(state, request);
   if (target !== undefined && !NEUTRAL_OUTCOMES.has(outcome)) {
@@ -86,6 +89,7 @@
 
 type NoRetryCause =
   | "committed"
+  | "prompt_quarantined"
   | "not_idempotent"
   | "no_attempts_left"
   | "retry_budget_used"
@@ -98,6 +102,9 @@
 ): NoRetryCause | undefined {
   const policy = state.config?.config.policy;
   if (request.committed) return "committed";
+  if (findHeld(state, request.promptParts) !== undefined) {
+    return "prompt_quarantined";
+  }
   if (!request.idempotent && request.verdict !== "not_run") {
     return "not_idempotent";
   }
@@ -116,6 +123,8 @@
 }
 
 const CAUSE_TEXTS: Readonly<Record<NoRetryCause, string>> = {
+  prompt_quarantined:
+    "a part of its prompt has crashed every engine that served it",
   committed: "part of the response has already reached the caller",
   not_idempotent: "the request is not idempotent",
   no_attempts_left: "no attempts are left",
--- a/packages/core/src/request/types.ts
+++ b/packages/core/src/request/types.ts
@@ -5,6 +5,7 @@
  */
 import type { Arrival } from "../event/types.ts";
 import type { Rank } from "../config/types.ts";
+import type { KnownChains } from "../quarantine/types.ts";
 import type { Verdict } from "../verdict/types.ts";
 
 /** Phase of a request; see {@link requestMachine}. */
@@ -17,7 +18,8 @@
   | "done";
 
 /** A request and its progress. */
-export interface Request extends Omit<Arrival, "deadlineMs"> {
+export interface Request extends Omit<Arrival, "deadlineMs" | "promptParts"> {
+  promptParts: readonly string[];
   phase: RequestPhase;
   arrivedAt: number;
   deadlineAt: number;
@@ -56,6 +58,12 @@
   lastProgressAt: number;
   /** Id of this request's claim record, while it holds the claim. */
   claim: string | undefined;
+  /** True where the request is a trial of a quarantined part of its prompt. */
+  isTrial: boolean;
+  /** True once the attempt has shown that the prompt crashes nothing. */
+  isSound: boolean;
+  /** Chains of crashes under the parts of the prompt that were known when the attempt began. */
+  chains: KnownChains;
   /** Prompt tokens that the engine reported. */
   reportedPromptTokens: number;
   /** Prompt tokens that the engine reported as cached. */
--- a/packages/daemon/src/http/caller_app.ts
+++ b/packages/daemon/src/http/caller_app.ts
@@ -179,6 +179,10 @@
         promptTokens: chat.promptTokens,
         maxOutputTokens,
         prefixes: chat.prefixes,
+        // One owner cannot make another one's prompts suspect.
+        promptParts: chat.promptParts.map((part) =>
+          `${principal.owner}/${part}`
+        ),
         idempotent: true,
         ...(chat.body.adapter !== undefined && { adapter: chat.body.adapter }),
       },
--- a/packages/daemon/src/http/chat_request.ts
+++ b/packages/daemon/src/http/chat_request.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { createHash } from "node:crypto";
 import {
   checkSchema,
   hashPrefixes,
@@ -36,10 +37,14 @@
   promptTokens: number;
   maxOutputTokens: number | undefined;
   prefixes: number[];
+  /** Hashes of the messages but the last one, in order. */
+  promptParts: string[];
 }
 
 /** Average number of characters of a token, for estimates before the engine reports a count. */
 const CHARS_PER_TOKEN = 4;
+/** Length of the id of a part of a prompt, hexadecimal digits. */
+const PART_ID_CHARS = 16;
 
 function parseJson(bytes: Buffer): unknown {
   try {
@@ -58,13 +63,22 @@
     : `body: ${problem.message}`;
 }
 
+type Message = ChatRequest["body"]["messages"][number];
+
+function messageText({ role, content }: Message): string {
+  const text = Array.isArray(content)
+    ? content.map(({ text }) => text ?? "").join("")
+    : content ?? "";
+  return `${role}\n${text}\n`;
+}
+
 function promptText(body: ChatRequest["body"]): string {
-  return body.messages.map(({ role, content }) => {
-    const text = Array.isArray(content)
-      ? content.map(({ text }) => text ?? "").join("")
-      : content ?? "";
-    return `${role}\n${text}\n`;
-  }).join("");
+  return body.messages.map(messageText).join("");
+}
+
+function hashMessage(message: Message): string {
+  return createHash("sha256").update(messageText(message)).digest("hex")
+    .slice(0, PART_ID_CHARS);
 }
 
 /**
@@ -90,6 +104,7 @@
     promptTokens: Math.max(1, Math.ceil(prompt.length / CHARS_PER_TOKEN)),
     maxOutputTokens: body.max_completion_tokens ?? body.max_tokens ?? undefined,
     prefixes: hashPrefixes(prompt),
+    promptParts: body.messages.slice(0, -1).map(hashMessage),
   };
 }
 
