Do not let a stream without a length look complete where it was cut off

Where it could not be resumed, the caller's copy, which has no length either, ended with a plain close at an event boundary, so it looked complete: now its connection is reset. And a stream that ended before its first event, as one whose runner dies does, was passed on as an empty success: now the attempt has failed.

--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -58,6 +58,8 @@
   chunks: Buffer[];
   size: number;
   splitter: EventSplitter;
+  /** True once a whole event has arrived. */
+  hasEvents: boolean;
 }
 
 /** Largest response that is buffered until it is complete, bytes. */
@@ -145,6 +147,7 @@
       return fail(upstream, "broken_frame");
     }
     if (complete === undefined) return;
+    upstream.hasEvents = true;
     if (!isRelaying) writeHead(upstream);
     writeEvents(upstream, complete.bytes);
     const { lastEvent } = complete;
@@ -196,11 +199,21 @@
   }
 
   /**
-   * Returns true if a resumed stream ends only with its connection while the relayed one is framed: it may be cut off,
-   * but the relayed stream would look complete.
+   * Returns true if a stream ends only with its connection and is probably cut off: it has no event, or it was resumed
+   * and the relayed stream, which is framed, would look complete.
    */
-  function isEndAmbiguous({ isStream, headers }: UpstreamResponse): boolean {
-    return isStream && isRelaying && isRelayFramed && !isFramed(headers);
+  function isEndAmbiguous(
+    { isStream, headers, metadata, hasEvents }: UpstreamResponse,
+  ): boolean {
+    const isSuccess = isStream && metadata?.verdict === "ran";
+    if (!isSuccess || isFramed(headers)) return false;
+    return !hasEvents || (isRelaying && isRelayFramed);
+  }
+
+  /** Breaks off the relayed response so that the caller can tell that it is not complete. */
+  function breakOff(): void {
+    if (isRelayFramed) response.destroy();
+    else response.socket?.resetAndDestroy();
   }
 
   function onEnd(upstream: UpstreamResponse): void {
@@ -232,6 +245,7 @@
         chunks: [],
         size: 0,
         splitter: createEventSplitter(),
+        hasEvents: false,
       };
       current = upstream;
       const { runner, remainingMs, team, resumeAfter } = effect;
@@ -279,7 +293,7 @@
     },
     refuse(effect) {
       if (isRelaying) {
-        response.destroy();
+        breakOff();
         return;
       }
       const { code, message, verdict, retryAfterMs } = effect;
