--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -67,6 +67,8 @@
     "warn",
     "runner does not respond to status checks",
   ),
+  runner_limited: event(1214, "warn", "runner names a limit on its requests"),
+  runner_unlimited: event(1215, "info", "runner names no limit any more"),
   cache_gap: event(1209, "info", "gap in cache events"),
   config_in_force: event(1301, "info", "configuration in force"),
   routing_in_force: event(1309, "info", "routing configuration in force"),
--- a/packages/core/src/gateway/event_types.ts
+++ b/packages/core/src/gateway/event_types.ts
@@ -64,6 +64,8 @@
     status: number;
     verdict: Verdict;
     load: { running: number; waiting: number } | undefined;
+    /** Requests a second that the runner takes from all daemons together; undefined where it names no limit. */
+    requestsPerSecond?: number | undefined;
   }
   | {
     kind: "response_progressed";
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -15,6 +15,7 @@
 } from "./held_requests.ts";
 import { recordLoad } from "./occupancy.ts";
 import { failAttempt } from "./retry.ts";
+import { recordLimit } from "./request_limit.ts";
 import { isStream } from "./routes.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 
@@ -50,6 +51,7 @@
   attempt.headersAt = state.now;
   attempt.lastByteAt = state.now;
   stats.lastSeenAt = state.now;
+  if (event.verdict === "ran") yield* recordLimit(stats, event);
   if (event.load !== undefined) {
     stats.load = {
       ...event.load,
--- a/packages/core/src/gateway/runner_stats.ts
+++ b/packages/core/src/gateway/runner_stats.ts
@@ -14,6 +14,7 @@
       inFlight: 0,
       streaming: 0,
       load: undefined,
+      requestsPerSecond: undefined,
       avoidUntil: -Infinity,
       failures: 0,
       lastSeenAt: -Infinity,
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -46,6 +46,8 @@
   /** Streams among them that have begun. */
   streaming: number;
   load: LoadSample | undefined;
+  /** Requests a second that the runner takes from all daemons together; undefined where it names no limit. */
+  requestsPerSecond: number | undefined;
   /** The runner gets no new requests before this time, ms. */
   avoidUntil: number;
   /** Failures since the last successful response. */
--- a/packages/daemon/src/gateway/adapters.ts
+++ b/packages/daemon/src/gateway/adapters.ts
@@ -48,6 +48,8 @@
   /** True if the response belongs to another request, or is a success without the runner's signature. */
   isForeign: boolean;
   load: { running: number; waiting: number } | undefined;
+  /** Requests a second that the runner takes from all daemons together; undefined where it names no limit. */
+  requestsPerSecond: number | undefined;
 }
 
 /** Decodes the headers that the gateway receives and encodes those that it sends. */
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -194,6 +194,7 @@
       status,
       verdict: metadata.verdict,
       load: metadata.load,
+      requestsPerSecond: metadata.requestsPerSecond,
     });
     if (metadata.isForeign) fail(upstream, "foreign_answer");
   }
