--- a/packages/core/src/gateway/test_fixture.ts
+++ b/packages/core/src/gateway/test_fixture.ts
@@ -51,7 +51,7 @@
 /** Creates a gateway under test without configuration and runners; requests leave at once where it can connect. */
 export function createHarness(
   settings: Partial<GatewaySettings> = {},
-  { canConnect = true }: { canConnect?: boolean } = {},
+  { canConnect = true, seed = 1 }: { canConnect?: boolean; seed?: number } = {},
 ): GatewayHarness {
   const state = createState({
     name: "entry-1",
@@ -59,7 +59,7 @@
     site: "suva-a",
     incarnation: "i1",
     balancerLagMs: 0,
-  }, { seed: 1, now: 0, gateway: { ...SETTINGS, ...settings } });
+  }, { seed, now: 0, gateway: { ...SETTINGS, ...settings } });
   const effects: Effect[] = [];
   let now = 0;
   const feed = (event: EventBody) => {
