--- a/packages/core/src/gateway/choose.ts
+++ b/packages/core/src/gateway/choose.ts
@@ -17,6 +17,7 @@
   URGENT_QUEUE_REQUESTS,
 } from "./constants.ts";
 import { occupancyOf } from "./occupancy.ts";
+import { isWithinLimit } from "./request_limit.ts";
 import { candidatesFor } from "./runner_index.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
 import type { Gateway, RoutedRequest, Runner, RunnerStats } from "./types.ts";
@@ -66,6 +67,7 @@
     if (request.triedRunners.has(runner.id)) continue;
     const stats = runnerStatsOf(gateway, runner.id);
     if (stats.avoidUntil > state.now || isSilent(stats, state.now)) continue;
+    if (!isWithinLimit(stats, state.now)) continue;
     const occupancy = occupancyOf(gateway, { runner, stats }, state.now);
     const slots = slotsOf(gateway, runner);
     const usable = usableSlots(slots, request, { canUseReserved });
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -64,6 +64,11 @@
 export const URGENT_QUEUE_REQUESTS = 2;
 /** Slots kept free for more urgent requests, for each step of priority. */
 export const RESERVED_SLOTS = 1;
+/** Rate at which a runner that names a lower limit is still asked, so that the end of the limit is noticed, 1/s. */
+export const MIN_REQUESTS_PER_SECOND = 0.1;
+/** Smallest and largest share of a runner's limit that a daemon takes, as a multiple of an equal one. */
+export const MIN_LIMIT_SHARE_FACTOR = 0.5;
+export const MAX_LIMIT_SHARE_FACTOR = 1.25;
 /** Minimum number of daemons among which the slack of the retry budget is divided. */
 export const MIN_RETRY_DAEMONS = 12;
 /** Interval at which this daemon's share of all requests is measured, ms. */
--- a/packages/core/src/gateway/request_limit_test.ts
+++ b/packages/core/src/gateway/request_limit_test.ts
@@ -206,6 +206,16 @@
   return fleet;
 }
 
+/** Returns the requests a second that a runner got from a time on. */
+function rateOf(
+  { arrivals, now }: LimitedFleet,
+  { runner, from }: { runner: string; from: number },
+): number {
+  const count =
+    arrivals.filter((each) => each.runner === runner && each.at >= from).length;
+  return count / (now() - from) * 1_000;
+}
+
 describe("a runner that names a limit on its requests", () => {
   const fleets = [
     { weights: [1, 1, 1, 1, 1, 1, 1, 1], heads: 20, perSecond: 110 },
@@ -224,4 +234,35 @@
       expect(fleet.worstExcess()).to.be.at.most(0);
     });
   }
+
+  it("is still used up to its limit, and in full once it names none any more", () => {
+    const weights = [3, 2, 2, 1, 1, 1, 1, 1];
+    const fleet = createLimitedFleet({ weights, heads: 10 });
+    const limited = ["head-0", "head-1", "head-2", "head-3"];
+    fleet.run(3_000, { perSecond: 100 });
+    for (const runner of limited) fleet.limits.set(runner, 4);
+    fleet.run(3_000, { perSecond: 100 });
+    const from = fleet.now();
+    fleet.run(10_000, { perSecond: 100 });
+    for (const runner of limited) {
+      expect(rateOf(fleet, { runner, from })).to.be.above(0.5 * 4);
+    }
+    fleet.limits.clear();
+    fleet.run(10_000, { perSecond: 100 });
+    const since = fleet.now();
+    fleet.run(5_000, { perSecond: 100 });
+    for (const runner of limited) {
+      expect(rateOf(fleet, { runner, from: since })).to.be.above(2 * 4);
+    }
+  });
+
+  it("costs callers nothing while other runners have free slots", () => {
+    const fleet = createLimitedFleet({ weights: [1, 1, 1, 1], heads: 20 });
+    fleet.run(3_000, { perSecond: 60 });
+    for (let index = 0; index < 14; index += 1) {
+      fleet.limits.set(`head-${index}`, 1);
+    }
+    fleet.run(10_000, { perSecond: 60 });
+    expect(fleet.refused).to.equal(0);
+  });
 });
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -51,7 +51,10 @@
   attempt.headersAt = state.now;
   attempt.lastByteAt = state.now;
   stats.lastSeenAt = state.now;
-  if (event.verdict === "ran") yield* recordLimit(stats, event);
+  const namesLimit = event.requestsPerSecond !== undefined;
+  if (event.verdict === "ran" || namesLimit) {
+    yield* recordLimit(state, stats, event);
+  }
   if (event.load !== undefined) {
     stats.load = {
       ...event.load,
--- a/packages/core/src/gateway/runner_stats.ts
+++ b/packages/core/src/gateway/runner_stats.ts
@@ -15,6 +15,7 @@
       streaming: 0,
       load: undefined,
       requestsPerSecond: undefined,
+      nextSendAt: -Infinity,
       avoidUntil: -Infinity,
       failures: 0,
       lastSeenAt: -Infinity,
--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -70,7 +70,10 @@
   indexRunner(gateway, runner);
   if (known !== undefined && known.startedUnixMs !== runner.startedUnixMs) {
     const stats = gateway.runnerStats.get(runner.id);
-    if (stats !== undefined) stats.load = undefined;
+    if (stats !== undefined) {
+      stats.load = undefined;
+      stats.requestsPerSecond = undefined;
+    }
   }
   const { membership } = runner;
   const before = known?.membership;
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -10,6 +10,7 @@
 import { runnerStatsOf } from "./runner_stats.ts";
 import { MAX_URGENCY } from "./constants.ts";
 import { quarantineRefusal } from "./held_requests.ts";
+import { countLimitedSend } from "./request_limit.ts";
 import { canRepeat, isStream } from "./routes.ts";
 import { workKey } from "./runner_index.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
@@ -66,6 +67,7 @@
   const runner = gateway.runners.get(id)!;
   const stats = runnerStatsOf(gateway, id);
   stats.inFlight += 1;
+  countLimitedSend(gateway, stats, state.now);
   request.attempts += 1;
   request.countedAttempts += 1;
   request.triedRunners.add(id);
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -48,6 +48,8 @@
   load: LoadSample | undefined;
   /** Requests a second that the runner takes from all daemons together; undefined where it names no limit. */
   requestsPerSecond: number | undefined;
+  /** Time before which a runner with a limit gets no request from this daemon, ms. */
+  nextSendAt: number;
   /** The runner gets no new requests before this time, ms. */
   avoidUntil: number;
   /** Failures since the last successful response. */
