--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import { createGroupPlanner } from "../formation/leadership.ts";
 import { planGroups } from "../formation/plan.ts";
 import { pruneSuspects } from "../quarantine/mod.ts";
+import { passOnLimits } from "../read_sharing/limits.ts";
 import { passOnSuspects } from "../read_sharing/suspects.ts";
 import { createReadSharing, updateSource } from "../read_sharing/upstream.ts";
 import type { Effects } from "../reduce_types.ts";
@@ -80,6 +81,7 @@
   }
   yield* updateSource(state);
   yield* passOnSuspects(state);
+  yield* passOnLimits(state);
   yield* pruneSuspects(state);
   if (state.phase === "serving") yield* planGroups(state);
   else yield* checkStop(state, gateway);
--- a/packages/core/src/gateway/handlers.ts
+++ b/packages/core/src/gateway/handlers.ts
@@ -13,6 +13,7 @@
 import { admitRequest } from "./admit.ts";
 import { closeRequest } from "./finish.ts";
 import { answerPoll, removeFollower } from "../read_sharing/publish.ts";
+import { applyLimits } from "../read_sharing/limits.ts";
 import { applySuspects } from "../read_sharing/suspects.ts";
 import {
   acceptUpstream,
@@ -66,4 +67,5 @@
   follower_polled: answerPoll,
   follower_left: removeFollower,
   suspects_reported: applySuspects,
+  limits_reported: applyLimits,
 };
--- a/packages/core/src/gateway/request_limit.ts
+++ b/packages/core/src/gateway/request_limit.ts
@@ -56,14 +56,25 @@
   stats.nextSendAt = now + intervalOf(gateway, stats.requestsPerSecond);
 }
 
-/** Records the limit that a response names, or that it names none any more. */
-export function* recordLimit(
+/** Records the limit that a response names, or that it names none any more, to be passed on with the next sweep. */
+export function* hearLimit(
   state: State,
   stats: RunnerStats,
   { requestsPerSecond }: { requestsPerSecond?: number | undefined },
+): Effects {
+  if (stats.requestsPerSecond === requestsPerSecond) return;
+  const { limitChanges } = state.gateway!.readSharing;
+  limitChanges.set(stats.runner, requestsPerSecond);
+  yield* recordLimit(state, stats, { requestsPerSecond });
+}
+
+/** Records the limit of a runner, or that it has none any more. */
+export function* recordLimit(
+  state: State,
+  stats: RunnerStats,
+  { requestsPerSecond }: { requestsPerSecond: number | undefined },
 ): Effects {
   const before = stats.requestsPerSecond;
-  if (before === requestsPerSecond) return;
   stats.requestsPerSecond = requestsPerSecond;
   yield {
     kind: "log",
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -15,7 +15,7 @@
 } from "./held_requests.ts";
 import { recordLoad } from "./occupancy.ts";
 import { failAttempt } from "./retry.ts";
-import { recordLimit } from "./request_limit.ts";
+import { hearLimit } from "./request_limit.ts";
 import { isStream } from "./routes.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 
@@ -53,7 +53,7 @@
   stats.lastSeenAt = state.now;
   const namesLimit = event.requestsPerSecond !== undefined;
   if (event.verdict === "ran" || namesLimit) {
-    yield* recordLimit(state, stats, event);
+    yield* hearLimit(state, stats, event);
   }
   if (event.load !== undefined) {
     stats.load = {
--- a/packages/core/src/read_sharing/event_types.ts
+++ b/packages/core/src/read_sharing/event_types.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { DaemonEntry } from "./types.ts";
+import type { DaemonEntry, RunnerLimit } from "./types.ts";
 
 /** Every event of read sharing, without the time at which it happened. */
 export type ReadSharingEvent =
@@ -38,4 +38,6 @@
   }
   | { kind: "follower_left"; follower: string }
   /** Another daemon failed to reach these runners. */
-  | { kind: "suspects_reported"; runners: string[] };
+  | { kind: "suspects_reported"; runners: string[] }
+  /** Another daemon has heard of these limits. */
+  | { kind: "limits_reported"; limits: RunnerLimit[] };
--- a/packages/core/src/read_sharing/suspects.ts
+++ b/packages/core/src/read_sharing/suspects.ts
@@ -18,7 +18,7 @@
   SUSPECT_MS,
 } from "./constants.ts";
 import { publish } from "./publish.ts";
-import type { ReadSharing } from "./types.ts";
+import type { FollowerMessage, ReadSharing } from "./types.ts";
 
 /** Records a runner that this daemon failed to reach, to be passed on with the next sweep. */
 export function recordSuspect({ suspects }: ReadSharing, runner: string): void {
@@ -60,12 +60,16 @@
   if (readSharing.suspects.size === 0) return;
   const runners = [...readSharing.suspects];
   readSharing.suspects.clear();
-  if (readSharing.isReading) {
-    return yield* publish(state, { kind: "suspects", runners });
-  }
+  yield* passOn(state, { kind: "suspects", runners });
+}
+
+/** Sends a message to the followers of this daemon, or to the daemon that it follows. */
+export function* passOn(
+  state: State,
+  message: Extract<FollowerMessage, { kind: "suspects" | "limits" }>,
+): Effects {
+  const { readSharing } = state.gateway!;
+  if (readSharing.isReading) return yield* publish(state, message);
   if (readSharing.upstream?.hasData !== true) return;
-  yield {
-    kind: "send_to_upstream",
-    message: { kind: "suspects", runners },
-  };
+  yield { kind: "send_to_upstream", message };
 }
--- a/packages/core/src/read_sharing/test_fleet.ts
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -81,9 +81,13 @@
     }
     if (effect.kind === "send_to_upstream" && from.upstream !== undefined) {
       const { message } = effect;
-      if (message.kind !== "suspects") return;
-      const { runners } = message;
-      feed(daemon(from.upstream.node), { kind: "suspects_reported", runners });
+      const to = daemon(from.upstream.node);
+      if (message.kind === "suspects") {
+        feed(to, { kind: "suspects_reported", runners: message.runners });
+      }
+      if (message.kind === "limits") {
+        feed(to, { kind: "limits_reported", limits: message.limits });
+      }
     }
     if (effect.kind !== "send_to_followers") return;
     for (const id of effect.followers) {
@@ -122,6 +126,9 @@
     if (message.kind === "suspects") {
       feed(to, { kind: "suspects_reported", runners: message.runners });
     }
+    if (message.kind === "limits") {
+      feed(to, { kind: "limits_reported", limits: message.limits });
+    }
     if (message.kind === "runners") {
       feed(to, {
         kind: "runners_read",
--- a/packages/core/src/read_sharing/types.ts
+++ b/packages/core/src/read_sharing/types.ts
@@ -76,12 +76,21 @@
   followers: Map<string, Follower>;
   /** Runners that this daemon failed to reach, or heard so of, and has not passed on yet. */
   suspects: Set<string>;
+  /** Limits that runners have named or dropped, and that this daemon has not passed on yet, by runner. */
+  limitChanges: Map<string, number | undefined>;
   /** Time until which a runner is avoided since another daemon failed to reach it, ms, by id. */
   suspectedUntil: Map<string, number>;
   /** Runners as they were last sent to the followers, by id. */
   published: Map<string, Runner>;
 }
 
+/** Limit on the requests to a runner as a daemon heard it from the runner. */
+export interface RunnerLimit {
+  runner: string;
+  /** Undefined where the runner names no limit any more. */
+  requestsPerSecond: number | undefined;
+}
+
 /** Message from a daemon to its followers. */
 export type UpstreamMessage =
   | {
@@ -101,6 +110,7 @@
   | { kind: "daemons"; daemons: DaemonEntry[] }
   /** Runners that other daemons failed to reach. */
   | { kind: "suspects"; runners: string[] }
+  | { kind: "limits"; limits: RunnerLimit[] }
   | {
     kind: "poll_answer";
     /** Number of the poll that this answers. */
@@ -124,4 +134,5 @@
     runnersOffset: number;
   }
   /** Runners that the follower failed to reach. */
-  | { kind: "suspects"; runners: string[] };
+  | { kind: "suspects"; runners: string[] }
+  | { kind: "limits"; limits: RunnerLimit[] };
--- a/packages/core/src/read_sharing/upstream.ts
+++ b/packages/core/src/read_sharing/upstream.ts
@@ -50,6 +50,7 @@
     patience,
     followers: new Map(),
     suspects: new Set(),
+    limitChanges: new Map(),
     suspectedUntil: new Map(),
     published: new Map(),
   };
--- a/packages/daemon/src/gateway/follower_listener.ts
+++ b/packages/daemon/src/gateway/follower_listener.ts
@@ -45,6 +45,9 @@
   if (message.kind === "suspects") {
     return { kind: "suspects_reported", runners: message.runners };
   }
+  if (message.kind === "limits") {
+    return { kind: "limits_reported", limits: message.limits };
+  }
   const { poll, runnersOffset } = message;
   return { kind: "follower_polled", follower, poll, runnersOffset };
 }
--- a/packages/daemon/src/gateway/sharing_frames.ts
+++ b/packages/daemon/src/gateway/sharing_frames.ts
@@ -110,6 +110,13 @@
   runners: z.array(z.string()),
 });
 
+const limits = z.object({
+  kind: z.literal("limits"),
+  limits: z.array(
+    z.object({ runner: z.string(), requestsPerSecond: optional(count) }),
+  ),
+});
+
 const upstreamMessage = z.discriminatedUnion("kind", [
   z.object({
     kind: z.literal("snapshot"),
@@ -127,6 +134,7 @@
   }),
   z.object({ kind: z.literal("daemons"), daemons: z.array(daemon) }),
   suspects,
+  limits,
   z.object({
     kind: z.literal("poll_answer"),
     poll: count,
@@ -144,6 +152,7 @@
     runnersOffset: count,
   }),
   suspects,
+  limits,
 ]);
 
 function unpack(data: RawData): unknown {
--- a/packages/daemon/src/gateway/upstream_client.ts
+++ b/packages/daemon/src/gateway/upstream_client.ts
@@ -86,6 +86,7 @@
       daemons: ({ daemons }) => passDaemons(daemons),
       suspects: ({ runners }) =>
         dispatch({ kind: "suspects_reported", runners }),
+      limits: ({ limits }) => dispatch({ kind: "limits_reported", limits }),
       poll_answer({ poll: answered, isReader, routingAgeMs, runnersAgeMs }) {
         const pollSentAt = sentAt.get(answered);
         if (pollSentAt === undefined) return;
