--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -66,6 +66,8 @@
 export const RESERVED_SLOTS = 1;
 /** Rate at which a runner that names a lower limit is still asked, so that the end of the limit is noticed, 1/s. */
 export const MIN_REQUESTS_PER_SECOND = 0.1;
+/** Time for which the limit of a runner whose entry is gone is kept, since the entry may come back, ms. */
+export const LIMIT_MEMORY_MS = 30_000;
 /** Smallest and largest share of a runner's limit that a daemon takes, as a multiple of an equal one. */
 export const MIN_LIMIT_SHARE_FACTOR = 0.5;
 export const MAX_LIMIT_SHARE_FACTOR = 1.25;
--- a/packages/core/src/gateway/finish.ts
+++ b/packages/core/src/gateway/finish.ts
@@ -20,6 +20,7 @@
   stats.inFlight -= 1;
   if (attempt.isStreaming) stats.streaming -= 1;
   const isUnused = stats.inFlight === 0 &&
+    stats.requestsPerSecond === undefined &&
     !gateway.runners.has(attempt.runner);
   if (isUnused) gateway.runnerStats.delete(attempt.runner);
   request.currentAttempt = undefined;
--- a/packages/core/src/gateway/request_limit_test.ts
+++ b/packages/core/src/gateway/request_limit_test.ts
@@ -36,6 +36,8 @@
   run(ms: number, options: { perSecond: number }): void;
   /** Largest number of requests beyond what a limit allows in any window; at most 0 where all limits were kept. */
   worstExcess(): number;
+  /** Removes the entries of runners that go on, or puts them back. */
+  setListed(runners: readonly string[], isListed: boolean): void;
   now(): number;
 }
 
@@ -201,6 +203,18 @@
       for (const end = now + ms; now < end;) step(perSecond);
     },
     worstExcess: () => Math.max(...[...named.keys()].map(excessOf)),
+    setListed(ids, isListed) {
+      for (const index of daemons.keys()) {
+        feed(index, {
+          kind: "runners_read",
+          runners: isListed ? runners.filter(({ id }) => ids.includes(id)) : [],
+          removedIds: isListed ? [] : [...ids],
+          isWhole: false,
+          offset: now,
+          confirmedAt: now,
+        });
+      }
+    },
     now: () => now,
   };
   return fleet;
@@ -235,6 +249,21 @@
     });
   }
 
+  it("gets no more than it either where its entry lapses and comes back", () => {
+    const weights = [1, 1, 1, 1, 1, 1, 1, 1];
+    const fleet = createLimitedFleet({ weights, heads: 10 });
+    const limited = ["head-0", "head-1", "head-2"];
+    for (const runner of limited) fleet.limits.set(runner, 1);
+    fleet.run(6_000, { perSecond: 100 });
+    for (let round = 0; round < 6; round += 1) {
+      fleet.setListed(limited, false);
+      fleet.run(1_500, { perSecond: 100 });
+      fleet.setListed(limited, true);
+      fleet.run(500, { perSecond: 100 });
+    }
+    expect(fleet.worstExcess()).to.be.at.most(0);
+  });
+
   it("is still used up to its limit, and in full once it names none any more", () => {
     const weights = [3, 2, 2, 1, 1, 1, 1, 1];
     const fleet = createLimitedFleet({ weights, heads: 10 });
--- a/packages/core/src/gateway/runner_stats.ts
+++ b/packages/core/src/gateway/runner_stats.ts
@@ -3,8 +3,22 @@
  *
  * @module
  */
+import { LIMIT_MEMORY_MS } from "./constants.ts";
 import type { Gateway, RunnerStats } from "./types.ts";
 
+/** Drops the stats of runners that are gone and have no request left; limits are kept for a while. */
+export function pruneRunnerStats(
+  { runnerStats, runners }: Gateway,
+  now: number,
+): void {
+  for (const [id, stats] of runnerStats) {
+    if (runners.has(id) || stats.inFlight > 0) continue;
+    const isLimited = stats.requestsPerSecond !== undefined &&
+      now - stats.lastSeenAt < LIMIT_MEMORY_MS;
+    if (!isLimited) runnerStats.delete(id);
+  }
+}
+
 /** Returns the stats of a runner, created where there are none yet. */
 export function runnerStatsOf(gateway: Gateway, runner: string): RunnerStats {
   let stats = gateway.runnerStats.get(runner);
--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -8,6 +8,7 @@
 import type { State } from "../state/types.ts";
 import { publishRouting, publishRunners } from "../read_sharing/publish.ts";
 import { confirm, invalidate } from "./freshness.ts";
+import { pruneRunnerStats } from "./runner_stats.ts";
 import { createRoutingTable } from "./routes.ts";
 import { canServe, indexRunner, removeRunner } from "./runner_index.ts";
 import { serveWaiting } from "./send.ts";
@@ -29,6 +30,7 @@
     ? findUnlisted(gateway, runners)
     : event.removedIds;
   for (const id of removedIds) yield* applyRemoval(gateway, id, { isPassedOn });
+  if (removedIds.length > 0) pruneRunnerStats(gateway, state.now);
   for (const runner of runners) {
     if (!gateway.runners.has(runner.id)) gateway.lastRunnerAddedAt = state.now;
     yield* applyEntry(gateway, runner);
@@ -54,8 +56,6 @@
   const known = gateway.runners.get(id);
   if (known === undefined) return;
   removeRunner(gateway, id);
-  const stats = gateway.runnerStats.get(id);
-  if (stats?.inFlight === 0) gateway.runnerStats.delete(id);
   gateway.groupPlanner.healthChecks.delete(id);
   // An upstream does not pass on runners that serve no requests, so their absence says nothing.
   if (isPassedOn && !canServe(known)) return;
