--- a/packages/core/src/gateway/held_requests.ts
+++ b/packages/core/src/gateway/held_requests.ts
@@ -6,12 +6,13 @@
 import {
   beginTrial,
   confirmCrash,
+  describeHold,
   findHeld,
+  isCut,
   isTrialDue,
   recordCut,
   recordServed,
   SOUND_AFTER_MS,
-  untilTrial,
 } from "../quarantine/mod.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
@@ -20,12 +21,6 @@
 import { isStream } from "./routes.ts";
 import type { RoutedRequest } from "./types.ts";
 
-/** Outcomes that a crash of the runner causes, among other things. */
-const CUT_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  "body_cut_off",
-  "reset_after_send",
-]);
-
 /** Returns why a request with a quarantined part is refused; undefined where it may be sent. */
 export function quarantineRefusal(
   state: State,
@@ -34,12 +29,7 @@
   if (isTrial) return undefined;
   const held = findHeld(state, promptParts);
   if (held === undefined) return undefined;
-  return {
-    code: "prompt_quarantined",
-    message:
-      `Part ${held.record.part} of the prompt has crashed every runner that served it; send the request without it`,
-    retryAfterMs: Math.ceil(untilTrial(held, state.now)),
-  };
+  return describeHold(held, state.now);
 }
 
 /** Lets a request through as the trial of its quarantined part, where one is due. */
@@ -58,7 +48,7 @@
 ): Effects {
   const { runner, isSound, chains } = request.currentAttempt!;
   if (outcome === "connect_refused") return yield* confirmCrash(state, runner);
-  if (isSound || !CUT_OUTCOMES.has(outcome)) return;
+  if (isSound || !isCut(outcome)) return;
   const cut = {
     runner,
     request: request.id,
--- a/packages/core/src/quarantine/evidence.ts
+++ b/packages/core/src/quarantine/evidence.ts
@@ -9,6 +9,7 @@
  */
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
+import type { Outcome } from "../verdict/types.ts";
 import {
   CONFIRM_WITHIN_MS,
   MAX_PENDING_CRASHES,
@@ -19,6 +20,17 @@
 import { isHeld, logRecord, setRecord, shareRecords } from "./suspects.ts";
 import type { PartRecord, PendingCrash, Quarantine } from "./types.ts";
 
+/** Outcomes that a crash of the runner causes, among other things. */
+const CUT_OUTCOMES: ReadonlySet<Outcome> = new Set([
+  "body_cut_off",
+  "reset_after_send",
+]);
+
+/** Returns whether an attempt with this outcome may have ended by a crash of its runner. */
+export function isCut(outcome: Outcome): boolean {
+  return CUT_OUTCOMES.has(outcome);
+}
+
 /** Records an attempt whose connection was cut; returns whether its runner is to be checked for it. */
 export function recordCut(
   { quarantine, now }: State,
--- a/packages/core/src/quarantine/hold.ts
+++ b/packages/core/src/quarantine/hold.ts
@@ -47,6 +47,17 @@
   return Math.max(0, heldSince + intervalMs - now);
 }
 
+/** Returns why a request with a quarantined part is refused, and when it is worth another try. */
+export function describeHold(suspect: SuspectPart, now: number) {
+  const { part } = suspect.record;
+  return {
+    code: "prompt_quarantined" as const,
+    message:
+      `Part ${part} of the prompt has crashed every server that answered it; send the request without it`,
+    retryAfterMs: Math.ceil(untilTrial(suspect, now)),
+  };
+}
+
 /** Returns whether this daemon is the one that tries quarantined parts. */
 function isTrier({ gateway, node, peers, now }: State): boolean {
   if (gateway !== undefined) {
--- a/packages/core/src/request/held_requests.ts
+++ b/packages/core/src/request/held_requests.ts
@@ -5,26 +5,21 @@
  */
 import {
   beginTrial,
+  describeHold,
   findHeld,
+  isCut,
   isTrialDue,
   knownChains,
   recordCut,
   recordServed,
   SOUND_AFTER_MS,
-  untilTrial,
 } from "../quarantine/mod.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import type { Outcome } from "../verdict/types.ts";
-import { type Refusal, refuseRequest } from "./finish.ts";
+import { refuseRequest } from "./finish.ts";
 import type { Request } from "./types.ts";
 
-/** Outcomes that a crash of the engine causes, among other things. */
-const CUT_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  "body_cut_off",
-  "reset_after_send",
-]);
-
 /** Returns whether a request has a quarantined part and is not a trial of it. */
 export function isHeldBack(
   state: State,
@@ -36,13 +31,8 @@
 /** Refuses a request with a quarantined part. */
 export function* refuseHeld(state: State, request: Request): Effects {
   const held = findHeld(state, request.promptParts)!;
-  const refusal: Refusal = {
-    code: "prompt_quarantined",
-    message:
-      `Message ${held.record.part} has crashed every engine that served it; send the request without it`,
-    verdict: request.verdict,
-    retryAfterMs: Math.ceil(untilTrial(held, state.now)),
-  };
+  const { verdict } = request;
+  const refusal = { ...describeHold(held, state.now), verdict };
   yield* refuseRequest(state, request, { refusal });
 }
 
@@ -67,7 +57,7 @@
   outcome: Outcome,
 ): void {
   const { target, promptParts: parts, chains, isSound } = request;
-  if (target === undefined || isSound || !CUT_OUTCOMES.has(outcome)) return;
+  if (target === undefined || isSound || !isCut(outcome)) return;
   recordCut(state, { runner: target, request: request.request, parts, chains });
 }
 
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -6,19 +6,19 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Effect, EventBody, Verdict } from "@primroseshed/core";
+import type { Effect, EventBody } from "@primroseshed/core";
 import {
   type Agents,
   type Attempt,
   isFramed,
   startAttempt,
 } from "../backend/transport.ts";
-import { STATUS_BY_CODE } from "../http/errors.ts";
 import type {
   HeaderCodec,
   ResponseHeaders,
   ResponseMetadata,
 } from "./adapters.ts";
+import { statusOfRefusal } from "./refusal_status.ts";
 import { createEventSplitter, type EventSplitter } from "./event_splitter.ts";
 
 type EffectOf<K extends Effect["kind"]> = Extract<Effect, { kind: K }>;
@@ -71,26 +71,6 @@
 const MS_PER_SECOND = 1_000;
 /** Statuses that tell a caller that its request did not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-const UNAVAILABLE_STATUS = 503;
-const GATEWAY_TIMEOUT_STATUS = 504;
-const BAD_GATEWAY_STATUS = 502;
-const FIXED_STATUSES: Readonly<Record<string, number>> = {
-  unknown_route: STATUS_BY_CODE.unknown_route,
-  unknown_key: STATUS_BY_CODE.unknown_key,
-};
-
-/** Returns the status of an error of the daemon itself; it says "not run" only for a request that never ran. */
-function statusOfRefusal(
-  { code, verdict }: { code: string; verdict: Verdict },
-): number {
-  const fixed = FIXED_STATUSES[code];
-  if (fixed !== undefined) return fixed;
-  if (verdict === "not_run") return UNAVAILABLE_STATUS;
-  return code === "deadline_passed"
-    ? GATEWAY_TIMEOUT_STATUS
-    : BAD_GATEWAY_STATUS;
-}
-
 /** Creates the relay of one request. */
 export function createRelay(options: RelayOptions): Relay {
   const { name, id, request, response, body, agents, headerCodec, dispatch } =
