--- a/packages/core/src/quarantine/evidence.ts
+++ b/packages/core/src/quarantine/evidence.ts
@@ -17,7 +17,8 @@
   QUARANTINE_AFTER_CRASHES,
   SERVED_RECENTLY_MS,
 } from "./constants.ts";
-import { isHeld, logRecord, setRecord, shareRecords } from "./suspects.ts";
+import { shareRecords } from "./sharing.ts";
+import { isHeld, logRecord, setRecord } from "./suspects.ts";
 import type { PartRecord, PendingCrash, Quarantine } from "./types.ts";
 
 /** Outcomes that a crash of the runner causes, among other things. */
--- a/packages/core/src/quarantine/hold.ts
+++ b/packages/core/src/quarantine/hold.ts
@@ -11,13 +11,8 @@
   MAX_TRIAL_INTERVAL_MS,
   TRIAL_BACKOFF,
 } from "./constants.ts";
-import {
-  isHeld,
-  logRecord,
-  setRecord,
-  shareRecords,
-  touchSuspect,
-} from "./suspects.ts";
+import { shareRecords } from "./sharing.ts";
+import { isHeld, logRecord, setRecord, touchSuspect } from "./suspects.ts";
 import type { SuspectPart } from "./types.ts";
 
 /** Returns the quarantined part of a prompt, if it has one. */
--- a/packages/core/src/quarantine/mod.ts
+++ b/packages/core/src/quarantine/mod.ts
@@ -6,5 +6,6 @@
 export { SOUND_AFTER_MS } from "./constants.ts";
 export * from "./evidence.ts";
 export * from "./hold.ts";
+export { applyParts } from "./sharing.ts";
 export * from "./suspects.ts";
 export type * from "./types.ts";
--- a/packages/core/src/quarantine/suspects.ts
+++ b/packages/core/src/quarantine/suspects.ts
@@ -16,7 +16,6 @@
 } from "./constants.ts";
 import type {
   KnownChains,
-  PartReading,
   PartRecord,
   Quarantine,
   SuspectPart,
@@ -105,24 +104,6 @@
   return true;
 }
 
-/** Handles records that other daemons have shared. */
-export function* applyParts(
-  state: State,
-  readings: readonly PartReading[],
-): Effects {
-  const { quarantine, now } = state;
-  for (const { record, ageMs } of readings) {
-    const before = quarantine.suspects.get(record.part)?.record;
-    const merged = before === undefined ? record : mergeRecords(before, record);
-    if (!setRecord(quarantine, merged, { now, ageMs })) continue;
-    if (isHeld(before) === isHeld(merged)) continue;
-    yield logRecord(merged, {
-      event: isHeld(merged) ? "part_quarantined" : "part_cleared",
-      cause: "shared",
-    });
-  }
-}
-
 /** Returns the log effect for a change of a part's record. */
 export function logRecord(
   { part, round, crashes, trials }: PartRecord,
@@ -144,22 +125,6 @@
   };
 }
 
-/** Shares records with the other daemons. */
-export function* shareRecords(
-  { gateway, peers }: State,
-  records: readonly PartRecord[],
-): Effects {
-  if (records.length === 0) return;
-  if (gateway !== undefined) return yield { kind: "share_parts", records };
-  for (const peer of peers.keys()) {
-    yield {
-      kind: "peer_send",
-      peer,
-      message: { kind: "parts", records: [...records] },
-    };
-  }
-}
-
 /** Forgets the parts that nothing has concerned for long. */
 export function* pruneSuspects(state: State): Effects {
   const { quarantine, gateway, now } = state;
--- a/packages/core/src/read_sharing/publish.ts
+++ b/packages/core/src/read_sharing/publish.ts
@@ -9,6 +9,7 @@
 import { ageOf } from "../gateway/freshness.ts";
 import { canServe } from "../gateway/runner_index.ts";
 import type { RoutingDocument, Runner } from "../gateway/types.ts";
+import { listReadings } from "../quarantine/readings.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { isStoreReader } from "./reader.ts";
@@ -52,7 +53,7 @@
   return noEffects();
 }
 
-function createSnapshot({ gateway }: State): UpstreamMessage {
+function createSnapshot({ gateway, quarantine, now }: State): UpstreamMessage {
   const { readSharing, routing, runners } = gateway!;
   return {
     kind: "snapshot",
@@ -63,6 +64,7 @@
       ...(readSharing.daemons?.values() ?? []),
       ...(readSharing.self === undefined ? [] : [readSharing.self]),
     ],
+    parts: listReadings(quarantine, now),
   };
 }
 
--- a/packages/core/src/read_sharing/test_fleet.ts
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -34,6 +34,8 @@
   advance(ms: number): void;
   /** Resets the connection of a daemon to its upstream, if it has one. */
   resetUpstream(daemon: SimulatedDaemon): void;
+  /** Carries out an effect of a daemon. */
+  deliver(from: GatewayHarness, effect: Effect): void;
   /** Returns the daemons that read the store. */
   readers(): SimulatedDaemon[];
   daemon(node: string): SimulatedDaemon;
@@ -126,6 +128,12 @@
     if (message.kind === "suspects") {
       feed(to, { kind: "suspects_reported", runners: message.runners });
     }
+    const readings = message.kind === "snapshot"
+      ? message.parts
+      : message.kind === "parts"
+      ? message.readings
+      : [];
+    if (readings.length > 0) feed(to, { kind: "parts_read", readings });
     if (message.kind === "limits") {
       feed(to, { kind: "limits_reported", limits: message.limits });
     }
@@ -220,6 +228,8 @@
       if (node === undefined) return;
       feed(by, { kind: "upstream_lost", node, cause: "reset" });
     },
+    deliver: (from, effect) =>
+      carryOut(daemons.find(({ harness }) => harness === from)!, effect),
     readers: () =>
       daemons.filter(({ isUp, harness }) =>
         isUp && harness.state.gateway!.readSharing.isReading
--- a/packages/core/src/read_sharing/types.ts
+++ b/packages/core/src/read_sharing/types.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { PartReading } from "../quarantine/types.ts";
 import type { RoutingDocument, Runner } from "../gateway/fleet_types.ts";
 
 /** A daemon as it registered itself in the store. */
@@ -99,6 +100,7 @@
     runners: Runner[];
     runnersOffset: number;
     daemons: DaemonEntry[];
+    parts: PartReading[];
   }
   | { kind: "routing"; document: RoutingDocument }
   | {
@@ -108,6 +110,8 @@
     runnersOffset: number;
   }
   | { kind: "daemons"; daemons: DaemonEntry[] }
+  /** Parts of prompts under which runners crashed, or which have proved sound. */
+  | { kind: "parts"; readings: PartReading[] }
   /** Runners that other daemons failed to reach. */
   | { kind: "suspects"; runners: string[] }
   | { kind: "limits"; limits: RunnerLimit[] }
--- a/packages/daemon/src/gateway/part_sharing.ts
+++ b/packages/daemon/src/gateway/part_sharing.ts
@@ -12,12 +12,16 @@
   registry: PartRegistry;
   /** Longest time for which a read waits for a change, ms. */
   waitMs: number;
+  /** True where this daemon reads the store at first. */
+  isEnabled: boolean;
   dispatch(event: EventBody): void;
   log(event: LogEventName, fields?: Record<string, unknown>): void;
 }
 
 /** The shared records of parts of prompts. */
 export interface PartSharing {
+  /** Begins to read the records, or ends it; writes go on. */
+  setEnabled(isEnabled: boolean): void;
   write(records: readonly PartRecord[]): void;
   delete(parts: readonly string[]): void;
   stop(): void;
@@ -34,7 +38,7 @@
 
 /** Starts to share records. */
 export function startPartSharing(
-  { registry, waitMs, dispatch, log }: PartSharingOptions,
+  { registry, waitMs, isEnabled, dispatch, log }: PartSharingOptions,
 ): PartSharing {
   /** The newest record of each part that is to be written; undefined where it is to be deleted. */
   const pending = new Map<string, PartRecord | undefined>();
@@ -51,7 +55,7 @@
       if (readings.length > 0) dispatch({ kind: "parts_read", readings });
     },
     log,
-  });
+  }, { isEnabled });
 
   function enqueue(part: string, record: PartRecord | undefined): void {
     pending.delete(part);
@@ -91,6 +95,7 @@
   }
 
   return {
+    setEnabled: (value) => subscription.setEnabled(value),
     write(records) {
       for (const record of records) enqueue(record.part, record);
       void writePending();
--- a/packages/daemon/src/gateway/sharing_frames.ts
+++ b/packages/daemon/src/gateway/sharing_frames.ts
@@ -105,6 +105,16 @@
   cores: z.number(),
 });
 
+const partReadings = z.array(z.object({
+  record: z.object({
+    part: z.string(),
+    round: count,
+    crashes: count,
+    trials: count,
+  }),
+  ageMs: count,
+}));
+
 const suspects = z.object({
   kind: z.literal("suspects"),
   runners: z.array(z.string()),
@@ -124,6 +134,7 @@
     runners: z.array(runner),
     runnersOffset: count,
     daemons: z.array(daemon),
+    parts: partReadings,
   }),
   z.object({ kind: z.literal("routing"), document: routing }),
   z.object({
@@ -133,6 +144,7 @@
     runnersOffset: count,
   }),
   z.object({ kind: z.literal("daemons"), daemons: z.array(daemon) }),
+  z.object({ kind: z.literal("parts"), readings: partReadings }),
   suspects,
   limits,
   z.object({
--- a/packages/daemon/src/gateway/upstream_client.ts
+++ b/packages/daemon/src/gateway/upstream_client.ts
@@ -7,6 +7,7 @@
   type EventBody,
   type FollowerMessage,
   type LogEventName,
+  type PartReading,
   READ_SHARING_VERSION,
   type UpstreamMessage,
 } from "@primroseshed/core";
@@ -74,16 +75,18 @@
         message: Extract<UpstreamMessage, { kind: K }>,
       ) => void;
     } = {
-      snapshot({ routing, runners, runnersOffset: offset, daemons }) {
+      snapshot({ routing, runners, runnersOffset: offset, daemons, parts }) {
         dispatch({ kind: "upstream_began", node });
         if (routing !== undefined) passRouting(routing);
         passRunners({ runners, removedIds: [], isWhole: true, offset });
         passDaemons(daemons);
+        passParts(parts);
       },
       routing: ({ document }) => passRouting(document),
       runners: ({ runners, removedIds, runnersOffset: offset }) =>
         passRunners({ runners, removedIds, isWhole: false, offset }),
       daemons: ({ daemons }) => passDaemons(daemons),
+      parts: ({ readings }) => passParts(readings),
       suspects: ({ runners }) =>
         dispatch({ kind: "suspects_reported", runners }),
       limits: ({ limits }) => dispatch({ kind: "limits_reported", limits }),
@@ -163,6 +166,10 @@
     });
   }
 
+  function passParts(readings: PartReading[]): void {
+    if (readings.length > 0) dispatch({ kind: "parts_read", readings });
+  }
+
   function unfollow(): void {
     const socket = current;
     current = undefined;
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -170,7 +170,10 @@
       log(event, fields);
       metrics.count(event, fields);
     },
-    read_store: ({ isEnabled }) => storeReads.setEnabled(isEnabled),
+    read_store({ isEnabled }) {
+      storeReads.setEnabled(isEnabled);
+      partSharing.setEnabled(isEnabled);
+    },
     reread_runners: () => storeReads.rereadRunners(),
     follow_daemon: ({ node, address }) => upstream.follow(node, address),
     unfollow_daemon: () => upstream.unfollow(),
@@ -264,6 +267,7 @@
   const partSharing = startPartSharing({
     registry: adapters.partRegistry,
     waitMs: store.partsWaitMs,
+    isEnabled: state.gateway!.readSharing.isReading,
     dispatch,
     log,
   });
