--- a/packages/core/src/gateway/request_limit.ts
+++ b/packages/core/src/gateway/request_limit.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps the requests to a runner in need within the rate that it names, which holds for all daemons together.
+ * Keeps the requests to an overloaded runner within the rate that it names, which holds for all daemons together.
  *
  * Each daemon takes a share of the rate, and spreads its requests evenly in time: unused time is not saved up, since
  * many daemons that had saved up a request each would exceed the limit at once.
--- a/packages/core/src/gateway/request_limit_test.ts
+++ b/packages/core/src/gateway/request_limit_test.ts
@@ -237,7 +237,7 @@
     { weights: Array.from({ length: 60 }, () => 1), heads: 30, perSecond: 250 },
   ];
   for (const { weights, heads, perSecond } of fleets) {
-    // Guards against LIMIT: a back end got far more requests than the limit that it had named.
+    // Guards against a runner that gets far more requests than the limit that it named.
     it(`gets no more than it from ${weights.length} daemons together, with weights ${weights.slice(0, 4)}`, () => {
       const fleet = createLimitedFleet({ weights, heads });
       fleet.run(3_000, { perSecond });
--- a/packages/core/src/quarantine/quarantine_test.ts
+++ b/packages/core/src/quarantine/quarantine_test.ts
@@ -83,7 +83,7 @@
 };
 
 describe("requests that crash every runner that serves them", () => {
-  // Guards against BUDGET: requests with a part under which five runners had crashed went to dozens more.
+  // Guards against requests with a part under which five runners had crashed and that went to dozens more.
   it("stop reaching runners once a part of their prompts is known to crash them, while others are served", () => {
     const fleet = createCrashingFleet({ daemons: 1, heads: 30 });
     fleet.crashingParts.add("bad");
@@ -102,7 +102,7 @@
     { daemons: 60, heads: 60, everyMs: 50, ms: 30_000 },
   ];
   for (const { daemons, heads, everyMs, ms } of fleets) {
-    // Guards against BUDGET where each of many daemons sees only a few of the crashes.
+    // Guards against the same where each of many daemons sees only a few of the crashes.
     it(`are known to all of ${daemons} daemons soon, with one request each ${everyMs} ms`, () => {
       const fleet = createCrashingFleet({ daemons, heads });
       fleet.crashingParts.add("bad");
@@ -181,7 +181,7 @@
 });
 
 describe("sound requests beside crashes", () => {
-  // Guards against LOST: what shares a key, a first part or other parts with requests that crash runners is served on.
+  // Guards against a quarantine that also refuses what shares other parts with the requests that crash runners.
   it("that share all other parts with requests that crash runners are served on, also rare ones", () => {
     const fleet = createCrashingFleet({ daemons: 8, heads: 40 });
     fleet.crashingParts.add("bad");
--- a/packages/core/src/request/prompt_crash_test.ts
+++ b/packages/core/src/request/prompt_crash_test.ts
@@ -201,7 +201,7 @@
 }
 
 describe("chat completions that crash every engine that serves them", () => {
-  // Guards against BUDGET at the product's own interface, whose requests take another path than the gateway's.
+  // Guards against prompts that crash engine after engine at the product's own interface, a path apart from the gateway's.
   it("stop reaching engines after a few crashes, while others are served", () => {
     const daemon = startDaemon();
     daemon.run(1_000);
