--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -118,6 +118,11 @@
     "warn",
     "records of prompt parts could not be written",
   ),
+  store_restored: event(
+    1611,
+    "warn",
+    "store was replaced by an older copy of itself",
+  ),
   peer_refused: event(1603, "warn", "peer refused"),
   peer_frame_dropped: event(1604, "warn", "peer frame dropped"),
   usage_published: event(1701, "info", "usage published"),
--- a/packages/daemon/src/gateway/adapters.ts
+++ b/packages/daemon/src/gateway/adapters.ts
@@ -85,14 +85,24 @@
 
 /** Result of a read from a keyed topic. */
 export type KeyedRead<T> =
-  | { kind: "records"; records: KeyedRecord<T>[]; next: number }
+  | {
+    kind: "records";
+    records: KeyedRecord<T>[];
+    next: number;
+    timeline: number;
+  }
   /** The requested records no longer exist; the whole topic must be read again. */
-  | { kind: "trimmed" };
+  | { kind: "trimmed"; timeline: number };
 
-/** Topic of the store that keeps the newest record of each key. */
+/**
+ * Topic of the store that keeps the newest record of each key. Its timeline counts how often the store was replaced by
+ * an older copy.
+ */
 export interface KeyedTopic<T> {
   /** Reads the newest record of every key and returns the offset to continue from. */
-  readAll(): Promise<{ records: KeyedRecord<T>[]; next: number }>;
+  readAll(): Promise<
+    { records: KeyedRecord<T>[]; next: number; timeline: number }
+  >;
   /** Reads the records from an offset on, waiting up to `waitMs` for the first one. */
   readFrom(offset: number, options: { waitMs: number }): Promise<KeyedRead<T>>;
 }
--- a/packages/daemon/src/gateway/topic_subscription.ts
+++ b/packages/daemon/src/gateway/topic_subscription.ts
@@ -90,6 +90,8 @@
   /** Number of the current pass over the topic; the results of reads of an earlier one are dropped. */
   let pass = 0;
   let next: number | undefined;
+  /** Timeline of the newest read; undefined before the first one. */
+  let timeline: number | undefined;
   let failures = 0;
   let wake: (() => void) | undefined;
 
@@ -101,7 +103,9 @@
       deliver(update);
     };
     if (next === undefined) {
-      const { records, next: offset } = await topic.readAll();
+      const { records, next: offset, timeline: newest } = await topic
+        .readAll();
+      noteTimeline(newest, { end: offset });
       publish({ records, isWhole: true, offset, confirmedAt: sentAt });
       return 0;
     }
@@ -109,6 +113,9 @@
     const allowedMs = failures > 0 || !isConfirmed() ? 0 : waitMs;
     const read = await topic.readFrom(next, { waitMs: allowedMs });
     if (current !== pass) return 0;
+    noteTimeline(read.timeline, {
+      end: read.kind === "records" ? read.next : undefined,
+    });
     if (read.kind === "trimmed") {
       log("log_trimmed", { topic: name, offset: next });
       next = undefined;
@@ -125,6 +132,18 @@
     return waitedMs < allowedMs / 2 ? MIN_PAUSE_MS : 0;
   }
 
+  /** Logs that the store was replaced by an older copy of itself. */
+  function noteTimeline(
+    newest: number,
+    { end }: { end: number | undefined },
+  ): void {
+    if (timeline !== undefined && newest !== timeline) {
+      const from = next;
+      log("store_restored", { topic: name, timeline: newest, from, end });
+    }
+    timeline = newest;
+  }
+
   function deliver(update: TopicUpdate<T>): void {
     for (const { key, problem } of update.records) {
       if (problem !== undefined) {
--- a/packages/daemon/src/gateway/topic_subscription_test.ts
+++ b/packages/daemon/src/gateway/topic_subscription_test.ts
@@ -13,14 +13,18 @@
   const topic: KeyedTopic<string> = {
     readAll() {
       calls.push("all");
-      return Promise.resolve({ records: [{ key: "a", value: "1" }], next: 3 });
+      return Promise.resolve({
+        records: [{ key: "a", value: "1" }],
+        next: 3,
+        timeline: 1,
+      });
     },
     readFrom(offset, { waitMs }) {
       calls.push(`from ${offset}`);
       waits.push(waitMs);
       const read = reads.shift();
       return Promise.resolve(
-        read ?? { kind: "records", records: [], next: offset },
+        read ?? { kind: "records", records: [], next: offset, timeline: 1 },
       );
     },
   };
@@ -54,6 +58,7 @@
       kind: "records",
       records,
       next: 4,
+      timeline: 1,
     }]);
     const updates = await collectUpdates(topic, 50);
     expect(calls.slice(0, 3)).to.deep.equal(["all", "from 3", "from 4"]);
@@ -64,7 +69,7 @@
   });
 
   it("reads the whole topic again when records are gone", async () => {
-    const { topic, calls } = createTopic([{ kind: "trimmed" }]);
+    const { topic, calls } = createTopic([{ kind: "trimmed", timeline: 1 }]);
     await collectUpdates(topic, 50);
     expect(calls.slice(0, 3)).to.deep.equal(["all", "from 3", "all"]);
   });
