--- a/packages/core/src/formation/handover_test.ts
+++ b/packages/core/src/formation/handover_test.ts
@@ -105,7 +105,7 @@
         runners: [...runners.values()],
         removedIds: [],
         isWhole: true,
-        offset: 0,
+        position: { timeline: 1, offset: 0 },
         confirmedAt: harness.state.now,
       });
       handle(planner, harness.advance(ms));
--- a/packages/core/src/formation/test_pool.ts
+++ b/packages/core/src/formation/test_pool.ts
@@ -100,7 +100,7 @@
       runners: [],
       removedIds: [id],
       isWhole: false,
-      offset: 0,
+      position: { timeline: 1, offset: 0 },
       confirmedAt: sentAt,
     });
   }
@@ -116,7 +116,7 @@
       runners: [next],
       removedIds: [],
       isWhole: false,
-      offset: 0,
+      position: { timeline: 1, offset: 0 },
       confirmedAt: sentAt,
     });
   }
--- a/packages/core/src/gateway/effect_types.ts
+++ b/packages/core/src/gateway/effect_types.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { RunnerOrder } from "../formation/types.ts";
+import type { TimelineEffect } from "../store_timeline/effect_types.ts";
 import type { ReadSharingEffect } from "../read_sharing/effect_types.ts";
 import type { CallerLimits } from "./types.ts";
 
@@ -42,4 +43,5 @@
   }
   | { kind: "check_runner"; runner: string; address: string }
   | { kind: "limits_in_force"; limits: CallerLimits }
-  | ReadSharingEffect;
+  | ReadSharingEffect
+  | TimelineEffect;
--- a/packages/core/src/gateway/event_types.ts
+++ b/packages/core/src/gateway/event_types.ts
@@ -8,6 +8,8 @@
   OrderOutcome,
   RunnerReport,
 } from "../formation/types.ts";
+import type { LogPosition } from "../store_timeline/position.ts";
+import type { TimelineEvent } from "../store_timeline/event_types.ts";
 import type { ReadSharingEvent } from "../read_sharing/event_types.ts";
 import type { Outcome, Verdict } from "../verdict/types.ts";
 import type { RoutingDocument, Runner } from "./types.ts";
@@ -27,8 +29,8 @@
     removedIds: string[];
     /** True where `runners` is the complete list, or all that the upstream passes on. */
     isWhole: boolean;
-    /** Offset of the store up to which changes are known. */
-    offset: number;
+    /** Position in the store up to which changes are known. */
+    position: LogPosition;
     /** Undefined where an upstream passed it on. */
     confirmedAt: number | undefined;
   }
@@ -111,4 +113,5 @@
     report: RunnerReport | undefined;
   }
   | { kind: "gateway_stop_ordered" }
-  | ReadSharingEvent;
+  | ReadSharingEvent
+  | TimelineEvent;
--- a/packages/core/src/gateway/fleet_types.ts
+++ b/packages/core/src/gateway/fleet_types.ts
@@ -108,6 +108,8 @@
   state: "ready" | "draining";
   /** Start time of the runner's process, Unix ms. */
   startedUnixMs: number;
+  /** Writes of the process to its entry when this content was first written; undefined where it does not count them. */
+  writeCount?: number | undefined;
   /** Fabric domain; undefined for plain services. */
   domain: string | undefined;
   /** Models whose weights are staged on the runner's host. */
--- a/packages/core/src/gateway/freshness_test.ts
+++ b/packages/core/src/gateway/freshness_test.ts
@@ -123,7 +123,7 @@
       runners: [draining],
       removedIds: [],
       isWhole: false,
-      offset: 0,
+      position: { timeline: 1, offset: 0 },
       confirmedAt: sentAt,
     });
     expect(codeOf(sendRequest(harness, "r1"))).to.equal("no_capacity");
@@ -132,7 +132,7 @@
       runners: [],
       removedIds: ["desk-0"],
       isWhole: false,
-      offset: 0,
+      position: { timeline: 1, offset: 0 },
       confirmedAt: sentAt,
     });
     expect(codeOf(sendRequest(harness, "r2"))).to.equal("no_capacity");
@@ -150,7 +150,7 @@
       ],
       removedIds: [],
       isWhole: false,
-      offset: 0,
+      position: { timeline: 1, offset: 0 },
       confirmedAt: 0,
     });
     expect(effectsOf(sendRequest(harness, "r1"), "send_to_runner")).to.have
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -13,6 +13,8 @@
 import { createReadSharing, updateSource } from "../read_sharing/upstream.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
+import { sweepTimeline } from "../store_timeline/handlers.ts";
+import { createStoreTimeline } from "../store_timeline/timeline.ts";
 import { createAverage } from "../util/ewma.ts";
 import {
   MIN_RETRY_DAEMONS,
@@ -53,6 +55,7 @@
     workShareMeasuredAt: now,
     groupPlanner: createGroupPlanner(now),
     readSharing: createReadSharing(settings.self, { now, patience }),
+    storeTimeline: createStoreTimeline(),
     settings,
     stoppingSince: 0,
   };
@@ -80,6 +83,7 @@
     recordWorkShare(gateway, state.now);
   }
   yield* updateSource(state);
+  yield* sweepTimeline(state);
   yield* passOnSuspects(state);
   yield* passOnLimits(state);
   yield* pruneSuspects(state);
--- a/packages/core/src/gateway/handlers.ts
+++ b/packages/core/src/gateway/handlers.ts
@@ -10,6 +10,7 @@
 import { confirmCrash, dismissCuts } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
+import { applyFloors, applyTimeline } from "../store_timeline/handlers.ts";
 import { admitRequest } from "./admit.ts";
 import { closeRequest } from "./finish.ts";
 import { answerPoll, removeFollower } from "../read_sharing/publish.ts";
@@ -30,12 +31,8 @@
   recordSend,
   startResponse,
 } from "./response.ts";
-import {
-  applyRouting,
-  applyRunners,
-  confirmFreshness,
-  invalidateAll,
-} from "./runners.ts";
+import { applyRouting, confirmFreshness, invalidateAll } from "./routing.ts";
+import { applyRunners } from "./runners.ts";
 
 /** Handlers of the gateway's events by event kind. */
 export const GATEWAY_HANDLERS = {
@@ -68,4 +65,6 @@
   follower_left: removeFollower,
   suspects_reported: applySuspects,
   limits_reported: applyLimits,
+  timeline_seen: applyTimeline,
+  floors_read: applyFloors,
 };
--- a/packages/core/src/gateway/request_limit_test.ts
+++ b/packages/core/src/gateway/request_limit_test.ts
@@ -210,7 +210,7 @@
           runners: isListed ? runners.filter(({ id }) => ids.includes(id)) : [],
           removedIds: isListed ? [] : [...ids],
           isWhole: false,
-          offset: now,
+          position: { timeline: 1, offset: now },
           confirmedAt: now,
         });
       }
--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -1,15 +1,20 @@
 /**
- * Handles reads of the runner list and of the routing configuration.
+ * Handles reads of the runner list.
  *
  * @module
  */
 import type { EventOf } from "../event/types.ts";
-import { type Effects, noEffects } from "../reduce_types.ts";
+import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
-import { publishRouting, publishRunners } from "../read_sharing/publish.ts";
-import { confirm, invalidate } from "./freshness.ts";
+import { publishRunners } from "../read_sharing/publish.ts";
+import { laterOf } from "../store_timeline/position.ts";
+import { confirm } from "./freshness.ts";
+import {
+  hasDeparted,
+  isRewriting,
+  recordDeparture,
+} from "../store_timeline/timeline.ts";
 import { pruneRunnerStats } from "./runner_stats.ts";
-import { createRoutingTable } from "./routes.ts";
 import { canServe, indexRunner, removeRunner } from "./runner_index.ts";
 import { serveWaiting } from "./send.ts";
 import type { Gateway, Runner } from "./types.ts";
@@ -23,17 +28,18 @@
   const { runners, isWhole, confirmedAt } = event;
   const { readSharing } = gateway;
   const isPassedOn = confirmedAt === undefined;
-  readSharing.runnersOffset = Math.max(readSharing.runnersOffset, event.offset);
+  readSharing.runnersPosition = laterOf(
+    readSharing.runnersPosition,
+    event.position,
+  );
   if (!isPassedOn) confirm(gateway.runnersFreshness, confirmedAt);
   if (!isPassedOn && isWhole) readSharing.hasWholeList = true;
-  const removedIds = isWhole
-    ? findUnlisted(gateway, runners)
-    : event.removedIds;
-  for (const id of removedIds) yield* applyRemoval(gateway, id, { isPassedOn });
+  const removedIds = findRemoved(state, event);
+  for (const id of removedIds) yield* applyRemoval(state, id, { isPassedOn });
   if (removedIds.length > 0) pruneRunnerStats(gateway, state.now);
   for (const runner of runners) {
     if (!gateway.runners.has(runner.id)) gateway.lastRunnerAddedAt = state.now;
-    yield* applyEntry(gateway, runner);
+    yield* applyEntry(state, runner);
   }
   if (!isPassedOn) {
     yield* publishRunners(state, { read: runners, removedIds });
@@ -43,18 +49,32 @@
   }
 }
 
+/** Returns the runners that a read shows to be gone. */
+function findRemoved(
+  { gateway, now }: State,
+  { runners, removedIds, isWhole, confirmedAt }: EventOf<"runners_read">,
+): string[] {
+  if (!isWhole) return removedIds;
+  const isFromStore = confirmedAt !== undefined;
+  // A store from an older copy does not list yet those that came after the copy.
+  if (isFromStore && isRewriting(gateway!.storeTimeline, now)) return [];
+  return findUnlisted(gateway!, runners);
+}
+
 function findUnlisted(gateway: Gateway, runners: Runner[]): string[] {
   const listed = new Set(runners.map(({ id }) => id));
   return [...gateway.runners.keys()].filter((id) => !listed.has(id));
 }
 
 function* applyRemoval(
-  gateway: Gateway,
+  { gateway: current, now }: State,
   id: string,
   { isPassedOn }: { isPassedOn: boolean },
 ): Effects {
+  const gateway = current!;
   const known = gateway.runners.get(id);
   if (known === undefined) return;
+  recordDeparture(gateway, known, now);
   removeRunner(gateway, id);
   gateway.groupPlanner.healthChecks.delete(id);
   // An upstream does not pass on runners that serve no requests, so their absence says nothing.
@@ -62,11 +82,44 @@
   yield { kind: "log", event: "runner_gone", fields: { runner: id } };
 }
 
-function* applyEntry(gateway: Gateway, runner: Runner): Effects {
+/** Returns why an entry of a runner is out of date; undefined where it is current. */
+function findOutdated(
+  { gateway, now }: State,
+  runner: Runner,
+): "older_process" | "older_entry" | "departed" | undefined {
+  const known = gateway!.runners.get(runner.id);
+  if (known === undefined) {
+    const isGone = hasDeparted(gateway!.storeTimeline, runner, now);
+    return isGone ? "departed" : undefined;
+  }
+  if (runner.startedUnixMs !== known.startedUnixMs) {
+    return runner.startedUnixMs < known.startedUnixMs
+      ? "older_process"
+      : undefined;
+  }
+  const isOlder = (runner.writeCount ?? 0) < (known.writeCount ?? 0);
+  return isOlder ? "older_entry" : undefined;
+}
+
+function* applyEntry(state: State, runner: Runner): Effects {
+  const gateway = state.gateway!;
   const known = gateway.runners.get(runner.id);
   if (known === runner) return;
-  // A delayed entry of an earlier process does not describe the current one.
-  if (known !== undefined && runner.startedUnixMs < known.startedUnixMs) return;
+  const cause = findOutdated(state, runner);
+  if (cause !== undefined) {
+    yield {
+      kind: "log",
+      event: "runner_entry_ignored",
+      fields: {
+        runner: runner.id,
+        cause,
+        state: runner.state,
+        born: runner.startedUnixMs,
+        writeCount: runner.writeCount,
+      },
+    };
+    return;
+  }
   indexRunner(gateway, runner);
   if (known !== undefined && known.startedUnixMs !== runner.startedUnixMs) {
     const stats = gateway.runnerStats.get(runner.id);
@@ -100,69 +153,3 @@
     },
   };
 }
-
-/** Handles a read of the configuration; a version older than the one in force is ignored. */
-export function* applyRouting(
-  state: State,
-  { document, confirmedAt }: EventOf<"routing_read">,
-): Effects {
-  const gateway = state.gateway!;
-  if (confirmedAt !== undefined) confirmByStore(gateway, confirmedAt);
-  const inForce = gateway.routing?.document.version;
-  if (inForce !== undefined && document.version <= inForce) return;
-  gateway.routing = createRoutingTable(document);
-  yield {
-    kind: "log",
-    event: "routing_in_force",
-    fields: {
-      version: document.version,
-      before: inForce,
-      routes: document.routes.length,
-      ageMs: confirmedAt && Math.round(state.now - confirmedAt),
-    },
-  };
-  yield { kind: "limits_in_force", limits: document.limits };
-  if (confirmedAt !== undefined) yield* publishRouting(state, document);
-}
-
-/** Records that a read of the store confirmed the configuration. */
-function confirmByStore(
-  { routingFreshness, readSharing }: Gateway,
-  confirmedAt: number,
-): void {
-  confirm(routingFreshness, confirmedAt);
-  if (confirmedAt < routingFreshness.invalidBefore) return;
-  readSharing.storeConfirmedAt = Math.max(
-    readSharing.storeConfirmedAt,
-    confirmedAt,
-  );
-}
-
-/** Handles a read that returned no change. */
-export function confirmFreshness(
-  state: State,
-  { topic, confirmedAt }: EventOf<"freshness_confirmed">,
-): Effects {
-  const gateway = state.gateway!;
-  if (topic === "routing") confirmByStore(gateway, confirmedAt);
-  else confirm(gateway.runnersFreshness, confirmedAt);
-  return noEffects();
-}
-
-/** Handles a jump between the clocks: this process may have been suspended, so the age of its data is unknown. */
-export function* invalidateAll(
-  state: State,
-  { driftMs }: EventOf<"clock_jumped">,
-): Effects {
-  const { gateway } = state;
-  if (gateway === undefined) return;
-  invalidate(gateway.routingFreshness, state.now);
-  invalidate(gateway.runnersFreshness, state.now);
-  gateway.groupPlanner.leadership.renewedAt = -Infinity;
-  gateway.readSharing.storeConfirmedAt = -Infinity;
-  yield {
-    kind: "log",
-    event: "clock_jumped",
-    fields: { driftMs: Math.round(driftMs) },
-  };
-}
--- a/packages/core/src/gateway/test_fixture.ts
+++ b/packages/core/src/gateway/test_fixture.ts
@@ -205,7 +205,7 @@
     runners,
     removedIds: [],
     isWhole: true,
-    offset: 0,
+    position: { timeline: 1, offset: 0 },
     confirmedAt: sentAt,
   });
 }
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -6,6 +6,7 @@
 import type { Average } from "../util/ewma.ts";
 import type { GroupPlanner } from "../formation/types.ts";
 import type { KnownChains } from "../quarantine/types.ts";
+import type { StoreTimeline } from "../store_timeline/types.ts";
 import type { DaemonEntry, ReadSharing } from "../read_sharing/types.ts";
 import type {
   Route,
@@ -156,6 +157,7 @@
   workShareMeasuredAt: number;
   groupPlanner: GroupPlanner;
   readSharing: ReadSharing;
+  storeTimeline: StoreTimeline;
   settings: GatewaySettings;
   /** Time at which the stop signal arrived, ms; 0 before. */
   stoppingSince: number;
--- a/packages/core/src/read_sharing/constants.ts
+++ b/packages/core/src/read_sharing/constants.ts
@@ -5,7 +5,7 @@
  */
 
 /** Version of the protocol between daemons that share reads. */
-export const READ_SHARING_VERSION = 2;
+export const READ_SHARING_VERSION = 3;
 /** An upstream that sends nothing for this long is left, ms; followers poll several times in it. */
 export const UPSTREAM_SILENCE_MS = 1_000;
 /** An upstream that does not send its data within this time is left, ms. */
--- a/packages/core/src/read_sharing/event_types.ts
+++ b/packages/core/src/read_sharing/event_types.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { LogPosition } from "../store_timeline/position.ts";
 import type { DaemonEntry, RunnerLimit } from "./types.ts";
 
 /** Every event of read sharing, without the time at which it happened. */
@@ -24,6 +25,8 @@
     sentAt: number;
     /** True while the upstream reads the store, with success, and has passed on its data. */
     isReader: boolean;
+    /** Newest timeline of the store that the upstream knows; undefined where it knows none. */
+    timeline: number | undefined;
     /** Undefined where the upstream cannot confirm its data. */
     routingAgeMs: number | undefined;
     runnersAgeMs: number | undefined;
@@ -33,8 +36,8 @@
     kind: "follower_polled";
     follower: string;
     poll: number;
-    /** Offset of the store up to which the follower knows changes of runners. */
-    runnersOffset: number;
+    /** Position in the store up to which the follower knows changes of runners. */
+    runnersPosition: LogPosition;
   }
   | { kind: "follower_left"; follower: string }
   /** Another daemon failed to reach these runners. */
--- a/packages/core/src/read_sharing/limits_test.ts
+++ b/packages/core/src/read_sharing/limits_test.ts
@@ -13,7 +13,7 @@
 function startFleet(): SimulatedFleet {
   const fleet = createFleet({ a: DAEMONS });
   fleet.store.runners = [createHead(HEAD)];
-  fleet.store.offset = 2;
+  fleet.store.position.offset = 2;
   fleet.advance(3_000);
   return fleet;
 }
--- a/packages/core/src/read_sharing/publish.ts
+++ b/packages/core/src/read_sharing/publish.ts
@@ -12,13 +12,14 @@
 import { listReadings } from "../quarantine/readings.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
+import { isBefore } from "../store_timeline/position.ts";
 import { isStoreReader } from "./reader.ts";
 import type { DaemonEntry, UpstreamMessage } from "./types.ts";
 
 /** Handles a poll of a follower: sends it the data that it lacks, and how old that is. */
 export function* answerPoll(
   state: State,
-  { follower: id, poll, runnersOffset }: EventOf<"follower_polled">,
+  { follower: id, poll, runnersPosition }: EventOf<"follower_polled">,
 ): Effects {
   const gateway = state.gateway!;
   const { readSharing } = gateway;
@@ -29,7 +30,7 @@
   // A follower never goes back to data that is older than its own.
   if (
     isReader && !follower.hasSnapshot &&
-    readSharing.runnersOffset >= runnersOffset
+    !isBefore(readSharing.runnersPosition, runnersPosition)
   ) {
     follower.hasSnapshot = true;
     yield sendTo([id], createSnapshot(state));
@@ -39,6 +40,7 @@
     kind: "poll_answer",
     poll,
     isReader: isReader && follower.hasSnapshot,
+    timeline: gateway.storeTimeline.current,
     routingAgeMs: knownAge(ageOf(gateway.routingFreshness, state.now)),
     runnersAgeMs: knownAge(ageOf(gateway.runnersFreshness, state.now)),
   });
@@ -59,7 +61,7 @@
     kind: "snapshot",
     routing: routing?.document,
     runners: [...runners.values()].filter(canServe),
-    runnersOffset: readSharing.runnersOffset,
+    runnersPosition: readSharing.runnersPosition,
     daemons: [
       ...(readSharing.daemons?.values() ?? []),
       ...(readSharing.self === undefined ? [] : [readSharing.self]),
@@ -99,7 +101,7 @@
   { read, removedIds }: { read: readonly Runner[]; removedIds: string[] },
 ): Effects {
   const { readSharing, runners: known } = state.gateway!;
-  const { published, runnersOffset } = readSharing;
+  const { published, runnersPosition } = readSharing;
   const runners: Runner[] = [];
   const removed = removedIds.filter((id) => published.delete(id));
   for (const { id } of read) {
@@ -115,6 +117,6 @@
     kind: "runners",
     runners,
     removedIds: removed,
-    runnersOffset,
+    runnersPosition,
   });
 }
--- a/packages/core/src/read_sharing/read_sharing_test.ts
+++ b/packages/core/src/read_sharing/read_sharing_test.ts
@@ -60,7 +60,7 @@
     fleet.advance(2_000);
     fleet.store.document = createDocument({ version: 2 });
     fleet.store.runners = [createRunner("desk-1"), createHead("head-0")];
-    fleet.store.offset = 9;
+    fleet.store.position.offset = 9;
     fleet.advance(1_000);
     for (const daemon of fleet.daemons) {
       const { routing, runners } = gatewayOf(daemon);
@@ -194,14 +194,17 @@
     fleet.advance(2_000);
     const [reader] = fleet.readers();
     const follower = fleet.daemons.find((each) => each !== reader)!;
-    follower.harness.state.gateway!.readSharing.runnersOffset = 50;
+    follower.harness.state.gateway!.readSharing.runnersPosition = {
+      timeline: 1,
+      offset: 50,
+    };
     follower.harness.feed({
       kind: "upstream_lost",
       node: reader!.entry.node,
       cause: "closed",
     });
     follower.upstream = undefined;
-    fleet.store.offset = 40;
+    fleet.store.position.offset = 40;
     fleet.store.runners = [createRunner("ghost")];
     follower.isCutFromStore = true;
     fleet.advance(4_000);
@@ -231,7 +234,7 @@
       kind: "follower_polled",
       follower: "x",
       poll: 1,
-      runnersOffset: 0,
+      runnersPosition: { timeline: 1, offset: 0 },
     });
     expect(answers).to.have.length(1);
     expect(answers[0]).to.deep.include({
@@ -239,6 +242,7 @@
         kind: "poll_answer",
         poll: 1,
         isReader: false,
+        timeline: undefined,
         routingAgeMs: undefined,
         runnersAgeMs: undefined,
       },
--- a/packages/core/src/read_sharing/suspects_test.ts
+++ b/packages/core/src/read_sharing/suspects_test.ts
@@ -11,7 +11,7 @@
     { length: HEADS },
     (_, index) => createHead(`head-${index}`),
   );
-  fleet.store.offset = 2;
+  fleet.store.position.offset = 2;
   fleet.advance(3_000);
   return fleet;
 }
--- a/packages/core/src/read_sharing/test_fleet.ts
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -11,6 +11,7 @@
   createRunner,
   type GatewayHarness,
 } from "../gateway/test_fixture.ts";
+import type { LogPosition } from "../store_timeline/position.ts";
 import type { DaemonEntry } from "./types.ts";
 
 /** A simulated daemon. */
@@ -30,7 +31,11 @@
 export interface SimulatedFleet {
   daemons: SimulatedDaemon[];
   /** Configuration and runners that the store holds. */
-  store: { document: RoutingDocument; runners: Runner[]; offset: number };
+  store: {
+    document: RoutingDocument;
+    runners: Runner[];
+    position: LogPosition;
+  };
   advance(ms: number): void;
   /** Resets the connection of a daemon to its upstream, if it has one. */
   resetUpstream(daemon: SimulatedDaemon): void;
@@ -52,7 +57,7 @@
   const store = {
     document: createDocument(),
     runners: [createRunner("desk-0")],
-    offset: 1,
+    position: { timeline: 1, offset: 1 },
   };
   const daemons = Object.entries(zones).flatMap(([zone, count]) =>
     Array.from({ length: count }, (_, index) => createDaemon(zone, index))
@@ -121,7 +126,7 @@
         runners: message.runners,
         removedIds: [],
         isWhole: true,
-        offset: message.runnersOffset,
+        position: message.runnersPosition,
         confirmedAt: undefined,
       });
     }
@@ -143,7 +148,7 @@
         runners: message.runners,
         removedIds: message.removedIds,
         isWhole: false,
-        offset: message.runnersOffset,
+        position: message.runnersPosition,
         confirmedAt: undefined,
       });
     }
@@ -162,13 +167,13 @@
   function readStore(by: SimulatedDaemon): void {
     by.reads += 1;
     if (by.isCutFromStore || now >= by.silentSince) return;
-    const { document, runners, offset } = store;
+    const { document, runners, position } = store;
     feed(by, {
       kind: "runners_read",
       runners,
       removedIds: [],
       isWhole: true,
-      offset,
+      position,
       confirmedAt: now,
     });
     feed(by, { kind: "routing_read", document, confirmedAt: now });
@@ -191,7 +196,7 @@
       kind: "follower_polled",
       follower: entry.node,
       poll: now,
-      runnersOffset: by.harness.state.gateway!.readSharing.runnersOffset,
+      runnersPosition: by.harness.state.gateway!.readSharing.runnersPosition,
     });
   }
 
--- a/packages/core/src/read_sharing/types.ts
+++ b/packages/core/src/read_sharing/types.ts
@@ -5,6 +5,7 @@
  */
 import type { PartReading } from "../quarantine/types.ts";
 import type { RoutingDocument, Runner } from "../gateway/fleet_types.ts";
+import type { LogPosition } from "../store_timeline/position.ts";
 
 /** A daemon as it registered itself in the store. */
 export interface DaemonEntry {
@@ -68,8 +69,8 @@
   storeConfirmedAt: number;
   /** True while the list of runners is complete, not only those that serve requests. */
   hasWholeList: boolean;
-  /** Offset of the store up to which changes of runners are known. */
-  runnersOffset: number;
+  /** Position in the store up to which changes of runners are known. */
+  runnersPosition: LogPosition;
   upstream: Upstream | undefined;
   avoided: Map<string, Avoidance>;
   /** Share of {@link FALLBACK_JITTER_MS} that this daemon waits longer than others before it reads the store, 0 to 1. */
@@ -98,7 +99,7 @@
     kind: "snapshot";
     routing: RoutingDocument | undefined;
     runners: Runner[];
-    runnersOffset: number;
+    runnersPosition: LogPosition;
     daemons: DaemonEntry[];
     parts: PartReading[];
   }
@@ -107,7 +108,7 @@
     kind: "runners";
     runners: Runner[];
     removedIds: string[];
-    runnersOffset: number;
+    runnersPosition: LogPosition;
   }
   | { kind: "daemons"; daemons: DaemonEntry[] }
   /** Parts of prompts under which runners crashed, or which have proved sound. */
@@ -121,6 +122,8 @@
     poll: number;
     /** True while the daemon reads the store itself, with success. */
     isReader: boolean;
+    /** Newest timeline of the store that the daemon knows; undefined where it knows none. */
+    timeline: number | undefined;
     /** Time since the configuration was confirmed as current, ms; undefined where it is not. */
     routingAgeMs: number | undefined;
     /** Time since the list of runners was confirmed as current, ms; undefined where it is not. */
@@ -134,8 +137,8 @@
     /** Version of the protocol. */
     version: number;
     poll: number;
-    /** Offset of the store up to which the follower knows changes of runners; older data is of no use to it. */
-    runnersOffset: number;
+    /** Position in the store up to which the follower knows changes of runners; older data is of no use to it. */
+    runnersPosition: LogPosition;
   }
   /** Runners that the follower failed to reach. */
   | { kind: "suspects"; runners: string[] }
--- a/packages/core/src/read_sharing/upstream.ts
+++ b/packages/core/src/read_sharing/upstream.ts
@@ -13,6 +13,9 @@
 import { ageOf, confirm } from "../gateway/freshness.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
+import { applyTimeline } from "../store_timeline/handlers.ts";
+import { LOG_START } from "../store_timeline/position.ts";
+import { isRewriting } from "../store_timeline/timeline.ts";
 import {
   AVOID_UPSTREAM_MS,
   FALLBACK_JITTER_MS,
@@ -44,7 +47,7 @@
     readingSince: now,
     storeConfirmedAt: -Infinity,
     hasWholeList: false,
-    runnersOffset: 0,
+    runnersPosition: LOG_START,
     upstream: undefined,
     avoided: new Map(),
     patience,
@@ -61,9 +64,10 @@
   state: State,
   { daemons, isWhole, isPassedOn }: EventOf<"daemons_read">,
 ): Effects {
-  const { readSharing } = state.gateway!;
+  const { readSharing, storeTimeline } = state.gateway!;
   const { self } = readSharing;
-  const known = isWhole || readSharing.daemons === undefined
+  const isComplete = isWhole && !isRewriting(storeTimeline, state.now);
+  const known = isComplete || readSharing.daemons === undefined
     ? new Map<string, DaemonEntry>()
     : readSharing.daemons;
   for (const daemon of daemons) {
@@ -91,6 +95,8 @@
   const upstream = followed(readSharing, event.node);
   if (upstream === undefined) return;
   upstream.heardAt = state.now;
+  const { timeline } = event;
+  if (timeline !== undefined) yield* applyTimeline(state, { timeline });
   if (!event.isReader) {
     const hasWaited = state.now - upstream.since > NOT_READING_MS;
     if (upstream.hasData || hasWaited) {
--- a/packages/daemon/src/gateway/adapters.ts
+++ b/packages/daemon/src/gateway/adapters.ts
@@ -9,6 +9,7 @@
 import type {
   DaemonEntry,
   HealthStatus,
+  LogPosition,
   OrderOutcome,
   PartReading,
   PartRecord,
@@ -16,6 +17,7 @@
   Runner,
   RunnerOrder,
   RunnerReport,
+  TimelineFloor,
   Verdict,
 } from "@primroseshed/core";
 
@@ -88,23 +90,22 @@
   | {
     kind: "records";
     records: KeyedRecord<T>[];
-    next: number;
-    timeline: number;
+    next: LogPosition;
   }
   /** The requested records no longer exist; the whole topic must be read again. */
-  | { kind: "trimmed"; timeline: number };
+  | { kind: "trimmed" }
+  /** The store was replaced by an older copy, so that the position names nothing; the whole topic must be read again. */
+  | { kind: "restored"; timeline: number };
 
-/**
- * Topic of the store that keeps the newest record of each key. Its timeline counts how often the store was replaced by
- * an older copy.
- */
+/** Topic of the store that keeps the newest record of each key. */
 export interface KeyedTopic<T> {
-  /** Reads the newest record of every key and returns the offset to continue from. */
-  readAll(): Promise<
-    { records: KeyedRecord<T>[]; next: number; timeline: number }
-  >;
-  /** Reads the records from an offset on, waiting up to `waitMs` for the first one. */
-  readFrom(offset: number, options: { waitMs: number }): Promise<KeyedRead<T>>;
+  /** Reads the newest record of every key and returns the position to continue from. */
+  readAll(): Promise<{ records: KeyedRecord<T>[]; next: LogPosition }>;
+  /** Reads the records from a position on, waiting up to `waitMs` for the first one. */
+  readFrom(
+    position: LogPosition,
+    options: { waitMs: number },
+  ): Promise<KeyedRead<T>>;
 }
 
 /** Registrations of the daemons in the store, by which they find each other. */
@@ -121,6 +122,13 @@
   delete(parts: readonly string[]): Promise<void>;
 }
 
+/** Floors of the store's timelines, kept in the store by the daemons that read it. */
+export interface FloorRegistry {
+  floors: KeyedTopic<TimelineFloor>;
+  /** Writes the floor that a daemon knows, in place of its earlier one. */
+  write(node: string, floor: TimelineFloor): Promise<void>;
+}
+
 /** Leader election of the group planner, backed by the store. */
 export interface LeaderElection {
   /** Acquires or extends the leadership; resolves to true if this member is the leader. */
@@ -157,6 +165,7 @@
   runners: KeyedTopic<Runner>;
   daemonRegistry: DaemonRegistry;
   partRegistry: PartRegistry;
+  floorRegistry: FloorRegistry;
   leaderElection: LeaderElection;
   runnerControl: RunnerControl;
 }
--- a/packages/daemon/src/gateway/follower_listener.ts
+++ b/packages/daemon/src/gateway/follower_listener.ts
@@ -48,8 +48,8 @@
   if (message.kind === "limits") {
     return { kind: "limits_reported", limits: message.limits };
   }
-  const { poll, runnersOffset } = message;
-  return { kind: "follower_polled", follower, poll, runnersOffset };
+  const { poll, runnersPosition } = message;
+  return { kind: "follower_polled", follower, poll, runnersPosition };
 }
 
 /** Starts the listener. */
--- a/packages/daemon/src/gateway/part_sharing.ts
+++ b/packages/daemon/src/gateway/part_sharing.ts
@@ -24,6 +24,8 @@
   setEnabled(isEnabled: boolean): void;
   write(records: readonly PartRecord[]): void;
   delete(parts: readonly string[]): void;
+  /** Reads again what was read in another timeline of the store. */
+  catchUp(timeline: number): void;
   stop(): void;
 }
 
@@ -104,6 +106,7 @@
       for (const part of parts) enqueue(part, undefined);
       void writePending();
     },
+    catchUp: (timeline) => subscription.catchUp(timeline),
     stop() {
       isStopped = true;
       subscription.stop();
--- a/packages/daemon/src/gateway/sharing_frames.ts
+++ b/packages/daemon/src/gateway/sharing_frames.ts
@@ -21,6 +21,8 @@
 const optional = <T extends z.ZodType>(type: T) =>
   type.nullish().transform((value) => value ?? undefined);
 
+const position = z.object({ timeline: count, offset: count });
+
 const route = z.object({
   name: z.string(),
   host: z.string(),
@@ -91,6 +93,7 @@
   slots: z.number(),
   state: z.enum(["ready", "draining"]),
   startedUnixMs: z.number(),
+  writeCount: optional(count),
   domain: optional(z.string()),
   staged: z.array(z.string()),
   model: optional(z.string()),
@@ -132,7 +135,7 @@
     kind: z.literal("snapshot"),
     routing: optional(routing),
     runners: z.array(runner),
-    runnersOffset: count,
+    runnersPosition: position,
     daemons: z.array(daemon),
     parts: partReadings,
   }),
@@ -141,7 +144,7 @@
     kind: z.literal("runners"),
     runners: z.array(runner),
     removedIds: z.array(z.string()),
-    runnersOffset: count,
+    runnersPosition: position,
   }),
   z.object({ kind: z.literal("daemons"), daemons: z.array(daemon) }),
   z.object({ kind: z.literal("parts"), readings: partReadings }),
@@ -151,6 +154,7 @@
     kind: z.literal("poll_answer"),
     poll: count,
     isReader: z.boolean(),
+    timeline: optional(count),
     routingAgeMs: optional(count),
     runnersAgeMs: optional(count),
   }),
@@ -161,7 +165,7 @@
     kind: z.literal("poll"),
     version: z.literal(READ_SHARING_VERSION),
     poll: count,
-    runnersOffset: count,
+    runnersPosition: position,
   }),
   suspects,
   limits,
--- a/packages/daemon/src/gateway/store_reads.ts
+++ b/packages/daemon/src/gateway/store_reads.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import {
   batchDelayOf,
   type DaemonEntry,
@@ -12,6 +13,7 @@
   type RoutingDocument,
   type Runner,
   type State,
+  type TimelineFloor,
 } from "@primroseshed/core";
 import { monotonicNow } from "../driver/driver.ts";
 import type { Adapters } from "./adapters.ts";
@@ -33,16 +35,22 @@
   setEnabled(isEnabled: boolean): void;
   /** Reads all runners again. */
   rereadRunners(): void;
+  /** Reads again whatever was read in another timeline of the store. */
+  catchUp(timeline: number): void;
+  /** Registers this daemon once more. */
+  register(): void;
+  /** Records a floor of the store's timeline, in place of the one before. */
+  recordFloor(floor: TimelineFloor): void;
   stop(): void;
 }
 
 /** Interval at which a daemon registers again, ms; registrations expire after a few intervals. */
 const REGISTER_INTERVAL_MS = 3_600_000;
-/** Pause after a failed registration, ms. */
-const REGISTER_RETRY_MS = 1_000;
+/** Pause after a failed write, ms. */
+const RETRY_MS = 1_000;
 
 function runnersEvent(update: TopicUpdate<Runner>): EventBody {
-  const { records, isWhole, offset, confirmedAt } = update;
+  const { records, isWhole, position, confirmedAt } = update;
   const newest = new Map(records.map(({ key, value }) => [key, value]));
   const runners = [...newest.values()].filter((each) => each !== undefined);
   const removedIds = [...newest].filter(([, value]) => value === undefined)
@@ -52,7 +60,7 @@
     runners,
     removedIds,
     isWhole,
-    offset,
+    position,
     confirmedAt,
   };
 }
@@ -76,6 +84,13 @@
   return { kind: "daemons_read", daemons, isWhole, isPassedOn: false };
 }
 
+function floorsEvent({ records }: TopicUpdate<TimelineFloor>): EventBody {
+  return {
+    kind: "floors_read",
+    floors: records.flatMap(({ value }) => value ?? []),
+  };
+}
+
 /** Starts the reads of the store, as far as this daemon is to read it. */
 export function startStoreReads(
   { adapters, settings, state, dispatch, log }: StoreReadsOptions,
@@ -84,13 +99,22 @@
     state.gateway!;
   const { self } = readSharing;
   const { isReading: isEnabled } = readSharing;
+  const { firstStart } = state.gateway!.settings;
+
+  function deliver({ position }: TopicUpdate<unknown>, event: EventBody) {
+    const { timeline } = position;
+    if (timeline !== state.gateway!.storeTimeline.current) {
+      dispatch({ kind: "timeline_seen", timeline });
+    }
+    dispatch(event);
+  }
   const routing = subscribeToTopic({
     name: "routing",
     topic: adapters.routing,
     waitMs: settings.routingWaitMs,
     isConfirmed: () => routingFreshness.confirmedAt !== undefined,
     batchDelayMs: () => 0,
-    onUpdate: (update) => dispatch(routingEvent(update)),
+    onUpdate: (update) => deliver(update, routingEvent(update)),
     log,
   }, { isEnabled });
   const runners = subscribeToTopic({
@@ -103,7 +127,7 @@
         runners: state.gateway!.runners.size,
         isPlanner: isLeader(groupPlanner.leadership, monotonicNow()),
       }),
-    onUpdate: (update) => dispatch(runnersEvent(update)),
+    onUpdate: (update) => deliver(update, runnersEvent(update)),
     log,
   }, { isEnabled });
   const daemons = subscribeToTopic({
@@ -113,22 +137,61 @@
     isConfirmed: () => true,
     batchDelayMs: () => settings.daemonsGatherMs,
     onUpdate(update) {
-      dispatch(daemonsEvent(update));
+      deliver(update, daemonsEvent(update));
       // Read once by every daemon, then only by those that read the store.
       daemons.setEnabled(readSharing.isReading);
     },
     log,
   }, { isEnabled: self !== undefined });
+  const floors = subscribeToTopic({
+    name: "timeline_floors",
+    topic: adapters.floorRegistry.floors,
+    waitMs: settings.routingWaitMs,
+    isConfirmed: () => true,
+    batchDelayMs: () => 0,
+    onUpdate(update) {
+      deliver(update, floorsEvent(update));
+      if (!needsFloors()) floors.setEnabled(false);
+    },
+    log,
+  }, { isEnabled: isEnabled && needsFloors() });
+  const topics = [routing, runners, daemons, floors];
   let registerTimer: NodeJS.Timeout | undefined;
+  let floorToRecord: TimelineFloor | undefined;
+  let isStopped = false;
+
+  /** Returns whether a floor decides what this daemon begins with. */
+  function needsFloors(): boolean {
+    return !firstStart && state.gateway!.routing === undefined;
+  }
+
+  async function recordFloor(floor: TimelineFloor): Promise<void> {
+    floorToRecord = floor;
+    while (floorToRecord === floor && !isStopped) {
+      try {
+        await adapters.floorRegistry.write(state.node.name, floor);
+        return;
+      } catch (error) {
+        log("floor_unrecorded", {
+          ...floor,
+          cause: (error as Error).message,
+        });
+        await sleep(RETRY_MS);
+      }
+    }
+  }
 
   async function register(entry: DaemonEntry): Promise<void> {
+    clearTimeout(registerTimer);
     let pauseMs = REGISTER_INTERVAL_MS;
     try {
       await adapters.daemonRegistry.register(entry);
     } catch (error) {
       log("daemon_unregistered", { cause: (error as Error).message });
-      pauseMs = REGISTER_RETRY_MS;
+      pauseMs = RETRY_MS;
     }
+    clearTimeout(registerTimer);
+    if (isStopped) return;
     registerTimer = setTimeout(() => void register(entry), pauseMs);
   }
   if (self !== undefined) void register(self);
@@ -137,12 +200,21 @@
     setEnabled(value) {
       routing.setEnabled(value);
       runners.setEnabled(value);
+      floors.setEnabled(value && needsFloors());
       if (readSharing.daemons !== undefined) daemons.setEnabled(value);
     },
     rereadRunners: () => runners.reread(),
+    catchUp(timeline) {
+      for (const each of topics) each.catchUp(timeline);
+    },
+    register() {
+      if (self !== undefined) void register(self);
+    },
+    recordFloor: (floor) => void recordFloor(floor),
     stop() {
+      isStopped = true;
       clearTimeout(registerTimer);
-      for (const each of [routing, runners, daemons]) each.stop();
+      for (const each of topics) each.stop();
     },
   };
 }
--- a/packages/daemon/src/gateway/topic_subscription.ts
+++ b/packages/daemon/src/gateway/topic_subscription.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import type { LogEventName } from "@primroseshed/core";
+import type { LogEventName, LogPosition } from "@primroseshed/core";
 import { monotonicNow } from "../driver/driver.ts";
 import type { KeyedRecord, KeyedTopic } from "./adapters.ts";
 
@@ -15,8 +15,8 @@
   records: KeyedRecord<T>[];
   /** True if `records` holds every key of the topic. */
   isWhole: boolean;
-  /** Offset after the newest of these records. */
-  offset: number;
+  /** Position after the newest of these records. */
+  position: LogPosition;
   /** The topic held no newer records than these up to this time, monotonic ms. */
   confirmedAt: number;
 }
@@ -75,6 +75,8 @@
   setEnabled(isEnabled: boolean): void;
   /** Reads all records again. */
   reread(): void;
+  /** Reads all records again, unless those known are of this timeline of the store. */
+  catchUp(timeline: number): void;
   /** Ends the subscription. */
   stop(): void;
 }
@@ -89,9 +91,7 @@
   let isEnabled = isEnabledAtFirst;
   /** Number of the current pass over the topic; the results of reads of an earlier one are dropped. */
   let pass = 0;
-  let next: number | undefined;
-  /** Timeline of the newest read; undefined before the first one. */
-  let timeline: number | undefined;
+  let next: LogPosition | undefined;
   let failures = 0;
   let wake: (() => void) | undefined;
 
@@ -99,51 +99,43 @@
     const sentAt = monotonicNow();
     const publish = (update: TopicUpdate<T>) => {
       if (current !== pass) return;
-      next = update.offset;
+      next = update.position;
       deliver(update);
     };
     if (next === undefined) {
-      const { records, next: offset, timeline: newest } = await topic
-        .readAll();
-      noteTimeline(newest, { end: offset });
-      publish({ records, isWhole: true, offset, confirmedAt: sentAt });
+      const { records, next: position } = await topic.readAll();
+      publish({ records, isWhole: true, position, confirmedAt: sentAt });
       return 0;
     }
     // After a failure or a suspension the last confirmation is old; a read that does not wait renews it at once.
     const allowedMs = failures > 0 || !isConfirmed() ? 0 : waitMs;
     const read = await topic.readFrom(next, { waitMs: allowedMs });
     if (current !== pass) return 0;
-    noteTimeline(read.timeline, {
-      end: read.kind === "records" ? read.next : undefined,
-    });
-    if (read.kind === "trimmed") {
-      log("log_trimmed", { topic: name, offset: next });
+    if (read.kind !== "records") {
+      const { timeline, offset } = next;
+      if (read.kind === "trimmed") log("log_trimmed", { topic: name, offset });
+      else {
+        log("store_restored", {
+          topic: name,
+          timeline: read.timeline,
+          before: timeline,
+          offset,
+        });
+      }
       next = undefined;
       return 0;
     }
-    const { records, next: offset } = read;
+    const { records, next: position } = read;
     const waitedMs = monotonicNow() - sentAt;
     const confirmedAt = records.length > 0
       ? sentAt
       : confirmedAtOf({ sentAt, waitedMs, allowedMs });
-    publish({ records, isWhole: false, offset, confirmedAt });
+    publish({ records, isWhole: false, position, confirmedAt });
     if (records.length > 0) return batchDelayMs();
     // Prevents a tight loop if the store does not wait.
     return waitedMs < allowedMs / 2 ? MIN_PAUSE_MS : 0;
   }
 
-  /** Logs that the store was replaced by an older copy of itself. */
-  function noteTimeline(
-    newest: number,
-    { end }: { end: number | undefined },
-  ): void {
-    if (timeline !== undefined && newest !== timeline) {
-      const from = next;
-      log("store_restored", { topic: name, timeline: newest, from, end });
-    }
-    timeline = newest;
-  }
-
   function deliver(update: TopicUpdate<T>): void {
     for (const { key, problem } of update.records) {
       if (problem !== undefined) {
@@ -184,7 +176,6 @@
   function restart(): void {
     pass += 1;
     next = undefined;
-    failures = 0;
     wake?.();
     if (isEnabled && !isStopped) void run(pass);
   }
@@ -194,9 +185,13 @@
     setEnabled(value) {
       if (value === isEnabled) return;
       isEnabled = value;
+      failures = 0;
       restart();
     },
     reread: () => isEnabled && restart(),
+    catchUp(timeline) {
+      if (isEnabled && next?.timeline !== timeline) restart();
+    },
     stop() {
       isStopped = true;
       restart();
--- a/packages/daemon/src/gateway/topic_subscription_test.ts
+++ b/packages/daemon/src/gateway/topic_subscription_test.ts
@@ -6,6 +6,8 @@
   type TopicUpdate,
 } from "./topic_subscription.ts";
 
+const at = (offset: number, timeline = 1) => ({ timeline, offset });
+
 /** Creates a topic whose reads return the given results in order, then no records. */
 function createTopic(reads: KeyedRead<string>[]) {
   const calls: string[] = [];
@@ -15,16 +17,15 @@
       calls.push("all");
       return Promise.resolve({
         records: [{ key: "a", value: "1" }],
-        next: 3,
-        timeline: 1,
+        next: at(3),
       });
     },
-    readFrom(offset, { waitMs }) {
-      calls.push(`from ${offset}`);
+    readFrom(position, { waitMs }) {
+      calls.push(`from ${position.offset}`);
       waits.push(waitMs);
       const read = reads.shift();
       return Promise.resolve(
-        read ?? { kind: "records", records: [], next: offset, timeline: 1 },
+        read ?? { kind: "records", records: [], next: position },
       );
     },
   };
@@ -57,8 +58,7 @@
     const { topic, calls } = createTopic([{
       kind: "records",
       records,
-      next: 4,
-      timeline: 1,
+      next: at(4),
     }]);
     const updates = await collectUpdates(topic, 50);
     expect(calls.slice(0, 3)).to.deep.equal(["all", "from 3", "from 4"]);
@@ -69,7 +69,13 @@
   });
 
   it("reads the whole topic again when records are gone", async () => {
-    const { topic, calls } = createTopic([{ kind: "trimmed", timeline: 1 }]);
+    const { topic, calls } = createTopic([{ kind: "trimmed" }]);
+    await collectUpdates(topic, 50);
+    expect(calls.slice(0, 3)).to.deep.equal(["all", "from 3", "all"]);
+  });
+
+  it("reads the whole topic again when the store was restored from a copy", async () => {
+    const { topic, calls } = createTopic([{ kind: "restored", timeline: 2 }]);
     await collectUpdates(topic, 50);
     expect(calls.slice(0, 3)).to.deep.equal(["all", "from 3", "all"]);
   });
--- a/packages/daemon/src/gateway/upstream_client.ts
+++ b/packages/daemon/src/gateway/upstream_client.ts
@@ -7,6 +7,7 @@
   type EventBody,
   type FollowerMessage,
   type LogEventName,
+  type LogPosition,
   type PartReading,
   READ_SHARING_VERSION,
   type UpstreamMessage,
@@ -23,8 +24,8 @@
 export interface UpstreamClientOptions {
   /** Time within which a connection must be made, ms. */
   connectTimeoutMs: number;
-  /** Returns the offset of the store up to which changes of runners are known. */
-  runnersOffset(): number;
+  /** Returns the position in the store up to which changes of runners are known. */
+  runnersPosition(): LogPosition;
   dispatch(event: EventBody): void;
   log(event: LogEventName, fields?: Record<string, unknown>): void;
 }
@@ -43,7 +44,7 @@
 
 /** Creates the client. */
 export function createUpstreamClient(
-  { connectTimeoutMs, runnersOffset, dispatch, log }: UpstreamClientOptions,
+  { connectTimeoutMs, runnersPosition, dispatch, log }: UpstreamClientOptions,
 ): UpstreamClient {
   let current: WebSocket | undefined;
 
@@ -66,7 +67,7 @@
         kind: "poll",
         version: READ_SHARING_VERSION,
         poll: pollCount,
-        runnersOffset: runnersOffset(),
+        runnersPosition: runnersPosition(),
       }));
     }
 
@@ -75,22 +76,24 @@
         message: Extract<UpstreamMessage, { kind: K }>,
       ) => void;
     } = {
-      snapshot({ routing, runners, runnersOffset: offset, daemons, parts }) {
+      snapshot(
+        { routing, runners, runnersPosition: position, daemons, parts },
+      ) {
         dispatch({ kind: "upstream_began", node });
         if (routing !== undefined) passRouting(routing);
-        passRunners({ runners, removedIds: [], isWhole: true, offset });
+        passRunners({ runners, removedIds: [], isWhole: true, position });
         passDaemons(daemons);
         passParts(parts);
       },
       routing: ({ document }) => passRouting(document),
-      runners: ({ runners, removedIds, runnersOffset: offset }) =>
-        passRunners({ runners, removedIds, isWhole: false, offset }),
+      runners: ({ runners, removedIds, runnersPosition: position }) =>
+        passRunners({ runners, removedIds, isWhole: false, position }),
       daemons: ({ daemons }) => passDaemons(daemons),
       parts: ({ readings }) => passParts(readings),
       suspects: ({ runners }) =>
         dispatch({ kind: "suspects_reported", runners }),
       limits: ({ limits }) => dispatch({ kind: "limits_reported", limits }),
-      poll_answer({ poll: answered, isReader, routingAgeMs, runnersAgeMs }) {
+      poll_answer({ poll: answered, ...answer }) {
         const pollSentAt = sentAt.get(answered);
         if (pollSentAt === undefined) return;
         for (const each of sentAt.keys()) {
@@ -100,9 +103,10 @@
           kind: "upstream_answered",
           node,
           sentAt: pollSentAt,
-          isReader,
-          routingAgeMs,
-          runnersAgeMs,
+          isReader: answer.isReader,
+          timeline: answer.timeline,
+          routingAgeMs: answer.routingAgeMs,
+          runnersAgeMs: answer.runnersAgeMs,
         });
       },
     };
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -175,6 +175,12 @@
       partSharing.setEnabled(isEnabled);
     },
     reread_runners: () => storeReads.rereadRunners(),
+    catch_up_with_store({ timeline }) {
+      storeReads.catchUp(timeline);
+      partSharing.catchUp(timeline);
+    },
+    register_daemon: () => storeReads.register(),
+    record_floor: ({ floor }) => storeReads.recordFloor(floor),
     follow_daemon: ({ node, address }) => upstream.follow(node, address),
     unfollow_daemon: () => upstream.unfollow(),
     send_to_upstream: ({ message }) => upstream.send(message),
@@ -241,7 +247,7 @@
   log("started", { ...settings.listen, zone: node.zone, incarnation });
   const upstream = createUpstreamClient({
     connectTimeoutMs: timing.connectTimeoutMs,
-    runnersOffset: () => state.gateway!.readSharing.runnersOffset,
+    runnersPosition: () => state.gateway!.readSharing.runnersPosition,
     dispatch,
     log,
   });
