--- a/packages/core/src/gateway/event_types.ts
+++ b/packages/core/src/gateway/event_types.ts
@@ -27,6 +27,8 @@
     runners: Runner[];
     /** Ids of runners that are no longer listed. */
     removedIds: string[];
+    /** Ids among them of runners that the store lists no more, where an upstream says so. */
+    departedIds?: string[];
     /** True where `runners` is the complete list, or all that the upstream passes on. */
     isWhole: boolean;
     /** Position in the store up to which changes are known. */
--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -28,6 +28,7 @@
   const { runners, isWhole, confirmedAt } = event;
   const { readSharing } = gateway;
   const isPassedOn = confirmedAt === undefined;
+  const departedIds = new Set(event.departedIds);
   readSharing.runnersPosition = laterOf(
     readSharing.runnersPosition,
     event.position,
@@ -35,7 +36,13 @@
   if (!isPassedOn) confirm(gateway.runnersFreshness, confirmedAt);
   if (!isPassedOn && isWhole) readSharing.hasWholeList = true;
   const removedIds = findRemoved(state, event);
-  for (const id of removedIds) yield* applyRemoval(state, id, { isPassedOn });
+  for (const id of removedIds) {
+    // An upstream also removes runners that serve no requests any more.
+    if (!isPassedOn || departedIds.has(id)) {
+      recordDeparture(gateway, id, state.now);
+    }
+    yield* applyRemoval(gateway, id, { isPassedOn });
+  }
   if (removedIds.length > 0) pruneRunnerStats(gateway, state.now);
   for (const runner of runners) {
     if (!gateway.runners.has(runner.id)) gateway.lastRunnerAddedAt = state.now;
@@ -67,14 +74,12 @@
 }
 
 function* applyRemoval(
-  { gateway: current, now }: State,
+  gateway: Gateway,
   id: string,
   { isPassedOn }: { isPassedOn: boolean },
 ): Effects {
-  const gateway = current!;
   const known = gateway.runners.get(id);
   if (known === undefined) return;
-  recordDeparture(gateway, known, now);
   removeRunner(gateway, id);
   gateway.groupPlanner.healthChecks.delete(id);
   // An upstream does not pass on runners that serve no requests, so their absence says nothing.
--- a/packages/core/src/read_sharing/publish.ts
+++ b/packages/core/src/read_sharing/publish.ts
@@ -103,7 +103,8 @@
   const { readSharing, runners: known } = state.gateway!;
   const { published, runnersPosition } = readSharing;
   const runners: Runner[] = [];
-  const removed = removedIds.filter((id) => published.delete(id));
+  const departedIds = removedIds.filter((id) => published.delete(id));
+  const removed = [...departedIds];
   for (const { id } of read) {
     const runner = known.get(id);
     if (runner === undefined || published.get(id) === runner) continue;
@@ -117,6 +118,7 @@
     kind: "runners",
     runners,
     removedIds: removed,
+    departedIds,
     runnersPosition,
   });
 }
--- a/packages/core/src/read_sharing/test_fleet.ts
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -147,6 +147,7 @@
         kind: "runners_read",
         runners: message.runners,
         removedIds: message.removedIds,
+        departedIds: message.departedIds,
         isWhole: false,
         position: message.runnersPosition,
         confirmedAt: undefined,
--- a/packages/core/src/read_sharing/types.ts
+++ b/packages/core/src/read_sharing/types.ts
@@ -107,7 +107,10 @@
   | {
     kind: "runners";
     runners: Runner[];
+    /** Runners that are gone or serve no requests any more. */
     removedIds: string[];
+    /** Those among them that are gone. */
+    departedIds: string[];
     runnersPosition: LogPosition;
   }
   | { kind: "daemons"; daemons: DaemonEntry[] }
--- a/packages/core/src/store_timeline/timeline.ts
+++ b/packages/core/src/store_timeline/timeline.ts
@@ -36,15 +36,17 @@
 
 /** Remembers a runner that has left, since an older copy of the store may list it again. */
 export function recordDeparture(
-  { storeTimeline }: Gateway,
-  { id, startedUnixMs }: { id: string; startedUnixMs: number },
+  { storeTimeline, runners }: Gateway,
+  id: string,
   now: number,
 ): void {
+  const known = runners.get(id);
+  if (known === undefined) return;
   // An entry that lapsed while the store was away may come back.
   if (isRewriting(storeTimeline, now)) return;
   const { departed } = storeTimeline;
   departed.delete(id);
-  departed.set(id, startedUnixMs);
+  departed.set(id, known.startedUnixMs);
   if (departed.size > MAX_DEPARTED) {
     departed.delete(departed.keys().next().value!);
   }
--- a/packages/core/src/store_timeline/timeline_test.ts
+++ b/packages/core/src/store_timeline/timeline_test.ts
@@ -77,6 +77,23 @@
     expect(listed(harness)).to.have.members(["old", "gone"]);
   });
 
+  // Guards against runners that are given up since an upstream passes on only those that serve requests.
+  it("takes back a runner that its upstream has only left out", () => {
+    const runner = createRunner("r");
+    const harness = startReader([runner]);
+    harness.feed({
+      kind: "runners_read",
+      runners: [],
+      removedIds: ["r"],
+      departedIds: [],
+      isWhole: false,
+      position: { timeline: 1, offset: 2 },
+      confirmedAt: undefined,
+    });
+    read(harness, { timeline: 2, version: 5, runners: [runner] });
+    expect(listed(harness)).to.deep.equal(["r"]);
+  });
+
   // Guards against an entry of the copy that replaces a newer one of the same process.
   it("ignores entries that their runner has written before those it knows", () => {
     const runner = createRunner("r");
--- a/packages/daemon/src/gateway/sharing_frames.ts
+++ b/packages/daemon/src/gateway/sharing_frames.ts
@@ -144,6 +144,7 @@
     kind: z.literal("runners"),
     runners: z.array(runner),
     removedIds: z.array(z.string()),
+    departedIds: z.array(z.string()),
     runnersPosition: position,
   }),
   z.object({ kind: z.literal("daemons"), daemons: z.array(daemon) }),
--- a/packages/daemon/src/gateway/upstream_client.ts
+++ b/packages/daemon/src/gateway/upstream_client.ts
@@ -86,8 +86,16 @@
         passParts(parts);
       },
       routing: ({ document }) => passRouting(document),
-      runners: ({ runners, removedIds, runnersPosition: position }) =>
-        passRunners({ runners, removedIds, isWhole: false, position }),
+      runners: (
+        { runners, removedIds, departedIds, runnersPosition: position },
+      ) =>
+        passRunners({
+          runners,
+          removedIds,
+          departedIds,
+          isWhole: false,
+          position,
+        }),
       daemons: ({ daemons }) => passDaemons(daemons),
       parts: ({ readings }) => passParts(readings),
       suspects: ({ runners }) =>
