--- a/packages/core/src/event/types.ts
+++ b/packages/core/src/event/types.ts
@@ -26,6 +26,8 @@
   prefixes: readonly number[];
   /** Ids of the parts of the prompt that other requests may share, in order; absent where the request has no prompt. */
   promptParts?: readonly string[];
+  /** Hash of the content, the same for all copies of the request; absent where it is not known. */
+  fingerprint?: string;
   idempotent: boolean;
   key?: string;
   /** Hash of method, path and body; requests with the same key must have the same digest. */
--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -123,6 +123,7 @@
     promptTokens: event.promptTokens,
     maxOutputTokens: event.maxOutputTokens,
     promptParts: event.promptParts,
+    fingerprint: event.fingerprint,
     countedAttempts: 0,
     triedRunners: new Set(),
     currentAttempt: undefined,
--- a/packages/core/src/gateway/event_types.ts
+++ b/packages/core/src/gateway/event_types.ts
@@ -55,6 +55,8 @@
     maxOutputTokens: number;
     /** Ids of the parts of the prompt that other requests may share, in order. */
     promptParts: readonly string[];
+    /** Hash of the content, the same for all copies of the request; undefined where it is not known. */
+    fingerprint?: string | undefined;
     /** Id of the last event that the caller already has, where it resumes a stream. */
     lastEvent: string | undefined;
   }
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -64,6 +64,7 @@
       progress: progressCount,
       afterMs: Math.round(state.now - sentAt),
       parts: describeParts(request),
+      fingerprint: request.fingerprint,
     },
   };
   const next = nextStep(state, gateway, { request, outcome });
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -99,6 +99,8 @@
   maxOutputTokens: number;
   /** Ids of the parts of the prompt that other requests may share, in order. */
   promptParts: readonly string[];
+  /** Hash of the content, the same for all copies of the request; undefined where it is not known. */
+  fingerprint: string | undefined;
   /** Attempts that count towards the route's limit; those that failed to connect are left out. */
   countedAttempts: number;
   triedRunners: Set<string>;
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -16,6 +16,7 @@
 import { CutOffError, readBody } from "../http/body.ts";
 import { RequestError, sendClientError, sendError } from "../http/errors.ts";
 import type { HeaderCodec } from "./adapters.ts";
+import { fingerprintOf } from "../http/fingerprint.ts";
 import { createRelay, type Relay } from "./relay.ts";
 
 /** Options of {@link createCallerListener}. */
@@ -109,6 +110,13 @@
       promptTokens: metadata.promptTokens,
       maxOutputTokens: metadata.maxOutputTokens,
       promptParts: metadata.promptParts,
+      fingerprint: fingerprintOf({
+        caller: metadata.key ?? "",
+        method: request.method ?? "GET",
+        host: request.headers.host ?? "",
+        path: request.url ?? "/",
+        body,
+      }),
       lastEvent: metadata.lastEvent,
     });
   }
