--- a/packages/core/src/gateway/test_fixture.ts
+++ b/packages/core/src/gateway/test_fixture.ts
@@ -220,12 +220,14 @@
     model,
     deadlineMs = 1_500,
     promptParts = [],
+    fingerprint,
   }: {
     path?: string;
     key?: string;
     model?: string;
     deadlineMs?: number;
     promptParts?: readonly string[];
+    fingerprint?: string | undefined;
   } = {},
 ): Effect[] {
   return harness.feed({
@@ -239,6 +241,7 @@
     promptTokens: 100,
     maxOutputTokens: 100,
     promptParts,
+    fingerprint,
     lastEvent: undefined,
   });
 }
--- a/packages/core/src/quarantine/test_fleet.ts
+++ b/packages/core/src/quarantine/test_fleet.ts
@@ -37,12 +37,26 @@
   request: string;
   attempt: number;
   parts: readonly string[];
+  fingerprint: string | undefined;
   /** Time of the send, ms. */
   at: number;
   /** True once the runner has begun to write. */
   hasBegun: boolean;
 }
 
+interface RequestContent {
+  parts: readonly string[];
+  fingerprint: string | undefined;
+}
+
+/** A request that a simulated caller sends. */
+export interface SimulatedRequest {
+  daemon: number;
+  /** Shared parts of the prompt. */
+  parts: readonly string[];
+  fingerprint?: string | undefined;
+}
+
 interface SharedRecords {
   records: readonly PartRecord[];
   /** Time at which the daemons have read them, ms. */
@@ -72,12 +86,14 @@
   crashes: number[];
   /** Parts of prompts that crash runners. */
   crashingParts: Set<string>;
+  /** Fingerprints of requests that crash runners. */
+  crashingRequests: Set<string>;
   /** Returns the time, ms. */
   now(): number;
   /** Sends a request with the given shared parts to a daemon; its effects are those of the arrival. */
   request(
     id: string,
-    options: { daemon: number; parts: readonly string[] },
+    options: SimulatedRequest,
   ): Effect[];
   /** Crashes a runner for a cause of its own. */
   crash(runner: string): void;
@@ -97,7 +113,7 @@
 ): CrashingFleet {
   const daemons = Array.from({ length: daemonCount }, () => createHarness());
   const runners = new Map<string, SimulatedRunner>();
-  const partsByRequest = new Map<string, readonly string[]>();
+  const contentByRequest = new Map<string, RequestContent>();
   const list = Array.from(
     { length: heads },
     (_, index) => createHead(`head-${index}`),
@@ -111,6 +127,7 @@
     sent: [],
     crashes: [],
     crashingParts: new Set(),
+    crashingRequests: new Set(),
     now: () => now,
     request,
     crash: (id) => crash(runners.get(id)!),
@@ -168,9 +185,11 @@
         outcome: "connect_refused",
       });
     }
-    const parts = partsByRequest.get(id)!;
-    const isCrashing = parts.some((part) => fleet.crashingParts.has(part));
-    const sent = { request: id, attempt, parts, at: now, hasBegun: false };
+    const content = contentByRequest.get(id)!;
+    const { parts, fingerprint } = content;
+    const isCrashing = parts.some((part) => fleet.crashingParts.has(part)) ||
+      fleet.crashingRequests.has(fingerprint ?? "");
+    const sent = { request: id, attempt, ...content, at: now, hasBegun: false };
     fleet.sent.push(sent);
     target.running.push({
       daemon,
@@ -232,15 +251,16 @@
 
   function request(
     id: string,
-    { daemon: index, parts }: { daemon: number; parts: readonly string[] },
+    { daemon: index, parts, fingerprint }: SimulatedRequest,
   ): Effect[] {
-    partsByRequest.set(id, parts);
+    contentByRequest.set(id, { parts, fingerprint });
     const daemon = daemons[index % daemons.length]!;
     const effects = sendRequest(daemon, id, {
       path: "/chat/1",
       model: "small",
       deadlineMs: 6_000,
       promptParts: parts,
+      fingerprint,
     });
     carryOut(daemon, effects);
     return effects;
