--- a/packages/core/src/effect/types.ts
+++ b/packages/core/src/effect/types.ts
@@ -34,6 +34,7 @@
   | "log_unavailable"
   | "not_ready"
   | "prompt_quarantined"
+  | "request_quarantined"
   | "stopping";
 
 /** An order to one engine. Orders are idempotent and carry a fencing number; the engine's status confirms them. */
--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { EventOf } from "../event/types.ts";
+import { crashSuspectsOf } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { chooseRunner } from "./choose.ts";
@@ -124,6 +125,10 @@
     maxOutputTokens: event.maxOutputTokens,
     promptParts: event.promptParts,
     fingerprint: event.fingerprint,
+    crashSuspects: crashSuspectsOf({
+      promptParts: event.promptParts,
+      fingerprint: event.fingerprint,
+    }),
     countedAttempts: 0,
     triedRunners: new Set(),
     currentAttempt: undefined,
--- a/packages/core/src/gateway/held_requests.ts
+++ b/packages/core/src/gateway/held_requests.ts
@@ -1,5 +1,5 @@
 /**
- * Applies the quarantine to requests: refuses those with a quarantined part, and reports what became of the others.
+ * Applies the quarantine to requests: refuses those that are quarantined or have a quarantined part, and reports what became of the others.
  *
  * @module
  */
@@ -24,17 +24,17 @@
 /** Returns why a request with a quarantined part is refused; undefined where it may be sent. */
 export function quarantineRefusal(
   state: State,
-  { promptParts, isTrial }: Pick<RoutedRequest, "promptParts" | "isTrial">,
+  { crashSuspects, isTrial }: Pick<RoutedRequest, "crashSuspects" | "isTrial">,
 ): Refusal | undefined {
   if (isTrial) return undefined;
-  const held = findHeld(state, promptParts);
+  const held = findHeld(state, crashSuspects);
   if (held === undefined) return undefined;
   return describeHold(held, state.now);
 }
 
 /** Lets a request through as the trial of its quarantined part, where one is due. */
 export function* tryHeldPart(state: State, request: RoutedRequest): Effects {
-  const held = findHeld(state, request.promptParts);
+  const held = findHeld(state, request.crashSuspects);
   if (held === undefined || !isTrialDue(state, held)) return;
   request.isTrial = true;
   yield* beginTrial(state, held, { request: request.id });
@@ -46,14 +46,15 @@
   request: RoutedRequest,
   outcome: Outcome,
 ): Effects {
-  const { runner, isSound, chains } = request.currentAttempt!;
+  const { runner, isSound, chains, sentAt } = request.currentAttempt!;
   if (outcome === "connect_refused") return yield* confirmCrash(state, runner);
   if (isSound || !isCut(outcome)) return;
   const cut = {
     runner,
     request: request.id,
-    parts: request.promptParts,
+    parts: request.crashSuspects,
     chains,
+    sentAt,
   };
   if (!recordCut(state, cut)) return;
   const address = state.gateway!.runners.get(runner)?.address;
@@ -84,6 +85,6 @@
   attempt.isSound = true;
   yield* recordServed(state, {
     request: request.id,
-    parts: request.promptParts,
+    parts: request.crashSuspects,
   });
 }
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -156,7 +156,7 @@
   const mayResend = (!request.mayHaveRun || canRepeat(route)) &&
     request.countedAttempts < route.maxAttempts &&
     remainingMs >= MIN_REMAINING_MS;
-  const isHeld = findHeld(state, request.promptParts) !== undefined;
+  const isHeld = findHeld(state, request.crashSuspects) !== undefined;
   if (!mayResend || isHeld) return { kind: "end" };
   const runner = chooseRunner(state, gateway, request, {
     canUseReserved: true,
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -82,7 +82,7 @@
     progressCount: 0,
     headersAt: 0,
     isSound: false,
-    chains: knownChains(state.quarantine, request.promptParts),
+    chains: knownChains(state.quarantine, request.crashSuspects),
     isBlocked: false,
   };
   yield {
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -78,7 +78,7 @@
   headersAt: number;
   /** True once the response has shown that its prompt crashes nothing. */
   isSound: boolean;
-  /** Chains of crashes under the parts of the prompt that were known at the send. */
+  /** Chains of crashes under what may be blamed that were known at the send. */
   chains: KnownChains;
   /** True while the caller does not read what it was sent, so that the runner's response is paused. */
   isBlocked: boolean;
@@ -101,6 +101,8 @@
   promptParts: readonly string[];
   /** Hash of the content, the same for all copies of the request; undefined where it is not known. */
   fingerprint: string | undefined;
+  /** Ids of what may be blamed where a runner crashes under the request. */
+  crashSuspects: readonly string[];
   /** Attempts that count towards the route's limit; those that failed to connect are left out. */
   countedAttempts: number;
   triedRunners: Set<string>;
--- a/packages/core/src/quarantine/evidence.ts
+++ b/packages/core/src/quarantine/evidence.ts
@@ -73,16 +73,23 @@
   takePending(quarantine, runner);
 }
 
-/** Returns the record that a crash makes of a part's; undefined where a request has been served since the send. */
+/**
+ * Returns the record that a crash makes of a part's; undefined where a request has been served since the send.
+ *
+ * A retry leaves before the crash of the attempt before is proved, and is a link of its own nevertheless.
+ */
 function lengthenChain(
   { suspects }: Quarantine,
   part: string,
-  { chains }: PendingCrash,
+  { chains, sentAt }: PendingCrash,
 ): PartRecord | undefined {
   const atSend = chains.get(part) ?? { part, round: 0, crashes: 0, trials: 0 };
-  const known = suspects.get(part)?.record ?? atSend;
+  const suspect = suspects.get(part);
+  const known = suspect?.record ?? atSend;
   if (known.round !== atSend.round) return undefined;
-  return { ...known, crashes: Math.max(known.crashes, atSend.crashes + 1) };
+  const isNext = suspect === undefined || sentAt >= suspect.crashedAt;
+  const before = isNext ? known.crashes : atSend.crashes;
+  return { ...known, crashes: Math.max(known.crashes, before + 1) };
 }
 
 /** Returns the records that a crash changes, those of the parts that come later in the prompt first. */
@@ -116,7 +123,8 @@
     const record = isAccomplice
       ? { ...each, crashes: QUARANTINE_AFTER_CRASHES - 1 }
       : each;
-    if (!setRecord(quarantine, record, { now })) continue;
+    const { at: crashedAt } = crash;
+    if (!setRecord(quarantine, record, { now, crashedAt })) continue;
     changed.push(record);
     yield logRecord(record, {
       event: record === culprit ? "part_quarantined" : "part_suspected",
--- a/packages/core/src/quarantine/hold.ts
+++ b/packages/core/src/quarantine/hold.ts
@@ -11,6 +11,7 @@
   MAX_TRIAL_INTERVAL_MS,
   TRIAL_BACKOFF,
 } from "./constants.ts";
+import { isWholeRequest } from "./crash_suspects.ts";
 import { shareRecords } from "./sharing.ts";
 import { isHeld, logRecord, setRecord, touchSuspect } from "./suspects.ts";
 import type { SuspectPart } from "./types.ts";
@@ -45,11 +46,20 @@
 /** Returns why a request with a quarantined part is refused, and when it is worth another try. */
 export function describeHold(suspect: SuspectPart, now: number) {
   const { part } = suspect.record;
+  const retryAfterMs = Math.ceil(untilTrial(suspect, now));
+  if (isWholeRequest(part)) {
+    return {
+      code: "request_quarantined" as const,
+      message:
+        "This request has crashed every server that ran it; change it, or come back later",
+      retryAfterMs,
+    };
+  }
   return {
     code: "prompt_quarantined" as const,
     message:
       `Part ${part} of the prompt has crashed every server that answered it; send the request without it`,
-    retryAfterMs: Math.ceil(untilTrial(suspect, now)),
+    retryAfterMs,
   };
 }
 
--- a/packages/core/src/quarantine/mod.ts
+++ b/packages/core/src/quarantine/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export { SOUND_AFTER_MS } from "./constants.ts";
+export { crashSuspectsOf } from "./crash_suspects.ts";
 export * from "./evidence.ts";
 export * from "./hold.ts";
 export { applyParts } from "./sharing.ts";
--- a/packages/core/src/quarantine/suspects.ts
+++ b/packages/core/src/quarantine/suspects.ts
@@ -88,7 +88,11 @@
 export function setRecord(
   quarantine: Quarantine,
   record: PartRecord,
-  { now, ageMs = 0 }: { now: number; ageMs?: number },
+  { now, ageMs = 0, crashedAt = now - ageMs }: {
+    now: number;
+    ageMs?: number;
+    crashedAt?: number;
+  },
 ): boolean {
   const { suspects } = quarantine;
   const known = suspects.get(record.part);
@@ -96,14 +100,28 @@
   const isSame = before !== undefined && before.round === record.round &&
     before.crashes === record.crashes && before.trials === record.trials;
   if (isSame) return false;
-  const suspect = known ?? { record, touchedAt: now, heldSince: now };
+  const suspect = known ??
+    { record, touchedAt: now, heldSince: now, crashedAt };
+  if (record.crashes !== before?.crashes) suspect.crashedAt = crashedAt;
   suspect.record = record;
   suspect.heldSince = now - ageMs;
   touchSuspect(quarantine, suspect, now - ageMs);
-  if (suspects.size > MAX_PARTS) suspects.delete(suspects.keys().next().value!);
+  if (suspects.size > MAX_PARTS) dropOldest(quarantine);
   return true;
 }
 
+/** Drops the suspect that was not touched for longest, one that is not held back if there is any. */
+function dropOldest({ suspects }: Quarantine): void {
+  let oldest: string | undefined;
+  for (const [part, { record }] of suspects) {
+    oldest ??= part;
+    if (isHeld(record)) continue;
+    oldest = part;
+    break;
+  }
+  if (oldest !== undefined) suspects.delete(oldest);
+}
+
 /** Returns the log effect for a change of a part's record. */
 export function logRecord(
   { part, round, crashes, trials }: PartRecord,
--- a/packages/core/src/quarantine/types.ts
+++ b/packages/core/src/quarantine/types.ts
@@ -28,6 +28,8 @@
   touchedAt: number;
   /** Time of the last crash or trial, from which on the next trial waits, ms. */
   heldSince: number;
+  /** Time of the last crash that this daemon counted or heard of, ms. */
+  crashedAt: number;
 }
 
 /** Chains of crashes that were known when a request was sent, by part. */
@@ -39,6 +41,7 @@
   request: string;
   parts: readonly string[];
   chains: KnownChains;
+  sentAt: number;
   /** Time of the cut, ms. */
   at: number;
 }
--- a/packages/core/src/request/arrive.ts
+++ b/packages/core/src/request/arrive.ts
@@ -17,6 +17,7 @@
 import { refusalReason } from "../config/audience.ts";
 import type { EventOf } from "../event/types.ts";
 import { chargeLimits } from "../limit/limits.ts";
+import { crashSuspectsOf } from "../quarantine/mod.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import type { Pool, State } from "../state/types.ts";
 import { addAmount, addSample } from "../util/ewma.ts";
@@ -76,7 +77,10 @@
     promptTokens: event.promptTokens,
     maxOutputTokens: event.maxOutputTokens,
     prefixes: event.prefixes,
-    promptParts: event.promptParts ?? [],
+    crashSuspects: crashSuspectsOf({
+      promptParts: event.promptParts ?? [],
+      fingerprint: event.fingerprint,
+    }),
     idempotent: event.idempotent,
     key: event.key,
     digest: event.digest,
--- a/packages/core/src/request/held_requests.ts
+++ b/packages/core/src/request/held_requests.ts
@@ -23,14 +23,14 @@
 /** Returns whether a request has a quarantined part and is not a trial of it. */
 export function isHeldBack(
   state: State,
-  { promptParts, isTrial }: Request,
+  { crashSuspects, isTrial }: Request,
 ): boolean {
-  return !isTrial && findHeld(state, promptParts) !== undefined;
+  return !isTrial && findHeld(state, crashSuspects) !== undefined;
 }
 
 /** Refuses a request with a quarantined part. */
 export function* refuseHeld(state: State, request: Request): Effects {
-  const held = findHeld(state, request.promptParts)!;
+  const held = findHeld(state, request.crashSuspects)!;
   const { verdict } = request;
   const refusal = { ...describeHold(held, state.now), verdict };
   yield* refuseRequest(state, request, { refusal });
@@ -38,7 +38,7 @@
 
 /** Lets a request through as the trial of its quarantined part, where one is due. */
 export function* tryHeldPart(state: State, request: Request): Effects {
-  const held = findHeld(state, request.promptParts);
+  const held = findHeld(state, request.crashSuspects);
   if (held === undefined || !isTrialDue(state, held)) return;
   request.isTrial = true;
   yield* beginTrial(state, held, { request: request.request });
@@ -47,7 +47,7 @@
 /** Records what was known of a request's parts when its attempt began. */
 export function beginObservation(state: State, request: Request): void {
   request.isSound = false;
-  request.chains = knownChains(state.quarantine, request.promptParts);
+  request.chains = knownChains(state.quarantine, request.crashSuspects);
 }
 
 /** Reports an attempt that was cut off; the next status check shows whether the engine has crashed. */
@@ -56,9 +56,15 @@
   request: Request,
   outcome: Outcome,
 ): void {
-  const { target, promptParts: parts, chains, isSound } = request;
+  const { target, crashSuspects: parts, chains, isSound } = request;
   if (target === undefined || isSound || !isCut(outcome)) return;
-  recordCut(state, { runner: target, request: request.request, parts, chains });
+  recordCut(state, {
+    runner: target,
+    request: request.request,
+    parts,
+    chains,
+    sentAt: request.startedAt ?? request.arrivedAt,
+  });
 }
 
 /** Reports tokens that arrived; after some time they show that the prompt is sound. */
@@ -73,6 +79,6 @@
 export function* reportServed(state: State, request: Request): Effects {
   if (request.isSound) return;
   request.isSound = true;
-  const { request: id, promptParts: parts } = request;
+  const { request: id, crashSuspects: parts } = request;
   yield* recordServed(state, { request: id, parts });
 }
--- a/packages/core/src/request/retry.ts
+++ b/packages/core/src/request/retry.ts
@@ -89,7 +89,7 @@
 
 type NoRetryCause =
   | "committed"
-  | "prompt_quarantined"
+  | "quarantined"
   | "not_idempotent"
   | "no_attempts_left"
   | "retry_budget_used"
@@ -102,8 +102,8 @@
 ): NoRetryCause | undefined {
   const policy = state.config?.config.policy;
   if (request.committed) return "committed";
-  if (findHeld(state, request.promptParts) !== undefined) {
-    return "prompt_quarantined";
+  if (findHeld(state, request.crashSuspects) !== undefined) {
+    return "quarantined";
   }
   if (!request.idempotent && request.verdict !== "not_run") {
     return "not_idempotent";
@@ -123,8 +123,8 @@
 }
 
 const CAUSE_TEXTS: Readonly<Record<NoRetryCause, string>> = {
-  prompt_quarantined:
-    "a part of its prompt has crashed every engine that served it",
+  quarantined:
+    "it, or a part of its prompt, has crashed every server that ran it",
   committed: "part of the response has already reached the caller",
   not_idempotent: "the request is not idempotent",
   no_attempts_left: "no attempts are left",
--- a/packages/core/src/request/types.ts
+++ b/packages/core/src/request/types.ts
@@ -18,8 +18,10 @@
   | "done";
 
 /** A request and its progress. */
-export interface Request extends Omit<Arrival, "deadlineMs" | "promptParts"> {
-  promptParts: readonly string[];
+export interface Request
+  extends Omit<Arrival, "deadlineMs" | "promptParts" | "fingerprint"> {
+  /** Ids of what may be blamed where a server crashes under the request. */
+  crashSuspects: readonly string[];
   phase: RequestPhase;
   arrivedAt: number;
   deadlineAt: number;
--- a/packages/daemon/src/http/caller_app.ts
+++ b/packages/daemon/src/http/caller_app.ts
@@ -40,6 +40,7 @@
   sendError,
   sendJson,
 } from "./errors.ts";
+import { fingerprintOf } from "./fingerprint.ts";
 import type { Exchange, Exchanges } from "./exchanges.ts";
 import { readRequestOptions } from "./request_headers.ts";
 import { createServiceExchange } from "./service_exchange.ts";
@@ -153,9 +154,8 @@
     const { key: _key, ...requestOptions } = readRequestOptions(
       request.headers,
     );
-    const chat = readChatRequest(
-      await readBody(request, { maxBytes: limits.maxBodyBytes }),
-    );
+    const bytes = await readBody(request, { maxBytes: limits.maxBodyBytes });
+    const chat = readChatRequest(bytes);
     const deployment = modelOf(principal, chat.body.model);
     const maxOutputTokens = maxOutputOf(chat, deployment);
     chat.body.max_tokens = maxOutputTokens;
@@ -183,6 +183,13 @@
         promptParts: chat.promptParts.map((part) =>
           `${principal.owner}/${part}`
         ),
+        fingerprint: fingerprintOf({
+          caller: principal.owner,
+          method: "POST",
+          host: chat.body.model,
+          path: request.url ?? "/",
+          body: bytes,
+        }),
         idempotent: true,
         ...(chat.body.adapter !== undefined && { adapter: chat.body.adapter }),
       },
@@ -242,6 +249,15 @@
         prefixes: [],
         idempotent,
         digest,
+        ...(start.isWhole && {
+          fingerprint: fingerprintOf({
+            caller: principal.owner,
+            method: request.method ?? "GET",
+            host: decodeName(name),
+            path: request.url ?? "/",
+            body: start.bytes,
+          }),
+        }),
       },
       response,
       exchange,
--- a/packages/daemon/src/http/errors.ts
+++ b/packages/daemon/src/http/errors.ts
@@ -43,6 +43,7 @@
   log_unavailable: 503,
   not_ready: 503,
   prompt_quarantined: 503,
+  request_quarantined: 503,
   stopping: 503,
 };
 
