--- a/packages/core/src/quarantine/sharing.ts
+++ b/packages/core/src/quarantine/sharing.ts
@@ -19,7 +19,9 @@
   for (const { record, ageMs } of readings) {
     const before = quarantine.suspects.get(record.part)?.record;
     const merged = before === undefined ? record : mergeRecords(before, record);
-    if (!setRecord(quarantine, merged, { now, ageMs })) continue;
+    // Only what is sent from now on was sent with knowledge of it, whatever the clocks say of its age.
+    const times = { now, ageMs, crashedAt: now };
+    if (!setRecord(quarantine, merged, times)) continue;
     changed.push({ record: merged, ageMs });
     if (isHeld(before) === isHeld(merged)) continue;
     yield logRecord(merged, {
