--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -106,23 +106,37 @@
   return isOlder ? "older_entry" : undefined;
 }
 
+function logIgnored(
+  { id, state, startedUnixMs, writeCount }: Runner,
+  cause: string,
+) {
+  return {
+    kind: "log" as const,
+    event: "runner_entry_ignored" as const,
+    fields: { runner: id, cause, state, born: startedUnixMs, writeCount },
+  };
+}
+
+/** Returns whether two entries of a runner say the same of what decisions depend on. */
+function describesSame(known: Runner, runner: Runner): boolean {
+  const before = known.membership;
+  const { membership } = runner;
+  return known.state === runner.state &&
+    known.startedUnixMs === runner.startedUnixMs &&
+    before?.group === membership?.group &&
+    before?.epoch === membership?.epoch &&
+    before?.state === membership?.state &&
+    known.staged[0] === runner.staged[0];
+}
+
 function* applyEntry(state: State, runner: Runner): Effects {
   const gateway = state.gateway!;
   const known = gateway.runners.get(runner.id);
   if (known === runner) return;
+  const isSame = known !== undefined && describesSame(known, runner);
   const cause = findOutdated(state, runner);
   if (cause !== undefined) {
-    yield {
-      kind: "log",
-      event: "runner_entry_ignored",
-      fields: {
-        runner: runner.id,
-        cause,
-        state: runner.state,
-        born: runner.startedUnixMs,
-        writeCount: runner.writeCount,
-      },
-    };
+    if (!isSame) yield logIgnored(runner, cause);
     return;
   }
   indexRunner(gateway, runner);
@@ -134,13 +148,6 @@
     }
   }
   const { membership } = runner;
-  const before = known?.membership;
-  const isSame = known !== undefined && known.state === runner.state &&
-    known.startedUnixMs === runner.startedUnixMs &&
-    before?.group === membership?.group &&
-    before?.epoch === membership?.epoch &&
-    before?.state === membership?.state &&
-    known.staged[0] === runner.staged[0];
   if (isSame) return;
   yield {
     kind: "log",
--- a/packages/core/src/store_timeline/handlers.ts
+++ b/packages/core/src/store_timeline/handlers.ts
@@ -66,6 +66,8 @@
 export function* sweepTimeline(state: State): Effects {
   const { storeTimeline, readSharing } = state.gateway!;
   yield* releaseRouting(state);
+  // A follower may have learned of the timeline before it began to read the store.
+  yield* recordFloor(state);
   const { isRecheckDue } = storeTimeline;
   if (!isRecheckDue || isRewriting(storeTimeline, state.now)) return;
   storeTimeline.isRecheckDue = false;
--- a/packages/core/src/store_timeline/timeline_test.ts
+++ b/packages/core/src/store_timeline/timeline_test.ts
@@ -133,6 +133,20 @@
   });
 });
 
+// Guards against a floor that nobody records, since followers had learned of the timeline before they read the store.
+describe("a daemon that begins to read the store after it has learned of its new timeline", () => {
+  it("records what it had in force", () => {
+    const harness = startReader([]);
+    const { readSharing } = harness.state.gateway!;
+    readSharing.isReading = false;
+    harness.feed({ kind: "timeline_seen", timeline: 2 });
+    readSharing.isReading = true;
+    const effects = harness.advance(100);
+    expect(effectsOf(effects, "record_floor").map(({ floor }) => floor))
+      .to.deep.equal([{ timeline: 2, version: 5 }]);
+  });
+});
+
 describe("a daemon that starts after a restoration of the store", () => {
   function start(version: number): GatewayHarness {
     const harness = createHarness();
