--- a/packages/core/src/request/prompt_crash_test.ts
+++ b/packages/core/src/request/prompt_crash_test.ts
@@ -10,6 +10,8 @@
 const DOWN_MS = 500;
 const OWNER = "tavua";
 const POLICY_ATTEMPTS = 2;
+/** Fingerprint of a request that crashes engines, whatever the parts of its prompt. */
+const POISON = "poison";
 const LOAD = {
   running: 1,
   queued: 0,
@@ -33,7 +35,11 @@
   sends: string[];
   refusals: { request: string; code: string; verdict: string }[];
   finished: Set<string>;
-  request(id: string, parts: string[]): void;
+  request(
+    id: string,
+    parts: string[],
+    options?: { fingerprint?: string },
+  ): void;
   feed(event: EventBody): Effect[];
   run(ms: number): void;
 }
@@ -58,6 +64,7 @@
   const refusals: Daemon["refusals"] = [];
   const finished = new Set<string>();
   const partsByRequest = new Map<string, string[]>();
+  const crashingRequests = new Set<string>();
   const later: { at: number; act(): void }[] = [];
   let now = 0;
 
@@ -74,7 +81,8 @@
     sends.push(effect.request);
     const engine = engines.find(({ address }) => address === effect.address)!;
     const { request, attempt } = effect;
-    const isCrashing = partsByRequest.get(request)!.includes("bad");
+    const isCrashing = partsByRequest.get(request)!.includes("bad") ||
+      crashingRequests.has(request);
     later.push({
       at: now + STEP_MS,
       act() {
@@ -169,8 +177,9 @@
     sends,
     refusals,
     finished,
-    request(id, parts) {
+    request(id, parts, { fingerprint = id } = {}) {
       partsByRequest.set(id, parts);
+      if (fingerprint === POISON) crashingRequests.add(id);
       feed({
         kind: "request_arrived",
         request: id,
@@ -181,6 +190,7 @@
         maxOutputTokens: 20,
         prefixes: [],
         promptParts: parts,
+        fingerprint,
         idempotent: true,
       });
     },
@@ -224,6 +234,27 @@
     });
   });
 
+  // Guards against copies of one request that crash engine after engine (incident second1), on this path too.
+  it("stop reaching engines after a few crashes where they are copies of one request", () => {
+    const daemon = startDaemon();
+    daemon.run(1_000);
+    for (let count = 1; count <= 20; count += 1) {
+      daemon.request(`crash-${count}`, ["system"], { fingerprint: POISON });
+      daemon.run(200);
+      daemon.request(`sound-${count}`, ["system"]);
+      daemon.run(200);
+    }
+    const crashing = daemon.sends.filter((id) => id.startsWith("crash"));
+    expect(crashing.length).to.be.within(3, 3 * POLICY_ATTEMPTS);
+    const sound = [...daemon.finished].filter((id) => id.startsWith("sound"));
+    expect(sound).to.have.length(20);
+    expect(daemon.refusals.at(-1)).to.include({
+      request: "crash-20",
+      code: "request_quarantined",
+      verdict: "not_run",
+    });
+  });
+
   it("are known to other daemons at once, also to those that come later", () => {
     const daemon = startDaemon();
     daemon.run(1_000);
