--- a/packages/core/src/quarantine/mod.ts
+++ b/packages/core/src/quarantine/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Quarantine of parts of prompts that crash every runner that writes an answer on them.
+ * Quarantine of requests, and of parts of prompts, that crash every runner that works on them.
  *
  * @module
  */
--- a/packages/core/src/quarantine/types.ts
+++ b/packages/core/src/quarantine/types.ts
@@ -1,11 +1,12 @@
 /**
- * Types of the quarantine of parts of prompts that crash runners.
+ * Types of the quarantine of what crashes runners: shared parts of prompts, and whole requests. Both are called parts.
  *
  * @module
  */
 
-/** What all daemons share of a part of prompts under which runners crashed. */
+/** What all daemons share of a part under which runners crashed. */
 export interface PartRecord {
+  /** Id of the part, as `crashSuspectsOf` names it. */
   part: string;
   /** Number of times that the suspicion was dropped, since a request with the part was served. */
   round: number;
