--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -70,6 +70,12 @@
   runner_limited: event(1214, "warn", "runner names a limit on its requests"),
   runner_unlimited: event(1215, "info", "runner names no limit any more"),
   runner_entry_ignored: event(1216, "info", "outdated entry of a runner"),
+  path_lost: event(1217, "warn", "own path to the runners of a service lost"),
+  path_regained: event(
+    1218,
+    "info",
+    "own path to the runners of a service regained",
+  ),
   cache_gap: event(1209, "info", "gap in cache events"),
   config_in_force: event(1301, "info", "configuration in force"),
   routing_in_force: event(1309, "info", "routing configuration in force"),
--- a/packages/core/src/gateway/event_types.ts
+++ b/packages/core/src/gateway/event_types.ts
@@ -61,6 +61,8 @@
     lastEvent: string | undefined;
   }
   | { kind: "routed_request_closed"; request: string }
+  /** A new connection to a runner was established. */
+  | { kind: "runner_connected"; address: string }
   /** The request of an attempt is about to leave on a connection. */
   | { kind: "attempt_sent"; request: string; attempt: number }
   | {
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -46,6 +46,7 @@
     nextSweepAt: now,
     lastRunnerAddedAt: now,
     runnerStats: new Map(),
+    servicePaths: new Map(),
     requests: new Map(),
     waitingRequests: new Map(),
     retryBudgets: new Map(),
--- a/packages/core/src/gateway/handlers.ts
+++ b/packages/core/src/gateway/handlers.ts
@@ -9,6 +9,7 @@
 import { completeOrder } from "../formation/orders.ts";
 import { confirmCrash, dismissCuts } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
+import { recordConnection } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
 import { applyFloors, applyTimeline } from "../store_timeline/handlers.ts";
 import { admitRequest } from "./admit.ts";
@@ -42,6 +43,7 @@
   clock_jumped: invalidateAll,
   routed_request_arrived: admitRequest,
   routed_request_closed: closeRequest,
+  runner_connected: recordConnection,
   attempt_sent: recordSend,
   response_started: startResponse,
   response_progressed: recordProgress,
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -6,6 +6,7 @@
 import { recordSuspect } from "../read_sharing/suspects.ts";
 import { findHeld } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
+import { recordConnectFailure } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
 import type { Outcome } from "../verdict/types.ts";
 import { verdictOf } from "../verdict/verdict_table.ts";
@@ -47,6 +48,10 @@
   const stats = runnerStatsOf(gateway, runner);
   const verdict = verdictOf(outcome);
   recordFailure(state, gateway, { runner, outcome, isRelayable });
+  if (UNSENT_OUTCOMES.has(outcome)) {
+    const { service } = request;
+    yield* recordConnectFailure(state, { runner, service });
+  }
   if (verdict !== "not_run") request.mayHaveRun = true;
   if (isUncounted(request, outcome)) request.countedAttempts -= 1;
   yield {
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -8,6 +8,7 @@
 import type { KnownChains } from "../quarantine/types.ts";
 import type { StoreTimeline } from "../store_timeline/types.ts";
 import type { DaemonEntry, ReadSharing } from "../read_sharing/types.ts";
+import type { ServicePath } from "../service_path/types.ts";
 import type {
   Route,
   RoutingDocument,
@@ -147,6 +148,8 @@
   /** Time at which a new runner was last added to the list, ms. */
   lastRunnerAddedAt: number;
   runnerStats: Map<string, RunnerStats>;
+  /** Paths to services to which a connection has failed since one last succeeded, by service. */
+  servicePaths: Map<string, ServicePath>;
   requests: Map<string, RoutedRequest>;
   /** Ids of the requests that wait for a free slot, by service and model. */
   waitingRequests: Map<string, Set<string>>;
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -45,6 +45,7 @@
 export * from "./quarantine/event_types.ts";
 export type * from "./quarantine/types.ts";
 export { isHeld } from "./quarantine/suspects.ts";
+export { isPathLost } from "./service_path/mod.ts";
 export * from "./vm/types.ts";
 export * from "./reduce.ts";
 export * from "./request/types.ts";
--- /dev/null
+++ b/packages/core/src/service_path/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * A daemon's own network path to the runners of each service.
+ *
+ * @module
+ */
+export * from "./service_path.ts";
+export type * from "./types.ts";
--- /dev/null
+++ b/packages/core/src/service_path/service_path.ts
@@ -0,0 +1,96 @@
+/**
+ * Tells a daemon whose own network has failed from runners that have failed.
+ *
+ * A connection that fails says that its runner is down, or that the path to it is. Where connections to several runners
+ * of a service fail in a row and none succeeds between, the path of this daemon is the likelier cause.
+ *
+ * @module
+ */
+import type { EventOf } from "../event/types.ts";
+import { candidatesFor } from "../gateway/runner_index.ts";
+import type { Gateway, Runner } from "../gateway/types.ts";
+import type { Effects } from "../reduce_types.ts";
+import type { State } from "../state/types.ts";
+import {
+  LOST_AFTER_RUNNERS,
+  LOST_AFTER_RUNNERS_WHILE_LOST,
+} from "./constants.ts";
+import type { ServicePath } from "./types.ts";
+
+/** Returns whether this daemon has lost its path to the runners of a service. */
+export function isPathLost(
+  { servicePaths }: Gateway,
+  service: string,
+): boolean {
+  return servicePaths.get(service)?.lostSince !== undefined;
+}
+
+function isAnyPathLost({ servicePaths }: Gateway): boolean {
+  return [...servicePaths.values()].some(({ lostSince }) =>
+    lostSince !== undefined
+  );
+}
+
+/** Returns how many runners have to fail in a row before the path to their service counts as lost. */
+function lostAfter(gateway: Gateway, service: string): number {
+  const limit = isAnyPathLost(gateway)
+    ? LOST_AFTER_RUNNERS_WHILE_LOST
+    : LOST_AFTER_RUNNERS;
+  const count = [...candidatesFor(gateway, { service, model: undefined })]
+    .length;
+  return Math.min(limit, Math.max(1, count));
+}
+
+/** Records a connection to a runner that failed, and whether the path to its service is lost. */
+export function* recordConnectFailure(
+  { gateway, now }: State,
+  { runner, service }: { runner: string; service: string },
+): Effects {
+  const { servicePaths } = gateway!;
+  const path: ServicePath = servicePaths.get(service) ??
+    { failedRunners: new Set(), lostSince: undefined };
+  servicePaths.set(service, path);
+  path.failedRunners.add(runner);
+  if (path.lostSince !== undefined) return;
+  if (path.failedRunners.size < lostAfter(gateway!, service)) return;
+  path.lostSince = now;
+  yield {
+    kind: "log",
+    event: "path_lost",
+    fields: { service, runners: [...path.failedRunners].join(" ") },
+  };
+}
+
+function findByAddress(gateway: Gateway, address: string): Runner | undefined {
+  for (const runner of gateway.runners.values()) {
+    if (runner.address === address) return runner;
+  }
+  return undefined;
+}
+
+/** Handles a new connection to a runner. */
+export function* recordConnection(
+  state: State,
+  { address }: EventOf<"runner_connected">,
+): Effects {
+  const gateway = state.gateway!;
+  if (gateway.servicePaths.size === 0) return;
+  const runner = findByAddress(gateway, address);
+  if (runner !== undefined) yield* confirmPath(state, runner);
+}
+
+/** Records that this daemon reaches a runner, so that its path to the service works. */
+export function* confirmPath(
+  { gateway, now }: State,
+  { id, service }: Runner,
+): Effects {
+  const path = gateway!.servicePaths.get(service);
+  if (path === undefined) return;
+  gateway!.servicePaths.delete(service);
+  if (path.lostSince === undefined) return;
+  yield {
+    kind: "log",
+    event: "path_regained",
+    fields: { service, runner: id, lostMs: Math.round(now - path.lostSince) },
+  };
+}
--- a/packages/daemon/src/backend/transport.ts
+++ b/packages/daemon/src/backend/transport.ts
@@ -72,6 +72,10 @@
 /** Options of {@link createAgents}. */
 export interface AgentOptions {
   connectTimeoutMs: number;
+  /** Called with the `IP:PORT` of each new connection. */
+  onConnect?(address: string): void;
+  /** Opens connections; sockets of the operating system by default. */
+  connect?: Connect;
 }
 
 /** Connection pools for backend servers. */
@@ -98,12 +102,14 @@
  * The client reports a response as complete if its connection is reset before the end of a body without a length, or
  * closed within a chunked body with the header `connection: close`, so {@link startAttempt} checks the recorded event.
  */
-function createConnector(timeoutMs: number): buildConnector.connector {
-  const connect = buildConnector({ timeout: 0 }) as Connect;
+function createConnector(
+  { connectTimeoutMs, onConnect, connect = createConnect() }: AgentOptions,
+): buildConnector.connector {
   return (options, callback) => {
     const connecting = connect(options, (...result) => {
       clearTimeout(timer);
       const [, socket] = result;
+      if (socket) onConnect?.(`${options.hostname}:${options.port}`);
       socket?.prependListener("error", () => recordSocketEvent("error"));
       socket?.prependListener("end", () => recordSocketEvent("end"));
       callback(...result);
@@ -111,13 +117,13 @@
     // The connector's own timeout is up to a second late.
     const timer = setTimeout(
       () => connecting.destroy(new errors.ConnectTimeoutError()),
-      timeoutMs,
+      connectTimeoutMs,
     );
   };
 }
 
-/** A connector returns the socket that is connecting, which its type leaves out. */
-type Connect = (...args: Parameters<buildConnector.connector>) => Socket;
+/** Opens a connection. It returns the socket that is connecting, which the type of the client's connectors leaves out. */
+export type Connect = (...args: Parameters<buildConnector.connector>) => Socket;
 
 /** Returns true if the end of a body is known without the end of its connection. */
 export function isFramed(headers: Record<string, unknown>): boolean {
@@ -125,9 +131,14 @@
     headers["content-length"] !== undefined;
 }
 
+/** Creates the function that opens sockets of the operating system. */
+export function createConnect(): Connect {
+  return buildConnector({ timeout: 0 }) as Connect;
+}
+
 /** Creates the connection pools. */
-export function createAgents({ connectTimeoutMs }: AgentOptions): Agents {
-  const connect = createConnector(connectTimeoutMs);
+export function createAgents(options: AgentOptions): Agents {
+  const connect = createConnector(options);
   const shared = { connect, connections: null, bodyTimeout: 0 };
   return {
     reusing: new Agent({ ...shared, pipelining: 1 }),
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -8,6 +8,7 @@
   isGatewayReady,
   isHeld,
   isLeader,
+  isPathLost,
   isStoreReader,
   type LogEventName,
   type State,
@@ -205,6 +206,14 @@
         until > now()
       ).length,
   );
+  addGauge(
+    "primrose_lost_paths",
+    "Services whose runners this daemon does not reach",
+    () =>
+      [...gateway.servicePaths.keys()].filter((service) =>
+        isPathLost(gateway, service)
+      ).length,
+  );
   addGauge(
     "primrose_quarantined_parts",
     "Parts of prompts that are held back since runners crashed on them",
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -13,7 +13,7 @@
   isLeaderCandidate,
   type State,
 } from "@primroseshed/core";
-import { createAgents } from "../backend/transport.ts";
+import { type Connect, createAgents } from "../backend/transport.ts";
 import {
   createDriver,
   type EffectHandlers,
@@ -49,6 +49,8 @@
 export interface GatewayDaemonOptions {
   adapters: Adapters;
   logger?: Logger;
+  /** Opens connections to runners; sockets of the operating system by default. */
+  connect?: Connect;
 }
 
 const INCARNATION_BYTES = 4;
@@ -79,7 +81,7 @@
  */
 export async function createGatewayDaemon(
   settings: GatewaySettingsFile,
-  { adapters, logger: givenLogger }: GatewayDaemonOptions,
+  { adapters, logger: givenLogger, connect }: GatewayDaemonOptions,
 ): Promise<GatewayDaemon> {
   const { node, store, timing, bounds } = settings;
   const incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
@@ -112,7 +114,11 @@
   const logger = givenLogger ??
     createLogger({ level: settings.log.level, node: node.name, to: "stdout" });
   const log: Logger["write"] = (event, fields) => logger.write(event, fields);
-  const agents = createAgents(timing);
+  const agents = createAgents({
+    connectTimeoutMs: timing.connectTimeoutMs,
+    onConnect: (address) => dispatch({ kind: "runner_connected", address }),
+    ...connect && { connect },
+  });
   const relays = new Map<string, Relay>();
   const metrics = createGatewayMetrics(state, {
     now: monotonicNow,
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -31,7 +31,12 @@
 } from "./gateway/settings.ts";
 export { createGatewayDaemon, type GatewayDaemon } from "./gateway/wire.ts";
 export { createLogger, type Logger } from "./observe/logger.ts";
-export { createAgents, startAttempt } from "./backend/transport.ts";
+export {
+  type Connect,
+  createAgents,
+  createConnect,
+  startAttempt,
+} from "./backend/transport.ts";
 export {
   type ConnectionEvents,
   type ConnectionOptions,
