--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -39,6 +39,12 @@
   part_cleared: event(1119, "info", "part of a prompt cleared of suspicion"),
   part_tried: event(1120, "info", "quarantined part of a prompt is tried"),
   resume_waits: event(1116, "info", "broken stream waits for a free slot"),
+  request_forwarded: event(
+    1121,
+    "info",
+    "request of another daemon sent to a runner",
+  ),
+  forward_refused: event(1122, "info", "request of another daemon refused"),
   request_sent: event(1111, "info", "request sent to a runner"),
   batch_preempted: event(
     1108,
@@ -136,6 +142,11 @@
     "store has begun a new timeline, lost data is written again",
   ),
   floor_unrecorded: event(1613, "warn", "floor of the timeline not written"),
+  forwarder_avoided: event(
+    1614,
+    "warn",
+    "daemon did not forward a request",
+  ),
   peer_refused: event(1603, "warn", "peer refused"),
   peer_frame_dropped: event(1604, "warn", "peer frame dropped"),
   usage_published: event(1701, "info", "usage published"),
--- a/packages/core/src/formation/constants.ts
+++ b/packages/core/src/formation/constants.ts
@@ -10,6 +10,8 @@
 export const LEADERSHIP_TTL_MS = 1_000;
 /** A new leader waits this long before its term, so that the former leader has learned of its loss, ms. */
 export const TAKEOVER_WAIT_MS = 400;
+/** A leader without a path to the engines for this long leaves the leadership to another daemon, ms. */
+export const YIELD_AFTER_MS = 500;
 /** An order without a response or a visible effect is given up after this time, ms. */
 export const ORDER_TIMEOUT_MS = 1_500;
 /** Minimum interval between two health checks of a group member, ms. */
--- a/packages/core/src/formation/health_checks.ts
+++ b/packages/core/src/formation/health_checks.ts
@@ -5,6 +5,7 @@
  */
 import type { EventOf } from "../event/types.ts";
 import type { Effects } from "../reduce_types.ts";
+import { isOwnFault } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
 import {
   DEAD_AFTER_FAILURES,
@@ -79,6 +80,7 @@
   const check = state.gateway!.groupPlanner.healthChecks.get(runner);
   if (check === undefined) return;
   check.isPending = false;
+  if (status !== "alive" && isOwnFault(state.gateway!, runner)) return;
   check.report = report ?? check.report;
   const wasDead = check.failures >= DEAD_AFTER_FAILURES;
   check.failures = FAILURES[status](check.failures);
--- a/packages/core/src/formation/leadership.ts
+++ b/packages/core/src/formation/leadership.ts
@@ -8,11 +8,13 @@
  */
 import type { EventOf } from "../event/types.ts";
 import type { Effects } from "../reduce_types.ts";
+import { isPathLostFor } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
 import {
   LEADERSHIP_TTL_MS,
   MAX_ORDERS_PER_TERM,
   TAKEOVER_WAIT_MS,
+  YIELD_AFTER_MS,
 } from "./constants.ts";
 import type { GroupPlanner, Leadership } from "./types.ts";
 
@@ -25,6 +27,7 @@
       leaderSince: 0,
       term: undefined,
       isTermRequested: false,
+      hasYielded: false,
     },
     orderCount: 0,
     pendingOrders: new Map(),
@@ -64,6 +67,24 @@
   leadership.leaderSince = state.now;
 }
 
+/** Leaves the leadership to another daemon while this one does not reach the engines. */
+export function* yieldLeadership(state: State): Effects {
+  const { leadership } = state.gateway!.groupPlanner;
+  const hasPath = hasPathToEngines(state);
+  if (hasPath) leadership.hasYielded = false;
+  if (hasPath || !isLeader(leadership, state.now)) return;
+  leadership.hasYielded = true;
+  yield* resignLeadership(state, "path_lost");
+}
+
+function hasPathToEngines(state: State): boolean {
+  const { servicePaths, routing } = state.gateway!;
+  return [...servicePaths.keys()].every((service) =>
+    routing?.services.get(service)?.engine === undefined ||
+    !isPathLostFor(state, service, { ms: YIELD_AFTER_MS })
+  );
+}
+
 /** Gives up leadership until it is granted again. */
 export function* resignLeadership(state: State, cause: string): Effects {
   const { groupPlanner } = state.gateway!;
--- a/packages/core/src/formation/plan.ts
+++ b/packages/core/src/formation/plan.ts
@@ -15,6 +15,7 @@
   Service,
 } from "../gateway/types.ts";
 import type { Effects } from "../reduce_types.ts";
+import { isPathLost } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
 import {
   MAX_DEAD_SHARE,
@@ -32,7 +33,7 @@
   isPresumedDead,
 } from "./group_view.ts";
 import { checkGroupMembers } from "./health_checks.ts";
-import { ensureTerm } from "./leadership.ts";
+import { ensureTerm, yieldLeadership } from "./leadership.ts";
 import { orderRunner, pruneOrders } from "./orders.ts";
 import {
   orderJoins,
@@ -47,6 +48,7 @@
 export function* planGroups(state: State): Effects {
   const gateway = state.gateway!;
   const { groupPlanner } = gateway;
+  yield* yieldLeadership(state);
   if (state.now - groupPlanner.lastPlannedAt < PLAN_INTERVAL_MS) return;
   groupPlanner.lastPlannedAt = state.now;
   // Groups would seem to lack members that the list leaves out.
@@ -64,6 +66,8 @@
   service: Service,
   engine: EngineProfile,
 ): Effects {
+  // All members would seem dead, and orders would not arrive.
+  if (isPathLost(state.gateway!, service.name)) return;
   const views = deriveGroups(state.gateway!, {
     service: service.name,
     models: engine.models,
--- a/packages/core/src/formation/types.ts
+++ b/packages/core/src/formation/types.ts
@@ -100,6 +100,8 @@
   term: number | undefined;
   /** True while a new term is being requested. */
   isTermRequested: boolean;
+  /** True from when this daemon gave it up for want of a path to the engines until it has that path again. */
+  hasYielded: boolean;
 }
 
 /** Planned members of a group. */
--- /dev/null
+++ b/packages/core/src/forwarding/admission.ts
@@ -0,0 +1,105 @@
+/**
+ * Decides whether this daemon sends a request for another daemon that has lost its path to the runner.
+ *
+ * All that holds for a caller's request holds here too, by what this daemon knows. It never forwards a request that was
+ * forwarded to it, so that a request takes one hop at most. The other daemon keeps all decisions on what follows.
+ *
+ * @module
+ */
+import type { EventOf } from "../event/types.ts";
+import { quarantineRefusal } from "../gateway/held_requests.ts";
+import { lookUp } from "../gateway/lookup.ts";
+import { canServe } from "../gateway/runner_index.ts";
+import type { Gateway, Runner } from "../gateway/types.ts";
+import { crashSuspectsOf } from "../quarantine/mod.ts";
+import { type Effects, noEffects } from "../reduce_types.ts";
+import { isPathLost } from "../service_path/mod.ts";
+import type { State } from "../state/types.ts";
+import { addSample } from "../util/ewma.ts";
+import {
+  LATENESS_WEIGHT,
+  MAX_FORWARDED_PER_CORE,
+  MAX_LATENESS_MS,
+} from "./constants.ts";
+import type { ForwardRefusal } from "./types.ts";
+
+/** Records by how much a sweep of this daemon ran late. */
+export function recordLateness({ forwarding }: Gateway, lateMs: number): void {
+  addSample(forwarding.lateness, Math.max(0, lateMs), {
+    weight: LATENESS_WEIGHT,
+  });
+}
+
+/** Returns whether this daemon's own callers would pay for more requests of others. */
+function isBusy({ forwarding, readSharing }: Gateway): boolean {
+  const cores = readSharing.self?.cores ?? 1;
+  return forwarding.inFlight.size >= MAX_FORWARDED_PER_CORE * cores ||
+    forwarding.lateness.value > MAX_LATENESS_MS;
+}
+
+function findRefusal(
+  state: State,
+  event: EventOf<"forward_arrived">,
+  runner: Runner | undefined,
+): ForwardRefusal | undefined {
+  const gateway = state.gateway!;
+  if (state.phase !== "serving") return "stopping";
+  if (gateway.routing === undefined) return "not_ready";
+  const found = lookUp(gateway, gateway.routing, { event, now: state.now });
+  if (!found.ok) {
+    return found.refusal.code === "not_ready" ? "not_ready" : "not_allowed";
+  }
+  if (found.team?.name !== event.team) return "not_allowed";
+  if (runner === undefined || !canServe(runner)) return "runner_gone";
+  const isAllowed = found.route.backends.some(({ service }) =>
+    service === runner.service
+  );
+  if (!isAllowed) return "not_allowed";
+  const crashSuspects = crashSuspectsOf(event);
+  const { isTrial } = event;
+  if (quarantineRefusal(state, { crashSuspects, isTrial }) !== undefined) {
+    return "quarantined";
+  }
+  if (isPathLost(gateway, runner.service)) return "path_lost";
+  return isBusy(gateway) ? "busy" : undefined;
+}
+
+/** Handles a request of another daemon: sends it, or refuses it as not run. */
+export function* admitForward(
+  state: State,
+  event: EventOf<"forward_arrived">,
+): Effects {
+  const { request, runner: id } = event;
+  const { runners, forwarding } = state.gateway!;
+  const runner = runners.get(id);
+  const cause = findRefusal(state, event, runner);
+  if (cause !== undefined) {
+    yield {
+      kind: "log",
+      event: "forward_refused",
+      fields: {
+        request,
+        runner: id,
+        cause,
+        inFlight: forwarding.inFlight.size,
+      },
+    };
+    return yield { kind: "refuse_forward", request, cause };
+  }
+  forwarding.inFlight.add(request);
+  yield {
+    kind: "log",
+    event: "request_forwarded",
+    fields: { request, runner: id, inFlight: forwarding.inFlight.size },
+  };
+  yield { kind: "forward", request, address: runner!.address };
+}
+
+/** Handles the end of a request of another daemon. */
+export function endForward(
+  { gateway }: State,
+  { request }: EventOf<"forward_ended">,
+): Effects {
+  gateway!.forwarding.inFlight.delete(request);
+  return noEffects();
+}
--- /dev/null
+++ b/packages/core/src/forwarding/event_types.ts
@@ -0,0 +1,26 @@
+/**
+ * Events of forwarding.
+ *
+ * @module
+ */
+
+/** Every event of forwarding. */
+export type ForwardingEvent =
+  /** Another daemon asks this one to send a request to a runner. */
+  | {
+    kind: "forward_arrived";
+    /** Name of the request at this daemon. */
+    request: string;
+    runner: string;
+    host: string;
+    path: string;
+    key: string | undefined;
+    /** Name of the team as the other daemon found it. */
+    team: string | undefined;
+    promptParts: readonly string[];
+    fingerprint: string;
+    /** True where the other daemon sends it as the trial of a quarantined part. */
+    isTrial: boolean;
+  }
+  /** A forwarded request has its response, or has failed. */
+  | { kind: "forward_ended"; request: string };
--- /dev/null
+++ b/packages/core/src/forwarding/path.ts
@@ -0,0 +1,42 @@
+/**
+ * Decides whether a request goes to a runner directly or through another daemon.
+ *
+ * @module
+ */
+import type { RoutedRequest, RunnerStats } from "../gateway/types.ts";
+import { isPathLost } from "../service_path/mod.ts";
+import type { State } from "../state/types.ts";
+import { FORWARD_AFTER_FAILED_CONNECTS } from "./constants.ts";
+import { hasForwarder } from "./forwarders.ts";
+
+/** Way of a request to its runner. */
+export type Path = "direct" | "forwarded";
+
+/** Returns the ways that a request may take now, the preferred one first. */
+export function pathsOf(
+  state: State,
+  request: RoutedRequest,
+): readonly Path[] {
+  if (!hasForwarder(state, request)) return ["direct"];
+  return isDirectHopeless(state, request)
+    ? ["forwarded"]
+    : ["direct", "forwarded"];
+}
+
+function isDirectHopeless(state: State, request: RoutedRequest): boolean {
+  return isPathLost(state.gateway!, request.service) ||
+    request.failedConnects >= FORWARD_AFTER_FAILED_CONNECTS;
+}
+
+/** Returns whether a request may be sent to a runner through another daemon; `stats` are the runner's. */
+export function canForward(
+  state: State,
+  request: RoutedRequest,
+  stats: RunnerStats,
+): boolean {
+  const { runner } = stats;
+  const hasArrived = request.triedRunners.has(runner) &&
+    !request.unreachedRunners.has(runner);
+  if (hasArrived || stats.avoidForwardedUntil > state.now) return false;
+  return stats.isUnreachable || isDirectHopeless(state, request);
+}
--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -7,7 +7,7 @@
 import { crashSuspectsOf } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
-import { chooseRunner } from "./choose.ts";
+import { chooseDestination } from "./choose.ts";
 import {
   MAX_WAIT_SHARE,
   RETRY_AFTER_MS,
@@ -131,6 +131,9 @@
     }),
     countedAttempts: 0,
     triedRunners: new Set(),
+    unreachedRunners: new Set(),
+    triedForwarders: new Set(),
+    failedConnects: 0,
     currentAttempt: undefined,
     attempts: 0,
     mayHaveRun: false,
@@ -158,12 +161,12 @@
       retryAfterMs: RETRY_AFTER_MS,
     });
   }
-  const runner = chooseRunner(state, gateway, request, {
+  const destination = chooseDestination(state, gateway, request, {
     canUseReserved: request.mayHaveRun,
   });
-  if (runner !== undefined) {
+  if (destination !== undefined) {
     leaveQueue(gateway, request);
-    return yield* sendToRunner(state, gateway, { request, runner: runner.id });
+    return yield* sendToRunner(state, gateway, { request, ...destination });
   }
   if (!hasCandidates(gateway, request)) {
     return yield* failRequest(state, gateway, request, {
--- a/packages/core/src/gateway/choose.ts
+++ b/packages/core/src/gateway/choose.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+import { canForward, type Path, pathsOf } from "../forwarding/path.ts";
 import { nextFloat } from "../util/random.ts";
 import type { State } from "../state/types.ts";
 import {
@@ -44,7 +45,7 @@
   return stats.streaming > 0 && now - stats.lastSeenAt > SUSPECT_SILENCE_MS;
 }
 
-/** Options of {@link chooseRunner}. */
+/** Options of {@link chooseDestination}. */
 export interface ChooseOptions {
   /** True where the request may use reserved slots, since a refusal would cut off a response. */
   canUseReserved: boolean;
@@ -55,19 +56,57 @@
   score: number;
 }
 
-/** Chooses the least loaded runner with a free slot; undefined where none has one. */
-export function chooseRunner(
+/** The runner that a request is sent to, and the way there. */
+export interface Destination {
+  runner: Runner;
+  path: Path;
+}
+
+/** Tell by path whether a request may be sent to a runner that way. */
+const IS_USABLE: Readonly<
+  Record<
+    Path,
+    (state: State, request: RoutedRequest, stats: RunnerStats) => boolean
+  >
+> = {
+  direct: ({ now }, { triedRunners }, stats) =>
+    !triedRunners.has(stats.runner) && stats.avoidUntil <= now &&
+    !isSilent(stats, now),
+  forwarded: canForward,
+};
+
+/** Chooses the runner of a request and the way there; undefined where no runner has a free slot. */
+export function chooseDestination(
   state: State,
   gateway: Gateway,
   request: RoutedRequest,
-  { canUseReserved }: ChooseOptions,
+  options: ChooseOptions,
+): Destination | undefined {
+  for (const path of pathsOf(state, request)) {
+    const isUsable = (stats: RunnerStats) =>
+      IS_USABLE[path](state, request, stats);
+    const runner = chooseRunner(state, gateway, request, {
+      ...options,
+      isUsable,
+    });
+    if (runner !== undefined) return { runner, path };
+  }
+  return undefined;
+}
+
+/** Chooses the least loaded runner with a free slot among those that are usable. */
+function chooseRunner(
+  state: State,
+  gateway: Gateway,
+  request: RoutedRequest,
+  { canUseReserved, isUsable }: ChooseOptions & {
+    isUsable(stats: RunnerStats): boolean;
+  },
 ): Runner | undefined {
   let best: Candidate | undefined;
   for (const runner of candidatesFor(gateway, request)) {
-    if (request.triedRunners.has(runner.id)) continue;
     const stats = runnerStatsOf(gateway, runner.id);
-    if (stats.avoidUntil > state.now || isSilent(stats, state.now)) continue;
-    if (!isWithinLimit(stats, state.now)) continue;
+    if (!isUsable(stats) || !isWithinLimit(stats, state.now)) continue;
     const occupancy = occupancyOf(gateway, { runner, stats }, state.now);
     const slots = slotsOf(gateway, runner);
     const usable = usableSlots(slots, request, { canUseReserved });
--- a/packages/core/src/gateway/effect_types.ts
+++ b/packages/core/src/gateway/effect_types.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import type { ForwardingEffect } from "../forwarding/effect_types.ts";
+import type { Forwarder } from "../forwarding/types.ts";
 import type { RunnerOrder } from "../formation/types.ts";
 import type { TimelineEffect } from "../store_timeline/effect_types.ts";
 import type { ReadSharingEffect } from "../read_sharing/effect_types.ts";
@@ -26,6 +28,10 @@
     resumeAfter: string | undefined;
     isRepeatable: boolean;
     isStream: boolean;
+    /** True where the request is a trial of a quarantined part of its prompt. */
+    isTrial: boolean;
+    /** The daemon through which it is sent; undefined where it goes to the runner directly. */
+    forwarder: Forwarder | undefined;
   }
   /** Relays the response of an attempt to the caller. */
   | { kind: "relay"; request: string; attempt: number }
@@ -43,5 +49,8 @@
   }
   | { kind: "check_runner"; runner: string; address: string }
   | { kind: "limits_in_force"; limits: CallerLimits }
+  /** Opens a connection to a runner, to see whether this daemon reaches it. */
+  | { kind: "probe_path"; runner: string; address: string }
+  | ForwardingEffect
   | ReadSharingEffect
   | TimelineEffect;
--- a/packages/core/src/gateway/event_types.ts
+++ b/packages/core/src/gateway/event_types.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import type { ForwardingEvent } from "../forwarding/event_types.ts";
+import type { FailureSide, ForwardRefusal } from "../forwarding/types.ts";
 import type {
   HealthStatus,
   OrderOutcome,
@@ -63,6 +65,8 @@
   | { kind: "routed_request_closed"; request: string }
   /** A new connection to a runner was established. */
   | { kind: "runner_connected"; address: string }
+  | { kind: "path_probed"; runner: string; isReachable: boolean }
+  | ForwardingEvent
   /** The request of an attempt is about to leave on a connection. */
   | { kind: "attempt_sent"; request: string; attempt: number }
   | {
@@ -102,6 +106,10 @@
     request: string;
     attempt: number;
     outcome: Outcome;
+    /** Where an attempt through a forwarder failed; undefined where it went to the runner directly. */
+    side?: FailureSide | undefined;
+    /** Why the forwarder refused it, if it did. */
+    refusal?: ForwardRefusal | undefined;
   }
   | { kind: "leadership_renewed"; isGranted: boolean; sentAt: number }
   | { kind: "term_begun"; term: number | undefined }
--- a/packages/core/src/gateway/finish.ts
+++ b/packages/core/src/gateway/finish.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { EventOf } from "../event/types.ts";
+import { forwarderStatsOf } from "../forwarding/forwarders.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
@@ -18,6 +19,9 @@
   if (attempt === undefined) return;
   const stats = runnerStatsOf(gateway, attempt.runner);
   stats.inFlight -= 1;
+  if (attempt.forwarder !== undefined) {
+    forwarderStatsOf(gateway, attempt.forwarder).inFlight -= 1;
+  }
   if (attempt.isStreaming) stats.streaming -= 1;
   const isUnused = stats.inFlight === 0 &&
     stats.requestsPerSecond === undefined &&
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -5,6 +5,11 @@
  */
 import { advanceNode } from "../drain/drain.ts";
 import type { EventOf } from "../event/types.ts";
+import {
+  createForwarding,
+  pruneForwarders,
+  recordLateness,
+} from "../forwarding/mod.ts";
 import { createGroupPlanner } from "../formation/leadership.ts";
 import { planGroups } from "../formation/plan.ts";
 import { pruneSuspects } from "../quarantine/mod.ts";
@@ -12,6 +17,7 @@
 import { passOnSuspects } from "../read_sharing/suspects.ts";
 import { createReadSharing, updateSource } from "../read_sharing/upstream.ts";
 import type { Effects } from "../reduce_types.ts";
+import { probeLostPaths } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
 import { sweepTimeline } from "../store_timeline/handlers.ts";
 import { createStoreTimeline } from "../store_timeline/timeline.ts";
@@ -47,6 +53,7 @@
     lastRunnerAddedAt: now,
     runnerStats: new Map(),
     servicePaths: new Map(),
+    forwarding: createForwarding(),
     requests: new Map(),
     waitingRequests: new Map(),
     retryBudgets: new Map(),
@@ -78,11 +85,14 @@
   const gateway = state.gateway!;
   // A sooner sweep has taken the place of this one.
   if (state.now < gateway.nextSweepAt) return;
+  recordLateness(gateway, state.now - gateway.nextSweepAt);
   yield* sweepRequests(state, gateway);
   if (state.now - gateway.workShareMeasuredAt >= WORK_SHARE_INTERVAL_MS) {
     gateway.workShareMeasuredAt = state.now;
     recordWorkShare(gateway, state.now);
   }
+  yield* probeLostPaths(state);
+  pruneForwarders(gateway);
   yield* updateSource(state);
   yield* sweepTimeline(state);
   yield* passOnSuspects(state);
@@ -113,7 +123,8 @@
   const elapsed = state.now - gateway.stoppingSince;
   const limit = gateway.settings.graceMs - STOP_MARGIN_MS;
   if (elapsed < STOP_LISTEN_MS) return;
-  if (gateway.requests.size > 0 && elapsed < limit) return;
+  const isIdle = gateway.requests.size + gateway.forwarding.inFlight.size === 0;
+  if (!isIdle && elapsed < limit) return;
   const cut = gateway.requests.size;
   for (const request of [...gateway.requests.values()]) {
     yield* failRequest(state, gateway, request, {
--- a/packages/core/src/gateway/handlers.ts
+++ b/packages/core/src/gateway/handlers.ts
@@ -4,12 +4,17 @@
  * @module
  */
 import type { EventOf } from "../event/types.ts";
+import { admitForward, endForward } from "../forwarding/admission.ts";
 import { recordHealthCheck } from "../formation/health_checks.ts";
 import { beginTerm, renewLeadership } from "../formation/leadership.ts";
 import { completeOrder } from "../formation/orders.ts";
 import { confirmCrash, dismissCuts } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
-import { recordConnection } from "../service_path/mod.ts";
+import {
+  isOwnFault,
+  recordConnection,
+  recordProbe,
+} from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
 import { applyFloors, applyTimeline } from "../store_timeline/handlers.ts";
 import { admitRequest } from "./admit.ts";
@@ -44,6 +49,9 @@
   routed_request_arrived: admitRequest,
   routed_request_closed: closeRequest,
   runner_connected: recordConnection,
+  path_probed: recordProbe,
+  forward_arrived: admitForward,
+  forward_ended: endForward,
   attempt_sent: recordSend,
   response_started: startResponse,
   response_progressed: recordProgress,
@@ -54,7 +62,9 @@
   term_begun: beginTerm,
   order_completed: completeOrder,
   *runner_checked(state: State, event: EventOf<"runner_checked">): Effects {
-    if (event.status === "refused") yield* confirmCrash(state, event.runner);
+    const isProof = event.status === "refused" &&
+      !isOwnFault(state.gateway!, event.runner);
+    if (isProof) yield* confirmCrash(state, event.runner);
     if (event.status === "alive") dismissCuts(state, event.runner);
     yield* recordHealthCheck(state, event);
   },
--- a/packages/core/src/gateway/held_requests.ts
+++ b/packages/core/src/gateway/held_requests.ts
@@ -15,6 +15,7 @@
   SOUND_AFTER_MS,
 } from "../quarantine/mod.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
+import { isOwnFault } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
 import type { Outcome } from "../verdict/types.ts";
 import type { Refusal } from "./lookup.ts";
@@ -46,7 +47,10 @@
   request: RoutedRequest,
   outcome: Outcome,
 ): Effects {
-  const { runner, isSound, chains, sentAt } = request.currentAttempt!;
+  const { runner, isSound, chains, sentAt, forwarder } = request
+    .currentAttempt!;
+  // A cut of this daemon's own network looks like a crash of every runner.
+  if (forwarder === undefined && isOwnFault(state.gateway!, runner)) return;
   if (outcome === "connect_refused") return yield* confirmCrash(state, runner);
   if (isSound || !isCut(outcome)) return;
   const cut = {
--- a/packages/core/src/gateway/lookup.ts
+++ b/packages/core/src/gateway/lookup.ts
@@ -50,7 +50,10 @@
 export function lookUp(
   gateway: Gateway,
   table: RoutingTable,
-  { event, now }: { event: EventOf<"routed_request_arrived">; now: number },
+  { event, now }: {
+    event: Pick<EventOf<"routed_request_arrived">, "host" | "path" | "key">;
+    now: number;
+  },
 ): Lookup {
   const isFresh = ageOf(gateway.routingFreshness, now) < STALE_LOOKUP_MS;
   const route = findRoute(table, event.host, { path: event.path });
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -3,8 +3,10 @@
  *
  * @module
  */
+import { forwarderStatsOf } from "../forwarding/forwarders.ts";
 import type { EventOf } from "../event/types.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
+import { proveLost } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
 import { endRequest, logEnd } from "./finish.ts";
@@ -48,6 +50,10 @@
   const attempt = request.currentAttempt!;
   const stats = runnerStatsOf(gateway, attempt.runner);
   attempt.hasHeaders = true;
+  if (attempt.forwarder !== undefined) {
+    forwarderStatsOf(gateway, attempt.forwarder).failures = 0;
+    proveLost(gateway, request.service);
+  }
   attempt.headersAt = state.now;
   attempt.lastByteAt = state.now;
   stats.lastSeenAt = state.now;
@@ -145,10 +151,13 @@
   const gateway = state.gateway!;
   const request = findByAttempt(gateway, event);
   if (request === undefined) return;
-  yield* reportCut(state, request, event.outcome);
+  const { outcome, side, refusal } = event;
+  if (side !== "forwarder") yield* reportCut(state, request, outcome);
   yield* failAttempt(state, gateway, {
     request,
-    outcome: event.outcome,
+    outcome,
     isRelayable: false,
+    side,
+    refusal,
   });
 }
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -3,14 +3,16 @@
  *
  * @module
  */
+import { recordForwarderFailure } from "../forwarding/forwarders.ts";
+import type { FailureSide, ForwardRefusal } from "../forwarding/types.ts";
 import { recordSuspect } from "../read_sharing/suspects.ts";
 import { findHeld } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
-import { recordConnectFailure } from "../service_path/mod.ts";
+import { isOwnFault, recordConnectFailure } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
 import type { Outcome } from "../verdict/types.ts";
 import { verdictOf } from "../verdict/verdict_table.ts";
-import { chooseRunner } from "./choose.ts";
+import { chooseDestination, type Destination } from "./choose.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
 import {
   AVOID_MS,
@@ -35,25 +37,27 @@
   outcome: Outcome;
   /** True where the runner's own error response may be relayed to the caller. */
   isRelayable: boolean;
+  /** Where an attempt through a forwarder failed; undefined where it went to the runner directly, or was too slow. */
+  side?: FailureSide | undefined;
+  /** Why the forwarder refused it, if it did. */
+  refusal?: ForwardRefusal | undefined;
 }
 
 /** Handles a failed attempt: sends the request to another runner, relays the runner's error response, or fails it. */
 export function* failAttempt(
   state: State,
   gateway: Gateway,
-  { request, outcome, isRelayable }: FailedAttempt,
+  failure: FailedAttempt,
 ): Effects {
-  const { runner, number: attempt, hasHeaders, progressCount, sentAt } = request
-    .currentAttempt!;
+  const { request, outcome, isRelayable, side, refusal } = failure;
+  const { currentAttempt } = request;
+  const { runner, number: attempt, hasHeaders, progressCount, sentAt } =
+    currentAttempt!;
   const stats = runnerStatsOf(gateway, runner);
   const verdict = verdictOf(outcome);
-  recordFailure(state, gateway, { runner, outcome, isRelayable });
-  if (UNSENT_OUTCOMES.has(outcome)) {
-    const { service } = request;
-    yield* recordConnectFailure(state, { runner, service });
-  }
+  yield* recordFailure(state, gateway, failure);
   if (verdict !== "not_run") request.mayHaveRun = true;
-  if (isUncounted(request, outcome)) request.countedAttempts -= 1;
+  if (isUncounted(failure)) request.countedAttempts -= 1;
   yield {
     kind: "log",
     event: "attempt_failed",
@@ -61,6 +65,9 @@
       request: request.id,
       try: attempt,
       runner,
+      forwarder: currentAttempt!.forwarder,
+      side,
+      refusal,
       outcome,
       verdict,
       lastEvent: request.lastEvent,
@@ -72,12 +79,12 @@
       fingerprint: request.fingerprint,
     },
   };
-  const next = nextStep(state, gateway, { request, outcome });
+  const next = nextStep(state, gateway, failure);
   releaseAttempt(gateway, request);
   if (next.kind === "send") {
     return yield* sendToRunner(state, gateway, {
       request,
-      runner: next.runner,
+      ...next.destination,
     });
   }
   if (next.kind === "wait") return yield* waitToResume(state, gateway, request);
@@ -100,24 +107,39 @@
   return promptParts.slice(0, MAX_LOGGED_PARTS).join(",");
 }
 
-function recordFailure(
+/** Records a failure with what caused it: the forwarder, the path of this daemon, or the runner. */
+function* recordFailure(
   state: State,
   gateway: Gateway,
-  { runner, outcome, isRelayable }: {
-    runner: string;
-    outcome: Outcome;
-    isRelayable: boolean;
-  },
-): void {
+  failure: FailedAttempt,
+): Effects {
+  const { request, outcome, isRelayable, side, refusal } = failure;
   if (isRelayable || outcome === "cancelled") return;
+  const { runner, forwarder } = request.currentAttempt!;
+  const { service } = request;
+  if (neverArrived(failure)) request.unreachedRunners.add(runner);
+  // An attempt through a forwarder that is too slow may be stuck on either side.
+  if (forwarder !== undefined && side !== "runner") {
+    const cause = refusal;
+    yield* recordForwarderFailure(state, { request, forwarder, cause });
+    if (side === "forwarder") return;
+  }
   const stats = runnerStatsOf(gateway, runner);
-  if (SUSPICIOUS_OUTCOMES.has(outcome)) {
+  const isOwnPath = forwarder === undefined && PATH_OUTCOMES.has(outcome);
+  if (isOwnPath && UNSENT_OUTCOMES.has(outcome)) {
+    stats.isUnreachable = true;
+    request.failedConnects += 1;
+    yield* recordConnectFailure(state, { runner, service });
+  }
+  const isBlamed = !isOwnPath || !isOwnFault(gateway, runner);
+  if (isBlamed && SUSPICIOUS_OUTCOMES.has(outcome)) {
     recordSuspect(gateway.readSharing, runner);
     hastenSweep(state);
   }
   stats.failures += 1;
   const avoidMs = AVOID_MS * 2 ** (stats.failures - 1);
   stats.avoidUntil = state.now + Math.min(MAX_AVOID_MS, avoidMs);
+  if (!isOwnPath) stats.avoidForwardedUntil = stats.avoidUntil;
 }
 
 /** Outcomes of attempts whose request never left. */
@@ -135,9 +157,24 @@
   "body_cut_off",
 ]);
 
+/** Outcomes that a fault of the network between this daemon and a runner causes, among other things. */
+const PATH_OUTCOMES: ReadonlySet<Outcome> = new Set([
+  ...UNSENT_OUTCOMES,
+  "reset_after_send",
+  "response_timeout",
+  "body_cut_off",
+]);
+
+/** Returns whether an attempt certainly did not reach its runner. */
+function neverArrived({ outcome, side }: FailedAttempt): boolean {
+  return UNSENT_OUTCOMES.has(outcome) ||
+    (side === "forwarder" && verdictOf(outcome) === "not_run");
+}
+
 /** Returns whether the runner or its address rejected the attempt in a way that leaves the route's limit as it was. */
-function isUncounted(request: RoutedRequest, outcome: Outcome): boolean {
-  if (UNSENT_OUTCOMES.has(outcome)) return true;
+function isUncounted(failure: FailedAttempt): boolean {
+  const { request, outcome } = failure;
+  if (neverArrived(failure)) return true;
   // A refusal here would cut off a response that the caller already has a part of.
   return request.isRelaying && verdictOf(outcome) === "not_run" &&
     request.attempts < request.route.maxAttempts + MAX_REJECTED_SENDS;
@@ -145,7 +182,7 @@
 
 /** What follows a failed attempt. */
 type NextStep =
-  | { kind: "send"; runner: string }
+  | { kind: "send"; destination: Destination }
   /** A stream waits for a free slot. */
   | { kind: "wait" }
   | { kind: "end" };
@@ -154,8 +191,9 @@
 function nextStep(
   state: State,
   gateway: Gateway,
-  { request, outcome }: { request: RoutedRequest; outcome: Outcome },
+  failure: FailedAttempt,
 ): NextStep {
+  const { request } = failure;
   const { route } = request;
   const remainingMs = request.expiresAt - state.now;
   const mayResend = (!request.mayHaveRun || canRepeat(route)) &&
@@ -163,19 +201,19 @@
     remainingMs >= MIN_REMAINING_MS;
   const isHeld = findHeld(state, request.crashSuspects) !== undefined;
   if (!mayResend || isHeld) return { kind: "end" };
-  const runner = chooseRunner(state, gateway, request, {
+  const destination = chooseDestination(state, gateway, request, {
     canUseReserved: true,
   });
-  if (runner === undefined && !request.isRelaying) return { kind: "end" };
-  if (!UNSENT_OUTCOMES.has(outcome)) {
+  if (destination === undefined && !request.isRelaying) return { kind: "end" };
+  if (!neverArrived(failure)) {
     const budget = retryBudgetOf(gateway, request.service);
     if (!takeRetry(budget, state.now, retryLimitsOf(gateway))) {
       return { kind: "end" };
     }
   }
-  return runner === undefined
+  return destination === undefined
     ? { kind: "wait" }
-    : { kind: "send", runner: runner.id };
+    : { kind: "send", destination };
 }
 
 /** Returns whether a request that makes no progress can be sent to another runner now. */
@@ -189,10 +227,10 @@
   if (request.expiresAt - state.now < MIN_REMAINING_MS) return false;
   const budget = retryBudgetOf(gateway, service);
   if (!hasRetry(budget, state.now, retryLimitsOf(gateway))) return false;
-  const runner = chooseRunner(state, gateway, request, {
+  const destination = chooseDestination(state, gateway, request, {
     canUseReserved: true,
   });
-  return runner !== undefined;
+  return destination !== undefined;
 }
 
 /** Queues a stream that broke off until a slot is free in which it can be resumed. */
--- a/packages/core/src/gateway/runner_stats.ts
+++ b/packages/core/src/gateway/runner_stats.ts
@@ -31,6 +31,8 @@
       requestsPerSecond: undefined,
       nextSendAt: -Infinity,
       avoidUntil: -Infinity,
+      avoidForwardedUntil: -Infinity,
+      isUnreachable: false,
       failures: 0,
       lastSeenAt: -Infinity,
     };
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -3,10 +3,11 @@
  *
  * @module
  */
+import { chooseForwarder, forwarderStatsOf } from "../forwarding/forwarders.ts";
 import type { Effects } from "../reduce_types.ts";
 import { knownChains } from "../quarantine/mod.ts";
 import type { State } from "../state/types.ts";
-import { chooseRunner } from "./choose.ts";
+import { chooseDestination, type Destination } from "./choose.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
 import { MAX_URGENCY } from "./constants.ts";
 import { quarantineRefusal } from "./held_requests.ts";
@@ -49,12 +50,12 @@
   requests.sort(byUrgency);
   for (const request of requests) {
     if (quarantineRefusal(state, request) !== undefined) continue;
-    const runner = chooseRunner(state, gateway, request, {
+    const destination = chooseDestination(state, gateway, request, {
       canUseReserved: request.mayHaveRun,
     });
-    if (runner === undefined) continue;
+    if (destination === undefined) continue;
     leaveQueue(gateway, request);
-    yield* sendToRunner(state, gateway, { request, runner: runner.id });
+    yield* sendToRunner(state, gateway, { request, ...destination });
   }
 }
 
@@ -62,18 +63,26 @@
 export function* sendToRunner(
   state: State,
   gateway: Gateway,
-  { request, runner: id }: { request: RoutedRequest; runner: string },
+  { request, runner, path }: Destination & { request: RoutedRequest },
 ): Effects {
-  const runner = gateway.runners.get(id)!;
+  const { id } = runner;
+  const forwarder = path === "forwarded"
+    ? chooseForwarder(state, request)
+    : undefined;
+  if (forwarder !== undefined) {
+    forwarderStatsOf(gateway, forwarder.node).inFlight += 1;
+  }
   const stats = runnerStatsOf(gateway, id);
   stats.inFlight += 1;
   countLimitedSend(gateway, stats, state.now);
   request.attempts += 1;
   request.countedAttempts += 1;
   request.triedRunners.add(id);
+  request.unreachedRunners.delete(id);
   request.currentAttempt = {
     number: request.attempts,
     runner: id,
+    forwarder: forwarder?.node,
     sentAt: state.now,
     lastByteAt: state.now,
     isSent: false,
@@ -92,6 +101,7 @@
       request: request.id,
       try: request.attempts,
       runner: id,
+      forwarder: forwarder?.node,
       group: runner.membership?.group,
       epoch: runner.membership?.epoch,
       inFlight: stats.inFlight,
@@ -112,5 +122,7 @@
     resumeAfter: request.lastEvent,
     isRepeatable: canRepeat(request.route),
     isStream: isStream(request.route),
+    isTrial: request.isTrial,
+    forwarder,
   };
 }
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Average } from "../util/ewma.ts";
+import type { Forwarding } from "../forwarding/types.ts";
 import type { GroupPlanner } from "../formation/types.ts";
 import type { KnownChains } from "../quarantine/types.ts";
 import type { StoreTimeline } from "../store_timeline/types.ts";
@@ -54,6 +55,10 @@
   nextSendAt: number;
   /** The runner gets no new requests before this time, ms. */
   avoidUntil: number;
+  /** It gets none through other daemons either before this time, ms. */
+  avoidForwardedUntil: number;
+  /** True from a failed connection of this daemon to it until the next one that succeeds. */
+  isUnreachable: boolean;
   /** Failures since the last successful response. */
   failures: number;
   /** Time at which the last byte from the runner arrived, ms. */
@@ -64,6 +69,8 @@
 export interface Attempt {
   number: number;
   runner: string;
+  /** Node of the daemon through which it goes; undefined where it goes to the runner directly. */
+  forwarder: string | undefined;
   sentAt: number;
   /** Time at which the last byte of the response arrived, ms; before the first byte, the time of the send. */
   lastByteAt: number;
@@ -107,6 +114,12 @@
   /** Attempts that count towards the route's limit; those that failed to connect are left out. */
   countedAttempts: number;
   triedRunners: Set<string>;
+  /** Those of them that certainly did not get the request. */
+  unreachedRunners: Set<string>;
+  /** Daemons that failed to forward the request, or refused to. */
+  triedForwarders: Set<string>;
+  /** Connections to runners that failed since one last succeeded. */
+  failedConnects: number;
   currentAttempt: Attempt | undefined;
   attempts: number;
   /** True once a runner may have run the request in any attempt. */
@@ -150,6 +163,7 @@
   runnerStats: Map<string, RunnerStats>;
   /** Paths to services to which a connection has failed since one last succeeded, by service. */
   servicePaths: Map<string, ServicePath>;
+  forwarding: Forwarding;
   requests: Map<string, RoutedRequest>;
   /** Ids of the requests that wait for a free slot, by service and model. */
   waitingRequests: Map<string, Set<string>>;
--- a/packages/core/src/quarantine/test_fleet.ts
+++ b/packages/core/src/quarantine/test_fleet.ts
@@ -160,6 +160,10 @@
     for (const { records } of effectsOf(effects, "share_parts")) {
       shared.push({ records, readAt: now + SHARE_MS });
     }
+    for (const { runner } of effectsOf(effects, "probe_path")) {
+      const isReachable = runners.get(runner)!.downUntil <= now;
+      feed(daemon, { kind: "path_probed", runner, isReachable });
+    }
     for (const { runner } of effectsOf(effects, "check_runner")) {
       const isDown = runners.get(runner)!.downUntil > now;
       const status = isDown ? "refused" : "alive";
@@ -174,7 +178,7 @@
 
   function receive(
     daemon: GatewayHarness,
-    { request: id, attempt, runner }: EffectOf<"send_to_runner">,
+    { request: id, attempt, runner, address }: EffectOf<"send_to_runner">,
   ): void {
     const target = runners.get(runner)!;
     if (target.downUntil > now) {
@@ -185,6 +189,7 @@
         outcome: "connect_refused",
       });
     }
+    feed(daemon, { kind: "runner_connected", address });
     const content = contentByRequest.get(id)!;
     const { parts, fingerprint } = content;
     const isCrashing = parts.some((part) => fleet.crashingParts.has(part)) ||
--- a/packages/core/src/read_sharing/reader.ts
+++ b/packages/core/src/read_sharing/reader.ts
@@ -28,6 +28,7 @@
   const { self, daemons, ranked, isReading, readingSince } =
     gateway!.readSharing;
   if (phase !== "serving") return false;
+  if (gateway!.groupPlanner.leadership.hasYielded) return false;
   if (self === undefined) return true;
   if (daemons === undefined) return false;
   return ranked.ahead.length < CANDIDATES_PER_ZONE ||
--- a/packages/core/src/read_sharing/suspects.ts
+++ b/packages/core/src/read_sharing/suspects.ts
@@ -11,6 +11,7 @@
 import { runnerStatsOf } from "../gateway/runner_stats.ts";
 import { hastenSweep } from "../gateway/sweep_schedule.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
+import { isPathLost } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
 import {
   MAX_SUSPECT_SHARE,
@@ -42,6 +43,7 @@
     if (isKnownAlive || isAtLimit(state)) continue;
     suspectedUntil.set(id, state.now + SUSPECT_MS);
     stats.avoidUntil = Math.max(stats.avoidUntil, state.now + SUSPECT_MS);
+    stats.avoidForwardedUntil = stats.avoidUntil;
     if (isReading) suspects.add(id);
   }
   hastenSweep(state);
@@ -54,12 +56,18 @@
   return readSharing.suspectedUntil.size >= limit;
 }
 
+/** Returns whether the path to a runner's service is lost, so that it is not known yet whose fault its failure was. */
+function isPathLostTo({ gateway }: State, id: string): boolean {
+  const service = gateway!.runners.get(id)?.service;
+  return service !== undefined && isPathLost(gateway!, service);
+}
+
 /** Passes on the runners that could not be reached since the last sweep. */
 export function* passOnSuspects(state: State): Effects {
-  const { readSharing } = state.gateway!;
-  if (readSharing.suspects.size === 0) return;
-  const runners = [...readSharing.suspects];
-  readSharing.suspects.clear();
+  const { suspects } = state.gateway!.readSharing;
+  const runners = [...suspects].filter((id) => !isPathLostTo(state, id));
+  if (runners.length === 0) return;
+  for (const id of runners) suspects.delete(id);
   yield* passOn(state, { kind: "suspects", runners });
 }
 
--- a/packages/core/src/read_sharing/types.ts
+++ b/packages/core/src/read_sharing/types.ts
@@ -16,6 +16,8 @@
   incarnation: string;
   /** Processor share of its VM, in cores; larger VMs read the store first. */
   cores: number;
+  /** Key with which other daemons forward requests to it; undefined where it forwards none. */
+  forwardKey?: string | undefined;
 }
 
 /** Daemons that another one may follow, the best first. */
--- a/packages/core/src/service_path/constants.ts
+++ b/packages/core/src/service_path/constants.ts
@@ -8,3 +8,7 @@
 export const LOST_AFTER_RUNNERS = 2;
 /** The same where the path to another service is already lost. */
 export const LOST_AFTER_RUNNERS_WHILE_LOST = 1;
+/** Interval at which a lost path is probed, ms. */
+export const PROBE_INTERVAL_MS = 400;
+/** Runners that are probed at once. */
+export const PROBED_RUNNERS = 3;
--- a/packages/core/src/service_path/mod.ts
+++ b/packages/core/src/service_path/mod.ts
@@ -3,5 +3,6 @@
  *
  * @module
  */
+export * from "./probe.ts";
 export * from "./service_path.ts";
 export type * from "./types.ts";
--- a/packages/core/src/service_path/service_path.ts
+++ b/packages/core/src/service_path/service_path.ts
@@ -25,6 +25,43 @@
   return servicePaths.get(service)?.lostSince !== undefined;
 }
 
+/** Returns whether this daemon has lost its path to a service for at least `ms`. */
+export function isPathLostFor(
+  { gateway, now }: State,
+  service: string,
+  { ms }: { ms: number },
+): boolean {
+  const lostSince = gateway!.servicePaths.get(service)?.lostSince;
+  return lostSince !== undefined && now - lostSince >= ms;
+}
+
+/** Returns whether failures of a runner are those of this daemon's own path, as other daemons reach its service. */
+export function isOwnFault(gateway: Gateway, runner: string): boolean {
+  const service = gateway.runners.get(runner)?.service;
+  return service !== undefined &&
+    gateway.servicePaths.get(service)?.isProven === true;
+}
+
+/** Records a response through another daemon, which shows that runners of a service are up. */
+export function proveLost(gateway: Gateway, service: string): void {
+  const path = gateway.servicePaths.get(service);
+  if (path?.lostSince === undefined || path.isProven) return;
+  path.isProven = true;
+  const { suspects } = gateway.readSharing;
+  for (const id of suspects) {
+    if (isOwnFault(gateway, id)) suspects.delete(id);
+  }
+}
+
+function createPath(now: number): ServicePath {
+  return {
+    failedRunners: new Set(),
+    lostSince: undefined,
+    isProven: false,
+    nextProbeAt: now,
+  };
+}
+
 function isAnyPathLost({ servicePaths }: Gateway): boolean {
   return [...servicePaths.values()].some(({ lostSince }) =>
     lostSince !== undefined
@@ -48,12 +85,13 @@
 ): Effects {
   const { servicePaths } = gateway!;
   const path: ServicePath = servicePaths.get(service) ??
-    { failedRunners: new Set(), lostSince: undefined };
+    createPath(now);
   servicePaths.set(service, path);
   path.failedRunners.add(runner);
   if (path.lostSince !== undefined) return;
   if (path.failedRunners.size < lostAfter(gateway!, service)) return;
   path.lostSince = now;
+  path.nextProbeAt = now;
   yield {
     kind: "log",
     event: "path_lost",
@@ -61,6 +99,15 @@
   };
 }
 
+/** Ends the avoidance of a runner that the path of this daemon caused. */
+function forgiveRunner({ runnerStats }: Gateway, id: string): void {
+  const stats = runnerStats.get(id);
+  if (stats === undefined) return;
+  stats.isUnreachable = false;
+  stats.failures = 0;
+  stats.avoidUntil = stats.avoidForwardedUntil;
+}
+
 function findByAddress(gateway: Gateway, address: string): Runner | undefined {
   for (const runner of gateway.runners.values()) {
     if (runner.address === address) return runner;
@@ -73,9 +120,7 @@
   state: State,
   { address }: EventOf<"runner_connected">,
 ): Effects {
-  const gateway = state.gateway!;
-  if (gateway.servicePaths.size === 0) return;
-  const runner = findByAddress(gateway, address);
+  const runner = findByAddress(state.gateway!, address);
   if (runner !== undefined) yield* confirmPath(state, runner);
 }
 
@@ -84,10 +129,14 @@
   { gateway, now }: State,
   { id, service }: Runner,
 ): Effects {
-  const path = gateway!.servicePaths.get(service);
-  if (path === undefined) return;
-  gateway!.servicePaths.delete(service);
-  if (path.lostSince === undefined) return;
+  const { servicePaths, runnerStats, runners } = gateway!;
+  if (runnerStats.get(id)?.isUnreachable) forgiveRunner(gateway!, id);
+  const path = servicePaths.get(service);
+  servicePaths.delete(service);
+  if (path?.lostSince === undefined) return;
+  for (const runner of runners.values()) {
+    if (runner.service === service) forgiveRunner(gateway!, runner.id);
+  }
   yield {
     kind: "log",
     event: "path_regained",
--- a/packages/core/src/service_path/types.ts
+++ b/packages/core/src/service_path/types.ts
@@ -10,4 +10,8 @@
   failedRunners: Set<string>;
   /** Time at which the path was lost, ms; undefined while it works. */
   lostSince: number | undefined;
+  /** True once another daemon has reached a runner of the service for this one, which shows that the runners are up. */
+  isProven: boolean;
+  /** Time from which on the path is probed while it is lost, ms. */
+  nextProbeAt: number;
 }
--- a/packages/core/src/state/dump.ts
+++ b/packages/core/src/state/dump.ts
@@ -9,7 +9,7 @@
 
 /** Fields whose values never leave the process. */
 const SECRET_FIELDS =
-  /^(keySha256|peerKey|secret|privateKey|operatorKeySha256|keys)$/;
+  /^(keySha256|peerKey|secret|privateKey|forwardKey|operatorKeySha256|keys)$/;
 /** Fields that repeat other parts of the dump. */
 const OMITTED_FIELDS = new Set([
   "timers",
--- a/packages/daemon/src/backend/transport.ts
+++ b/packages/daemon/src/backend/transport.ts
@@ -54,7 +54,7 @@
     headers: Record<string, string | string[] | undefined>,
   ): void;
   onData(chunk: Buffer): void;
-  onEnd(): void;
+  onEnd(trailers: Record<string, string | string[] | undefined>): void;
   onFailure(outcome: Outcome): void;
 }
 
@@ -173,13 +173,13 @@
     onResponseData(_controller, chunk) {
       if (!isOver) events.onData(chunk);
     },
-    onResponseEnd() {
+    onResponseEnd(_controller, trailers) {
       if (isOver) return;
       isOver = true;
       const isCut = currentSocketEvent === "error" ||
         (currentSocketEvent === "end" && framed);
       if (isCut) return events.onFailure("body_cut_off");
-      events.onEnd();
+      events.onEnd(trailers ?? {});
     },
     onResponseError(_controller, error) {
       if (isOver) return;
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -34,6 +34,8 @@
   server: Server;
   /** Applies new limits on what callers may send. */
   setLimits(limits: CallerLimits): void;
+  /** Returns the limits in force. */
+  limits(): CallerLimits;
   /** Accepts no more connections, lets open requests end within `maxWaitMs`, also those still being read, and closes. */
   close(options: { maxWaitMs: number }): Promise<void>;
 }
@@ -86,6 +88,7 @@
     const relay = createRelay({
       name,
       id: metadata.id,
+      key: metadata.key,
       request,
       response,
       body,
@@ -162,5 +165,5 @@
     }
     server.closeAllConnections();
   }
-  return { server, setLimits, close };
+  return { server, setLimits, limits: () => limits, close };
 }
--- a/packages/daemon/src/gateway/follower_listener.ts
+++ b/packages/daemon/src/gateway/follower_listener.ts
@@ -3,6 +3,11 @@
  *
  * @module
  */
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
 import type {
   EventBody,
   FollowerMessage,
@@ -17,6 +22,8 @@
 export interface FollowerListenerOptions {
   /** `IP:PORT`. */
   address: string;
+  /** Handles requests that other daemons want forwarded, on the same port. */
+  onRequest(request: IncomingMessage, response: ServerResponse): void;
   dispatch(event: EventBody): void;
   log(event: LogEventName, fields?: Record<string, unknown>): void;
 }
@@ -40,6 +47,8 @@
 const FOLLOWER_TIMEOUT_MS = 3_000;
 const CHECK_INTERVAL_MS = 1_000;
 const BACKLOG = 1_024;
+/** Limit of the HTTP parser for forwarded requests, bytes: that of the callers' listener and the forward order. */
+const MAX_HEADER_BYTES = 80 * 1024;
 
 function eventOf(follower: string, message: FollowerMessage): EventBody {
   if (message.kind === "suspects") {
@@ -54,15 +63,15 @@
 
 /** Starts the listener. */
 export async function startFollowerListener(
-  { address, dispatch, log }: FollowerListenerOptions,
+  { address, onRequest, dispatch, log }: FollowerListenerOptions,
 ): Promise<FollowerListener> {
   const [host, port] = address.split(":");
   const connections = new Map<string, FollowerConnection>();
   let count = 0;
-  const server = new WebSocketServer({
-    host: host!,
-    port: Number(port),
-    backlog: BACKLOG,
+  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, onRequest);
+  server.requestTimeout = 0;
+  const followers = new WebSocketServer({
+    server,
     maxPayload: MAX_POLL_BYTES,
     perMessageDeflate: false,
   });
@@ -99,13 +108,15 @@
     }
   }, CHECK_INTERVAL_MS);
 
-  server.on(
+  followers.on(
     "connection",
     (socket, request) => accept(socket, request.socket.remoteAddress),
   );
+  // The client library reports errors of the server a second time.
+  followers.on("error", () => undefined);
   await new Promise<void>((resolve, reject) => {
-    server.once("listening", resolve);
     server.once("error", reject);
+    server.listen({ host, port: Number(port), backlog: BACKLOG }, resolve);
   });
   server.on("error", (error) => log("internal_error", { cause: error.stack }));
 
@@ -122,7 +133,9 @@
     close() {
       clearInterval(timer);
       for (const { socket } of connections.values()) socket.terminate();
+      followers.close();
       server.close();
+      server.closeAllConnections();
     },
   };
 }
--- /dev/null
+++ b/packages/daemon/src/gateway/forward_listener.ts
@@ -0,0 +1,232 @@
+/**
+ * Sends requests for other daemons that have lost their own path to a runner, and passes the responses back.
+ *
+ * It sends to the runner directly and never to a further daemon, so that a request takes one hop at most.
+ *
+ * @module
+ */
+import { timingSafeEqual } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type {
+  Effect,
+  EventBody,
+  ForwardRefusal,
+  LogEventName,
+  Outcome,
+} from "@primroseshed/core";
+import {
+  type Agents,
+  type Attempt,
+  startAttempt,
+} from "../backend/transport.ts";
+import { readBody } from "../http/body.ts";
+import { fingerprintOf } from "../http/fingerprint.ts";
+import type { HeaderCodec, ResponseHeaders } from "./adapters.ts";
+import {
+  decodeForwardOrder,
+  encodeForwardedHeaders,
+  encodeTrailers,
+  failureHead,
+  type ForwardFailureHead,
+  type ForwardOrder,
+  refusalHead,
+  withoutForwardHeaders,
+} from "./forward_headers.ts";
+
+/** Options of {@link createForwardListener}. */
+export interface ForwardListenerOptions {
+  headerCodec: HeaderCodec;
+  agents: Agents;
+  /** Key that a daemon must know for its requests to be forwarded. */
+  forwardKey: string;
+  /** Returns the largest body that callers may send, bytes. */
+  maxBodyBytes(): number;
+  dispatch(event: EventBody): void;
+  log(event: LogEventName, fields?: Record<string, unknown>): void;
+}
+
+/** Listener for requests of other daemons. */
+export interface ForwardListener {
+  handle(request: IncomingMessage, response: ServerResponse): void;
+  forward(effect: Extract<Effect, { kind: "forward" }>): void;
+  refuse(effect: Extract<Effect, { kind: "refuse_forward" }>): void;
+}
+
+interface ForwardedRequest {
+  order: ForwardOrder;
+  request: IncomingMessage;
+  response: ServerResponse;
+  body: Buffer;
+}
+
+/** Requests whose bodies are read at once. */
+const MAX_READING = 64;
+const MISSING_STATUS = 404;
+
+function hasSameBytes(left: string, right: string): boolean {
+  const [a, b] = [Buffer.from(left), Buffer.from(right)];
+  return a.length === b.length && timingSafeEqual(a, b);
+}
+
+function endWith(
+  response: ServerResponse,
+  { status, headers }: ForwardFailureHead,
+): void {
+  response.writeHead(status, headers);
+  response.end();
+}
+
+/** Creates the listener. */
+export function createForwardListener(
+  { headerCodec, agents, forwardKey, maxBodyBytes, dispatch, log }:
+    ForwardListenerOptions,
+): ForwardListener {
+  const waiting = new Map<string, ForwardedRequest>();
+  let count = 0;
+  let readingCount = 0;
+
+  function refuseAtOnce(response: ServerResponse, cause: ForwardRefusal): void {
+    log("forward_refused", { cause });
+    response.setHeader("connection", "close");
+    endWith(response, refusalHead(cause));
+  }
+
+  function handle(request: IncomingMessage, response: ServerResponse): void {
+    const order = decodeForwardOrder(request.headers);
+    if (order === undefined) {
+      response.statusCode = MISSING_STATUS;
+      response.setHeader("connection", "close");
+      return void response.end();
+    }
+    if (!hasSameBytes(order.forwardKey, forwardKey)) {
+      return refuseAtOnce(response, "unauthorized");
+    }
+    if (readingCount >= MAX_READING) return refuseAtOnce(response, "busy");
+    void accept({ order, request, response });
+  }
+
+  async function accept(
+    { order, request, response }: Omit<ForwardedRequest, "body">,
+  ): Promise<void> {
+    let body: Buffer;
+    readingCount += 1;
+    try {
+      body = await readBody(request, { maxBytes: maxBodyBytes() });
+    } catch (error) {
+      log("forward_refused", { cause: (error as Error).message });
+      return void response.destroy();
+    } finally {
+      readingCount -= 1;
+    }
+    if (response.destroyed) return;
+    const { id, promptParts } = headerCodec.readRequest(request.headers);
+    count += 1;
+    const name = `${id ?? "unnamed"}#forward${count}`;
+    const host = request.headers.host ?? "";
+    const path = request.url ?? "/";
+    waiting.set(name, { order, request, response, body });
+    dispatch({
+      kind: "forward_arrived",
+      request: name,
+      runner: order.runner,
+      host,
+      path,
+      key: order.key,
+      team: order.team,
+      promptParts,
+      fingerprint: fingerprintOf({
+        caller: order.key ?? "",
+        method: request.method ?? "GET",
+        host,
+        path,
+        body,
+      }),
+      isTrial: order.isTrial,
+    });
+  }
+
+  function take(name: string): ForwardedRequest | undefined {
+    const forwarded = waiting.get(name);
+    waiting.delete(name);
+    return forwarded;
+  }
+
+  function send(
+    { order, request, response, body }: ForwardedRequest,
+    { address }: { address: string },
+  ): Attempt {
+    const agent = order.isRepeatable ? agents.reusing : agents.fresh;
+    return startAttempt(agent, {
+      origin: `http://${address}`,
+      path: request.url!,
+      method: request.method as "GET",
+      headers: withoutForwardHeaders(request.rawHeaders),
+      body: body.length > 0 ? body : null,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    }, {
+      events: {
+        onHeaders: (status, headers) => writeHead(response, status, headers),
+        onData(chunk) {
+          if (response.write(chunk)) return;
+          const { attempt } = response as PassedResponse;
+          attempt?.pause();
+          response.once("drain", () => attempt?.resume());
+        },
+        onEnd: () => end(response, undefined),
+        onFailure(outcome) {
+          if (!response.headersSent) endWith(response, failureHead(outcome));
+          else end(response, outcome);
+        },
+      },
+    });
+  }
+
+  function writeHead(
+    response: ServerResponse,
+    status: number,
+    headers: ResponseHeaders,
+  ): void {
+    response.statusCode = status;
+    for (
+      const [name, value] of Object.entries(encodeForwardedHeaders(headers))
+    ) {
+      if (value !== undefined) response.setHeader(name, value);
+    }
+    response.setHeader("transfer-encoding", "chunked");
+    response.flushHeaders();
+  }
+
+  function end(response: ServerResponse, outcome: Outcome | undefined): void {
+    response.addTrailers(encodeTrailers(outcome));
+    response.end();
+  }
+
+  return {
+    handle,
+    forward({ request: name, address }) {
+      const forwarded = take(name);
+      const finish = () => dispatch({ kind: "forward_ended", request: name });
+      if (forwarded === undefined || forwarded.response.destroyed) {
+        // The reducer is not called from within its own effect.
+        return queueMicrotask(finish);
+      }
+      const { response } = forwarded;
+      const attempt = send(forwarded, { address });
+      (response as PassedResponse).attempt = attempt;
+      response.once("close", () => {
+        attempt.cancel();
+        finish();
+      });
+    },
+    refuse({ request: name, cause }) {
+      const forwarded = take(name);
+      if (forwarded !== undefined) {
+        endWith(forwarded.response, refusalHead(cause));
+      }
+    },
+  };
+}
+
+/** A response with the attempt whose data it passes on. */
+type PassedResponse = ServerResponse & { attempt?: Attempt };
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -19,6 +19,12 @@
   ResponseMetadata,
 } from "./adapters.ts";
 import { statusOfRefusal } from "./refusal_status.ts";
+import {
+  decodeForwardedHeaders,
+  decodeTrailers,
+  encodeForwardOrder,
+  withoutForwardHeaders,
+} from "./forward_headers.ts";
 import { createEventSplitter, type EventSplitter } from "./event_splitter.ts";
 
 type EffectOf<K extends Effect["kind"]> = Extract<Effect, { kind: K }>;
@@ -38,6 +44,8 @@
   name: string;
   /** Id that the caller gave its request. */
   id: string | undefined;
+  /** Key of the caller. */
+  key: string | undefined;
   request: IncomingMessage;
   response: ServerResponse;
   body: Buffer;
@@ -50,6 +58,8 @@
 
 interface UpstreamResponse {
   number: number;
+  /** True where it comes through another daemon. */
+  isForwarded: boolean;
   isStream: boolean;
   attempt: Attempt | undefined;
   status: number;
@@ -73,8 +83,17 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Creates the relay of one request. */
 export function createRelay(options: RelayOptions): Relay {
-  const { name, id, request, response, body, agents, headerCodec, dispatch } =
-    options;
+  const {
+    name,
+    id,
+    key,
+    request,
+    response,
+    body,
+    agents,
+    headerCodec,
+    dispatch,
+  } = options;
   let current: UpstreamResponse | undefined;
   let isRelaying = false;
   let isRelayFramed = true;
@@ -158,11 +177,30 @@
     });
   }
 
+  /** Reports a failure of an attempt through a forwarder. */
+  function failForwarded(
+    upstream: UpstreamResponse,
+    failure: Pick<
+      Extract<EventBody, { kind: "response_failed" }>,
+      "outcome" | "side" | "refusal"
+    >,
+  ): void {
+    upstream.attempt?.cancel();
+    const { number: attempt } = upstream;
+    dispatch({ kind: "response_failed", request: name, attempt, ...failure });
+  }
+
   function onHeaders(
     upstream: UpstreamResponse,
     status: number,
-    headers: ResponseHeaders,
+    received: ResponseHeaders,
   ): void {
+    let headers = received;
+    if (upstream.isForwarded) {
+      const forwarded = decodeForwardedHeaders(received);
+      if (!forwarded.ok) return failForwarded(upstream, forwarded.failure);
+      headers = forwarded.headers;
+    }
     const metadata = headerCodec.readResponse(status, headers, { id });
     upstream.status = status;
     upstream.headers = headers;
@@ -197,7 +235,9 @@
     else response.socket?.resetAndDestroy();
   }
 
-  function onEnd(upstream: UpstreamResponse): void {
+  function onEnd(upstream: UpstreamResponse, trailers: ResponseHeaders): void {
+    const failure = upstream.isForwarded ? decodeTrailers(trailers) : undefined;
+    if (failure !== undefined) return failForwarded(upstream, failure);
     if (upstream.splitter.partialBytes() > 0 || isEndAmbiguous(upstream)) {
       return fail(upstream, "body_cut_off");
     }
@@ -216,8 +256,10 @@
 
   return {
     send(effect) {
+      const { forwarder } = effect;
       const upstream: UpstreamResponse = {
         number: effect.attempt,
+        isForwarded: forwarder !== undefined,
         isStream: effect.isStream,
         attempt: undefined,
         status: 0,
@@ -232,17 +274,28 @@
       const { runner, remainingMs, team, resumeAfter } = effect;
       const urgency = effect.isStream ? effect.urgency : undefined;
       const agent = effect.isRepeatable ? agents.reusing : agents.fresh;
+      const headers = headerCodec.requestHeaders(request.rawHeaders, {
+        runner,
+        remainingMs,
+        urgency,
+        team,
+        resumeAfter,
+      });
       upstream.attempt = startAttempt(agent, {
-        origin: `http://${effect.address}`,
+        origin: `http://${forwarder?.address ?? effect.address}`,
         path: request.url!,
         method: request.method as "GET",
-        headers: headerCodec.requestHeaders(request.rawHeaders, {
-          runner,
-          remainingMs,
-          urgency,
-          team,
-          resumeAfter,
-        }),
+        headers: forwarder === undefined ? headers : [
+          ...withoutForwardHeaders(headers),
+          ...encodeForwardOrder({
+            forwardKey: forwarder.key,
+            runner,
+            team,
+            key,
+            isRepeatable: effect.isRepeatable,
+            isTrial: effect.isTrial,
+          }),
+        ],
         body: body.length > 0 ? body : null,
         headersTimeout: 0,
         bodyTimeout: 0,
@@ -256,8 +309,11 @@
             }),
           onHeaders: (status, headers) => onHeaders(upstream, status, headers),
           onData: (chunk) => onData(upstream, chunk),
-          onEnd: () => onEnd(upstream),
-          onFailure: (outcome) => fail(upstream, outcome),
+          onEnd: (trailers) => onEnd(upstream, trailers),
+          onFailure: (outcome) =>
+            forwarder === undefined
+              ? fail(upstream, outcome)
+              : failForwarded(upstream, { outcome, side: "forwarder" }),
         },
       });
     },
--- a/packages/daemon/src/gateway/sharing_frames.ts
+++ b/packages/daemon/src/gateway/sharing_frames.ts
@@ -106,6 +106,7 @@
   address: z.string(),
   incarnation: z.string(),
   cores: z.number(),
+  forwardKey: optional(z.string()),
 });
 
 const partReadings = z.array(z.object({
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -13,7 +13,12 @@
   isLeaderCandidate,
   type State,
 } from "@primroseshed/core";
-import { type Connect, createAgents } from "../backend/transport.ts";
+import { probePath } from "../backend/path_probe.ts";
+import {
+  type Connect,
+  createAgents,
+  createConnect,
+} from "../backend/transport.ts";
 import {
   createDriver,
   type EffectHandlers,
@@ -27,6 +32,7 @@
 import { createOperatorListener } from "./operator_listener.ts";
 import type { Relay } from "./relay.ts";
 import type { GatewaySettingsFile } from "./settings.ts";
+import { createForwardListener } from "./forward_listener.ts";
 import { startFollowerListener } from "./follower_listener.ts";
 import { startPartSharing } from "./part_sharing.ts";
 import { startStoreReads } from "./store_reads.ts";
@@ -54,6 +60,7 @@
 }
 
 const INCARNATION_BYTES = 4;
+const FORWARD_KEY_BYTES = 18;
 const MS_PER_SECOND = 1_000;
 /** Remaining grace time at which the last connections are closed, ms. */
 const EXIT_MARGIN_MS = 200;
@@ -85,6 +92,7 @@
 ): Promise<GatewayDaemon> {
   const { node, store, timing, bounds } = settings;
   const incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
+  const forwardKey = randomBytes(FORWARD_KEY_BYTES).toString("base64url");
   const { followers: followersAddress } = settings.listen;
   const state = createState(
     {
@@ -107,6 +115,7 @@
           address: followersAddress,
           incarnation,
           cores: node.cores,
+          forwardKey,
         },
       },
     },
@@ -160,6 +169,15 @@
     dispatch({ kind: "runner_checked", runner, status, report });
   }
 
+  async function probe(runner: string, address: string): Promise<void> {
+    const timeoutMs = timing.connectTimeoutMs;
+    const isReachable = await probePath(address, {
+      connect: connect ?? createConnect(),
+      timeoutMs,
+    });
+    dispatch({ kind: "path_probed", runner, isReachable });
+  }
+
   const handlers: Partial<EffectHandlers> = {
     send_to_runner: (effect) => relays.get(effect.request)?.send(effect),
     relay: ({ request, attempt }) => relays.get(request)?.relay(attempt),
@@ -170,6 +188,9 @@
     order_runner: (effect) => void sendOrder(effect),
     check_runner: ({ runner, address }) => void checkHealth(runner, address),
     limits_in_force: ({ limits }) => callers.setLimits(limits),
+    probe_path: ({ runner, address }) => void probe(runner, address),
+    forward: (effect) => forwards.forward(effect),
+    refuse_forward: (effect) => forwards.refuse(effect),
     first_event: ({ ms, priority }) =>
       metrics.observeFirstEvent(ms, { priority }),
     log({ event, fields }) {
@@ -220,6 +241,14 @@
     dispatch,
     log,
   });
+  const forwards = createForwardListener({
+    headerCodec: adapters.headerCodec,
+    agents,
+    forwardKey,
+    maxBodyBytes: () => callers.limits().maxBodyBytes,
+    dispatch,
+    log,
+  });
   const ready = createServer((request, response) => {
     const isReady = request.url === adapters.headerCodec.readyPath &&
       isGatewayReady(state, monotonicNow());
@@ -259,7 +288,12 @@
   });
   const followers = followersAddress === undefined
     ? undefined
-    : await startFollowerListener({ address: followersAddress, dispatch, log });
+    : await startFollowerListener({
+      address: followersAddress,
+      onRequest: forwards.handle,
+      dispatch,
+      log,
+    });
   const leadership = createLeadershipRenewal({
     leaderElection: adapters.leaderElection,
     member: `${node.name}#${incarnation}`,
