--- a/packages/daemon/src/gateway/adapters.ts
+++ b/packages/daemon/src/gateway/adapters.ts
@@ -67,7 +67,11 @@
   readResponse(
     status: number,
     headers: ResponseHeaders,
-    options: { id: string | undefined },
+    options: {
+      id: string | undefined;
+      /** True where the connection may have carried another request before. */
+      isKept?: boolean;
+    },
   ): ResponseMetadata;
   /** Returns the headers of a runner's response that are forwarded to the caller. */
   responseHeaders(headers: ResponseHeaders): ResponseHeaders;
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -61,6 +61,8 @@
   /** True where it comes through another daemon. */
   isForwarded: boolean;
   isStream: boolean;
+  /** True where its connection may have carried another request before. */
+  isKept: boolean;
   attempt: Attempt | undefined;
   status: number;
   headers: ResponseHeaders;
@@ -201,7 +203,10 @@
       if (!forwarded.ok) return failForwarded(upstream, forwarded.failure);
       headers = forwarded.headers;
     }
-    const metadata = headerCodec.readResponse(status, headers, { id });
+    const metadata = headerCodec.readResponse(status, headers, {
+      id,
+      isKept: upstream.isKept,
+    });
     upstream.status = status;
     upstream.headers = headers;
     upstream.metadata = metadata;
@@ -261,6 +266,7 @@
         number: effect.attempt,
         isForwarded: forwarder !== undefined,
         isStream: effect.isStream,
+        isKept: effect.isRepeatable,
         attempt: undefined,
         status: 0,
         headers: {},
@@ -339,6 +345,7 @@
       if (retryAfterMs !== undefined) {
         response.setHeader("retry-after", String(retryAfterMs / MS_PER_SECOND));
       }
+      if (effect.closesConnection) response.setHeader("connection", "close");
       closeIfStopping();
       response.end(JSON.stringify({ error: { code, message, verdict } }));
     },
