--- a/packages/core/src/effect/types.ts
+++ b/packages/core/src/effect/types.ts
@@ -59,6 +59,8 @@
     message: string;
     verdict: Verdict;
     retryAfterMs?: number;
+    /** True where the caller should connect anew, since any other daemon serves it better. */
+    closesConnection?: boolean;
   }
   | {
     kind: "send";
--- a/packages/core/src/forwarding/constants.ts
+++ b/packages/core/src/forwarding/constants.ts
@@ -31,3 +31,5 @@
 export const MAX_LATENESS_MS = 40;
 /** Weight of the newest sweep in the mean lateness. */
 export const LATENESS_WEIGHT = 0.2;
+/** A daemon without a path to any service, or a daemon that forwards, for this long leaves the balancer's rotation, ms. */
+export const STRANDED_AFTER_MS = 1_000;
--- a/packages/core/src/forwarding/mod.ts
+++ b/packages/core/src/forwarding/mod.ts
@@ -6,4 +6,5 @@
 export * from "./admission.ts";
 export * from "./forwarders.ts";
 export * from "./path.ts";
+export * from "./stranded.ts";
 export type * from "./types.ts";
--- a/packages/core/src/gateway/finish.ts
+++ b/packages/core/src/gateway/finish.ts
@@ -5,6 +5,7 @@
  */
 import type { EventOf } from "../event/types.ts";
 import { forwarderStatsOf } from "../forwarding/forwarders.ts";
+import { isStranded } from "../forwarding/stranded.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
@@ -79,7 +80,16 @@
   const { code, message } = refusal;
   const retryAfterMs = request.mayHaveRun ? undefined : refusal.retryAfterMs;
   yield logEnd(state, request, { verdict, code, retryAfterMs });
-  yield { kind: "refuse", request: id, code, message, verdict, retryAfterMs };
+  const closesConnection = isStranded(state);
+  yield {
+    kind: "refuse",
+    request: id,
+    code,
+    message,
+    verdict,
+    retryAfterMs,
+    closesConnection,
+  };
   yield* endRequest(state, gateway, request);
 }
 
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import type { EventOf } from "../event/types.ts";
 import {
   createForwarding,
+  isStranded,
   pruneForwarders,
   recordLateness,
 } from "../forwarding/mod.ts";
@@ -70,14 +71,13 @@
 }
 
 /** True while the balancer should send new connections to this daemon. */
-export function isGatewayReady(
-  { gateway, phase }: State,
-  now: number,
-): boolean {
+export function isGatewayReady(state: State, now: number): boolean {
+  const { gateway, phase } = state;
   if (gateway === undefined || phase !== "serving") return false;
   return gateway.routing !== undefined &&
     gateway.runnersFreshness.confirmedAt !== undefined &&
-    hasFreshKeys(gateway, now, { share: ROTATION_AGE_SHARE });
+    hasFreshKeys(gateway, now, { share: ROTATION_AGE_SHARE }) &&
+    !isStranded(state);
 }
 
 /** Handles the periodic sweep: requests, this daemon's share of the work, replica groups and a pending stop. */
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -5,6 +5,7 @@
  */
 import { forwarderStatsOf } from "../forwarding/forwarders.ts";
 import type { EventOf } from "../event/types.ts";
+import { isCut } from "../quarantine/mod.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import { proveLost } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
@@ -157,6 +158,7 @@
     request,
     outcome,
     isRelayable: false,
+    isDisconnect: isCut(outcome),
     side,
     refusal,
   });
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -8,7 +8,7 @@
 import { recordSuspect } from "../read_sharing/suspects.ts";
 import { findHeld } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
-import { isOwnFault, recordConnectFailure } from "../service_path/mod.ts";
+import { isOwnFault, recordConnectionFailure } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
 import type { Outcome } from "../verdict/types.ts";
 import { verdictOf } from "../verdict/verdict_table.ts";
@@ -37,6 +37,8 @@
   outcome: Outcome;
   /** True where the runner's own error response may be relayed to the caller. */
   isRelayable: boolean;
+  /** True where its connection was closed or reset. */
+  isDisconnect?: boolean;
   /** Where an attempt through a forwarder failed; undefined where it went to the runner directly, or was too slow. */
   side?: FailureSide | undefined;
   /** Why the forwarder refused it, if it did. */
@@ -113,7 +115,8 @@
   gateway: Gateway,
   failure: FailedAttempt,
 ): Effects {
-  const { request, outcome, isRelayable, side, refusal } = failure;
+  const { request, outcome, isRelayable, side, refusal, isDisconnect } =
+    failure;
   if (isRelayable || outcome === "cancelled") return;
   const { runner, forwarder } = request.currentAttempt!;
   const { service } = request;
@@ -126,10 +129,13 @@
   }
   const stats = runnerStatsOf(gateway, runner);
   const isOwnPath = forwarder === undefined && PATH_OUTCOMES.has(outcome);
-  if (isOwnPath && UNSENT_OUTCOMES.has(outcome)) {
+  const isUnsent = UNSENT_OUTCOMES.has(outcome);
+  if (isOwnPath && isUnsent) {
     stats.isUnreachable = true;
     request.failedConnects += 1;
-    yield* recordConnectFailure(state, { runner, service });
+  }
+  if (isOwnPath && (isUnsent || isDisconnect)) {
+    yield* recordConnectionFailure(state, { runner, service });
   }
   const isBlamed = !isOwnPath || !isOwnFault(gateway, runner);
   if (isBlamed && SUSPICIOUS_OUTCOMES.has(outcome)) {
--- a/packages/core/src/service_path/constants.ts
+++ b/packages/core/src/service_path/constants.ts
@@ -12,3 +12,5 @@
 export const PROBE_INTERVAL_MS = 400;
 /** Runners that are probed at once. */
 export const PROBED_RUNNERS = 3;
+/** Time for which a failed connection counts, ms. */
+export const EVIDENCE_MS = 2_000;
--- a/packages/core/src/service_path/service_path.ts
+++ b/packages/core/src/service_path/service_path.ts
@@ -12,6 +12,7 @@
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import {
+  EVIDENCE_MS,
   LOST_AFTER_RUNNERS,
   LOST_AFTER_RUNNERS_WHILE_LOST,
 } from "./constants.ts";
@@ -55,7 +56,7 @@
 
 function createPath(now: number): ServicePath {
   return {
-    failedRunners: new Set(),
+    failedRunners: new Map(),
     lostSince: undefined,
     isProven: false,
     nextProbeAt: now,
@@ -78,8 +79,8 @@
   return Math.min(limit, Math.max(1, count));
 }
 
-/** Records a connection to a runner that failed, and whether the path to its service is lost. */
-export function* recordConnectFailure(
+/** Records a connection to a runner that failed or broke off, and whether the path to its service is lost. */
+export function* recordConnectionFailure(
   { gateway, now }: State,
   { runner, service }: { runner: string; service: string },
 ): Effects {
@@ -87,15 +88,18 @@
   const path: ServicePath = servicePaths.get(service) ??
     createPath(now);
   servicePaths.set(service, path);
-  path.failedRunners.add(runner);
+  path.failedRunners.set(runner, now);
   if (path.lostSince !== undefined) return;
+  for (const [id, at] of path.failedRunners) {
+    if (now - at > EVIDENCE_MS) path.failedRunners.delete(id);
+  }
   if (path.failedRunners.size < lostAfter(gateway!, service)) return;
   path.lostSince = now;
   path.nextProbeAt = now;
   yield {
     kind: "log",
     event: "path_lost",
-    fields: { service, runners: [...path.failedRunners].join(" ") },
+    fields: { service, runners: [...path.failedRunners.keys()].join(" ") },
   };
 }
 
--- a/packages/core/src/service_path/service_path_test.ts
+++ b/packages/core/src/service_path/service_path_test.ts
@@ -44,6 +44,32 @@
     }
   });
 
+  // Guards against streams that a cut resets and that are sent once more over another connection that it resets too.
+  it("is lost where connections to several runners break off at the same moment", () => {
+    const harness = startDesk();
+    for (const id of ["r1", "r2", "r3"]) {
+      sendRequest(harness, id);
+      harness.feed({ kind: "attempt_sent", request: id, attempt: 1 });
+    }
+    const runners = new Set<string>();
+    for (const id of ["r1", "r2", "r3"]) {
+      const { requests } = harness.state.gateway!;
+      runners.add(requests.get(id)!.currentAttempt!.runner);
+      failAttempt(harness, id, { outcome: "reset_after_send" });
+      expect(isLost(harness)).to.equal(runners.size > 1);
+    }
+  });
+
+  it("holds where they break off seconds apart", () => {
+    const harness = startDesk();
+    for (const id of ["r1", "r2", "r3"]) {
+      harness.advance(3_000);
+      sendRequest(harness, id);
+      failAttempt(harness, id, { outcome: "reset_after_send" });
+      expect(isLost(harness)).to.equal(false);
+    }
+  });
+
   it("is lost with its only runner", () => {
     const harness = startDesk(["desk-0"]);
     sendRequest(harness, "r1");
