--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -6,7 +6,7 @@
 import { createCacheFeed } from "./backend/cache_feed.ts";
 import { createOrderSender } from "./backend/orders.ts";
 import { createStatusPoll } from "./backend/status_poll.ts";
-import { createAgents } from "./backend/transport.ts";
+import { type Connect, createAgents } from "./backend/transport.ts";
 import {
   createDriver,
   type Driver,
@@ -61,6 +61,8 @@
 export interface DaemonOptions {
   /** Destination of log events; standard error by default. */
   logger?: Logger;
+  /** Opens connections to backend servers; sockets of the operating system by default. */
+  connect?: Connect;
 }
 
 /**
@@ -93,6 +95,7 @@
   const exchanges: Exchanges = new Map();
   const agents = createAgents({
     connectTimeoutMs: settings.timing.connectTimeoutMs,
+    ...options.connect && { connect: options.connect },
   });
   const signUsage = createSigner(usageKey);
   const dispatch: Driver["dispatch"] = (event) => driver.dispatch(event);
--- a/packages/stand_ins/src/demo/system.ts
+++ b/packages/stand_ins/src/demo/system.ts
@@ -4,7 +4,12 @@
  * @module
  */
 import { generateKeyPairSync } from "node:crypto";
-import { createDaemon, type Daemon, type Logger } from "@primroseshed/daemon";
+import {
+  type Connect,
+  createDaemon,
+  type Daemon,
+  type Logger,
+} from "@primroseshed/daemon";
 import { type Engine, startEngine } from "../engine/engine.ts";
 import { type LogService, startLogService } from "../log/log_service.ts";
 import {
@@ -42,6 +47,8 @@
   /** Extra settings of each daemon. */
   overrides?: Record<string, unknown>;
   logger?: Logger;
+  /** Opens the connections of the daemon with this number, from 1, to backend servers. */
+  connectOf?(daemon: number): Connect | undefined;
 }
 
 /** A running system. */
@@ -198,10 +205,11 @@
       ...(options.ports && { ports: options.ports }),
       overrides: { log: { level: "warn" }, ...options.overrides },
     });
-    const daemon = await createDaemon(
-      settings,
-      options.logger ? { logger: options.logger } : {},
-    );
+    const connect = options.connectOf?.(number);
+    const daemon = await createDaemon(settings, {
+      ...options.logger && { logger: options.logger },
+      ...connect && { connect },
+    });
     daemons.push(daemon);
     const { incarnation } = daemon.state.node;
     const address = `http://${daemon.addresses.peers}`;
