--- a/packages/core/src/health/members.ts
+++ b/packages/core/src/health/members.ts
@@ -12,6 +12,7 @@
 import { dispatchPool } from "../request/dispatch.ts";
 import type { MemberState, Pool, State, Target } from "../state/types.ts";
 import { evaluateReport } from "./ejection.ts";
+import { isCutOff } from "./own_path.ts";
 import { clearLeaving, markLeaving } from "./leaving.ts";
 import {
   changeTargetPhase,
@@ -132,7 +133,7 @@
     yield* failOverAttempts(state, found.target);
   }
   const isHead = found.target.members[0] === found.member;
-  if (cause === "refused" && isHead) {
+  if (cause === "refused" && isHead && !isCutOff(state)) {
     yield* confirmCrash(state, found.target.name);
   }
 }
--- a/packages/core/src/planner/planner.ts
+++ b/packages/core/src/planner/planner.ts
@@ -10,6 +10,7 @@
 import type { ModelDeployment } from "../config/types.ts";
 import type { Effect } from "../effect/types.ts";
 import type { FoldedGroup } from "../fold/types.ts";
+import { isCutOff } from "../health/own_path.ts";
 import { holdsLease, maintainLease, watchLease } from "../lease/lease.ts";
 import type { Lease } from "../lease/types.ts";
 import type { Effects } from "../reduce_types.ts";
@@ -54,12 +55,15 @@
 
 /** Maintains the lease of every model deployment and plans the deployments whose lease this daemon holds. */
 export function* planDeployments(state: State): Effects {
+  // A planner that reaches no engines would take them for dead; another daemon may reach them.
+  const isCut = isCutOff(state);
   for (const pool of state.pools.values()) {
     if (pool.deployment.kind !== "model") continue;
     const lease = watchLease(state, plannerLeaseName(pool.name));
     yield* maintainLease(state, lease, {
-      wanted: state.ready && state.phase === "serving",
+      wanted: state.ready && state.phase === "serving" && !isCut,
     });
+    if (isCut) continue;
     yield* planDeployment(state, lease, {
       name: pool.name,
       deployment: pool.deployment,
