--- a/packages/core/src/forwarding/path.ts
+++ b/packages/core/src/forwarding/path.ts
@@ -17,10 +17,11 @@
   state: State,
   request: RoutedRequest,
 ): readonly Path[] {
-  if (!hasForwarder(state, request)) return ["direct"];
-  return isDirectHopeless(state, request)
-    ? ["forwarded"]
-    : ["direct", "forwarded"];
+  const isHopeless = isDirectHopeless(state, request);
+  const isDirectOnly = !isHopeless &&
+    state.gateway!.unreachableRunners.size === 0;
+  if (isDirectOnly || !hasForwarder(state, request)) return ["direct"];
+  return isHopeless ? ["forwarded"] : ["direct", "forwarded"];
 }
 
 function isDirectHopeless(state: State, request: RoutedRequest): boolean {
@@ -38,5 +39,6 @@
   const hasArrived = request.triedRunners.has(runner) &&
     !request.unreachedRunners.has(runner);
   if (hasArrived || stats.avoidForwardedUntil > state.now) return false;
-  return stats.isUnreachable || isDirectHopeless(state, request);
+  return state.gateway!.unreachableRunners.has(runner) ||
+    isDirectHopeless(state, request);
 }
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -131,7 +131,7 @@
   const isOwnPath = forwarder === undefined && PATH_OUTCOMES.has(outcome);
   const isUnsent = UNSENT_OUTCOMES.has(outcome);
   if (isOwnPath && isUnsent) {
-    stats.isUnreachable = true;
+    gateway.unreachableRunners.add(runner);
     request.failedConnects += 1;
   }
   if (isOwnPath && (isUnsent || isDisconnect)) {
--- a/packages/core/src/gateway/runner_index.ts
+++ b/packages/core/src/gateway/runner_index.ts
@@ -70,6 +70,7 @@
   const known = gateway.runners.get(id);
   if (known === undefined) return false;
   removeFromIndex(gateway, known);
+  gateway.unreachableRunners.delete(id);
   return gateway.runners.delete(id);
 }
 
--- a/packages/core/src/gateway/runner_stats.ts
+++ b/packages/core/src/gateway/runner_stats.ts
@@ -32,7 +32,6 @@
       nextSendAt: -Infinity,
       avoidUntil: -Infinity,
       avoidForwardedUntil: -Infinity,
-      isUnreachable: false,
       failures: 0,
       lastSeenAt: -Infinity,
     };
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -57,8 +57,6 @@
   avoidUntil: number;
   /** It gets none through other daemons either before this time, ms. */
   avoidForwardedUntil: number;
-  /** True from a failed connection of this daemon to it until the next one that succeeds. */
-  isUnreachable: boolean;
   /** Failures since the last successful response. */
   failures: number;
   /** Time at which the last byte from the runner arrived, ms. */
@@ -161,6 +159,8 @@
   /** Time at which a new runner was last added to the list, ms. */
   lastRunnerAddedAt: number;
   runnerStats: Map<string, RunnerStats>;
+  /** Runners to which the last connection of this daemon failed. */
+  unreachableRunners: Set<string>;
   /** Paths to services to which a connection has failed since one last succeeded, by service. */
   servicePaths: Map<string, ServicePath>;
   forwarding: Forwarding;
--- a/packages/core/src/service_path/service_path.ts
+++ b/packages/core/src/service_path/service_path.ts
@@ -104,10 +104,13 @@
 }
 
 /** Ends the avoidance of a runner that the path of this daemon caused. */
-function forgiveRunner({ runnerStats }: Gateway, id: string): void {
+function forgiveRunner(
+  { runnerStats, unreachableRunners }: Gateway,
+  id: string,
+): void {
+  unreachableRunners.delete(id);
   const stats = runnerStats.get(id);
   if (stats === undefined) return;
-  stats.isUnreachable = false;
   stats.failures = 0;
   stats.avoidUntil = stats.avoidForwardedUntil;
 }
@@ -124,6 +127,8 @@
   state: State,
   { address }: EventOf<"runner_connected">,
 ): Effects {
+  const { unreachableRunners, servicePaths } = state.gateway!;
+  if (unreachableRunners.size + servicePaths.size === 0) return;
   const runner = findByAddress(state.gateway!, address);
   if (runner !== undefined) yield* confirmPath(state, runner);
 }
@@ -133,8 +138,8 @@
   { gateway, now }: State,
   { id, service }: Runner,
 ): Effects {
-  const { servicePaths, runnerStats, runners } = gateway!;
-  if (runnerStats.get(id)?.isUnreachable) forgiveRunner(gateway!, id);
+  const { servicePaths, unreachableRunners, runners } = gateway!;
+  if (unreachableRunners.has(id)) forgiveRunner(gateway!, id);
   const path = servicePaths.get(service);
   servicePaths.delete(service);
   if (path?.lostSince === undefined) return;
