--- a/packages/core/src/forwarding/forwarding_test.ts
+++ b/packages/core/src/forwarding/forwarding_test.ts
@@ -316,6 +316,17 @@
     expect(passedOn).to.deep.equal([]);
   });
 
+  // Guards against suspects of a cut that a daemon passes on once the cut is over.
+  it("is not blamed on runners after it has ended either", () => {
+    const harness = startDaemon();
+    const { suspects } = harness.state.gateway!.readSharing;
+    losePath(harness);
+    harness.advance(900);
+    expect(suspects.size).to.be.above(0);
+    harness.feed({ kind: "path_probed", runner: "desk-0", isReachable: true });
+    expect([...suspects]).to.deep.equal([]);
+  });
+
   it("makes a planner leave the leadership until the path is back", () => {
     const harness = startDaemon({ runners: HEADS });
     harness.feed({ kind: "leadership_renewed", isGranted: true, sentAt: 0 });
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -137,7 +137,8 @@
   if (isOwnPath && (isUnsent || isDisconnect)) {
     yield* recordConnectionFailure(state, { runner, service });
   }
-  const isBlamed = !isOwnPath || !isOwnFault(gateway, runner);
+  const isInDoubt = forwarder !== undefined && side === undefined;
+  const isBlamed = !isInDoubt && !(isOwnPath && isOwnFault(gateway, runner));
   if (isBlamed && SUSPICIOUS_OUTCOMES.has(outcome)) {
     recordSuspect(gateway.readSharing, runner);
     hastenSweep(state);
--- a/packages/core/src/service_path/constants.ts
+++ b/packages/core/src/service_path/constants.ts
@@ -14,3 +14,5 @@
 export const PROBED_RUNNERS = 3;
 /** Time for which a failed connection counts, ms. */
 export const EVIDENCE_MS = 2_000;
+/** A path that is regained sooner was not lost: the runners had failed, ms. */
+export const MIN_LOST_MS = 200;
--- a/packages/core/src/service_path/service_path.ts
+++ b/packages/core/src/service_path/service_path.ts
@@ -15,6 +15,7 @@
   EVIDENCE_MS,
   LOST_AFTER_RUNNERS,
   LOST_AFTER_RUNNERS_WHILE_LOST,
+  MIN_LOST_MS,
 } from "./constants.ts";
 import type { ServicePath } from "./types.ts";
 
@@ -48,9 +49,16 @@
   const path = gateway.servicePaths.get(service);
   if (path?.lostSince === undefined || path.isProven) return;
   path.isProven = true;
-  const { suspects } = gateway.readSharing;
+  dropSuspects(gateway, service);
+}
+
+/** Drops the suspects of a service that were not passed on yet. */
+function dropSuspects(
+  { runners, readSharing: { suspects } }: Gateway,
+  service: string,
+): void {
   for (const id of suspects) {
-    if (isOwnFault(gateway, id)) suspects.delete(id);
+    if (runners.get(id)?.service === service) suspects.delete(id);
   }
 }
 
@@ -146,6 +154,8 @@
   for (const runner of runners.values()) {
     if (runner.service === service) forgiveRunner(gateway!, runner.id);
   }
+  // A loss that a probe denies at once leaves the blame where it was.
+  if (now - path.lostSince >= MIN_LOST_MS) dropSuspects(gateway!, service);
   yield {
     kind: "log",
     event: "path_regained",
