--- a/packages/core/src/forwarding/forwarding_test.ts
+++ b/packages/core/src/forwarding/forwarding_test.ts
@@ -268,6 +268,22 @@
     expect(forwardersOf(sendRequest(harness, "r2"))).to.deep.equal(["entry-3"]);
   });
 
+  // Guards against sound daemons that are avoided since runners that are full refuse what they forward.
+  it("is not blamed for a runner that refuses a request", () => {
+    const harness = sendForwarded("/loans/1");
+    harness.feed({
+      kind: "response_ended",
+      request: "r1",
+      attempt: 1,
+      status: 503,
+      verdict: "not_run",
+      isRelayable: false,
+    });
+    const { forwarding } = harness.state.gateway!;
+    expect(forwarding.forwarders.get("entry-2")).to.include({ failures: 0 });
+    expect(forwardersOf(sendRequest(harness, "r2"))).to.deep.equal(["entry-2"]);
+  });
+
   it("is asked by one request once, and by no request without end", () => {
     const daemons = Array.from(
       { length: 40 },
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -121,7 +121,7 @@
   const gateway = state.gateway!;
   const request = findByAttempt(gateway, event);
   if (request === undefined) return;
-  const { runner } = request.currentAttempt!;
+  const { runner, forwarder } = request.currentAttempt!;
   const stats = runnerStatsOf(gateway, runner);
   const { status } = event;
   if (event.verdict !== "ran") {
@@ -132,6 +132,7 @@
       request,
       outcome,
       isRelayable: event.isRelayable,
+      side: forwarder === undefined ? undefined : "runner",
     });
   }
   stats.failures = 0;
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -56,6 +56,8 @@
   dispatch(event: EventBody): void;
 }
 
+type ResponseFailure = Extract<EventBody, { kind: "response_failed" }>;
+
 interface UpstreamResponse {
   number: number;
   /** True where it comes through another daemon. */
@@ -166,26 +168,18 @@
     if (upstream.size > MAX_RESPONSE_BYTES) fail(upstream, "body_cut_off");
   }
 
+  /** Reports a failure that the runner's response shows. */
   function fail(
     upstream: UpstreamResponse,
-    outcome: Extract<EventBody, { kind: "response_failed" }>["outcome"],
+    outcome: ResponseFailure["outcome"],
   ): void {
-    upstream.attempt?.cancel();
-    dispatch({
-      kind: "response_failed",
-      request: name,
-      attempt: upstream.number,
-      outcome,
-    });
+    const side = upstream.isForwarded ? "runner" : undefined;
+    reportFailure(upstream, { outcome, side });
   }
 
-  /** Reports a failure of an attempt through a forwarder. */
-  function failForwarded(
+  function reportFailure(
     upstream: UpstreamResponse,
-    failure: Pick<
-      Extract<EventBody, { kind: "response_failed" }>,
-      "outcome" | "side" | "refusal"
-    >,
+    failure: Pick<ResponseFailure, "outcome" | "side" | "refusal">,
   ): void {
     upstream.attempt?.cancel();
     const { number: attempt } = upstream;
@@ -200,7 +194,7 @@
     let headers = received;
     if (upstream.isForwarded) {
       const forwarded = decodeForwardedHeaders(received);
-      if (!forwarded.ok) return failForwarded(upstream, forwarded.failure);
+      if (!forwarded.ok) return reportFailure(upstream, forwarded.failure);
       headers = forwarded.headers;
     }
     const metadata = headerCodec.readResponse(status, headers, {
@@ -242,7 +236,7 @@
 
   function onEnd(upstream: UpstreamResponse, trailers: ResponseHeaders): void {
     const failure = upstream.isForwarded ? decodeTrailers(trailers) : undefined;
-    if (failure !== undefined) return failForwarded(upstream, failure);
+    if (failure !== undefined) return reportFailure(upstream, failure);
     if (upstream.splitter.partialBytes() > 0 || isEndAmbiguous(upstream)) {
       return fail(upstream, "body_cut_off");
     }
@@ -319,7 +313,7 @@
           onFailure: (outcome) =>
             forwarder === undefined
               ? fail(upstream, outcome)
-              : failForwarded(upstream, { outcome, side: "forwarder" }),
+              : reportFailure(upstream, { outcome, side: "forwarder" }),
         },
       });
     },
