--- a/packages/core/src/read_sharing/read_sharing_test.ts
+++ b/packages/core/src/read_sharing/read_sharing_test.ts
@@ -147,6 +147,9 @@
   });
 });
 
+/** Time within which a configuration has to be in force, ms. */
+const APPLY_MS = 2_000;
+
 describe("a daemon that the store turns away", () => {
   it("is kept up to date by a neighbor, and serves its callers", () => {
     const fleet = createFleet({ a: 4 });
@@ -160,6 +163,27 @@
     expect(routingAge(reader!)).to.be.below(2_000);
   });
 
+  // Guards against hunt-9cfe-7 of tavua-slings: followers of such a daemon used the configuration before for over 2 s.
+  it("does not keep a new configuration from its followers for longer than is allowed", () => {
+    let longestMs = 0;
+    for (let offset = 0; offset < 1_000; offset += 100) {
+      const fleet = createFleet({ a: 4 });
+      fleet.advance(3_000 + offset);
+      const [reader] = fleet.readers();
+      reader!.isCutFromStore = true;
+      fleet.store.document = { ...fleet.store.document, version: 2 };
+      const followers = fleet.daemons.filter((each) => each !== reader);
+      const isApplied = (daemon: SimulatedDaemon) =>
+        gatewayOf(daemon).routing?.document.version === 2;
+      let ms = 0;
+      for (; !followers.every(isApplied) && ms < 5_000; ms += 50) {
+        fleet.advance(50);
+      }
+      longestMs = Math.max(longestMs, ms);
+    }
+    expect(longestMs).to.be.at.most(APPLY_MS);
+  });
+
   it("is kept up to date by another zone where it has no neighbor", () => {
     const fleet = createFleet({ a: 1, b: 2 });
     fleet.advance(3_000);
