--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -19,7 +19,7 @@
 const SIZES = { [SMALL]: 2, [LARGE]: 4 };
 const PLAY_MS = 40_000;
 const PIECES = 5;
-const RUNNERS = 40;
+const RUNNERS = 120;
 const DOMAIN_SIZE = 10;
 /** Share of the orders that get no answer and are carried out late. */
 const LATE_SHARE = 0.35;
