--- a/review/stand_ins/platform.mjs
+++ b/review/stand_ins/platform.mjs
@@ -802,6 +802,12 @@
     writeFileSync(path.join(folder, "record.txt"), `${lines.join("\n")}\n`);
     process.exit(status);
   }
+  for (const signal of ["SIGINT", "SIGTERM"]) {
+    process.once(signal, () => {
+      note(`ended by ${signal}`);
+      finish(2);
+    });
+  }
   note(`disruption: ${isTroubled ? "yes" : "no (TROUBLE=0)"}`);
   try {
     const broken = await play({ note, isTroubled });
