--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -25,7 +25,7 @@
 } from "./constants.ts";
 import { endRequest, failRequest, logEnd, releaseAttempt } from "./finish.ts";
 import { retryBudgetOf, retryLimitsOf } from "./retry_allowance.ts";
-import { hasRetry, takeRetry } from "./retry_budget.ts";
+import { hasRetry, retriesLeft, takeRetry } from "./retry_budget.ts";
 import { canRepeat } from "./routes.ts";
 import { joinQueue, sendToRunner } from "./send.ts";
 import { hastenSweep } from "./sweep_schedule.ts";
@@ -60,6 +60,7 @@
   yield* recordFailure(state, gateway, failure);
   if (verdict !== "not_run") request.mayHaveRun = true;
   if (isUncounted(failure)) request.countedAttempts -= 1;
+  const { next, charge } = nextStep(state, gateway, failure);
   yield {
     kind: "log",
     event: "attempt_failed",
@@ -79,9 +80,10 @@
       afterMs: Math.round(state.now - sentAt),
       parts: describeParts(request),
       fingerprint: request.fingerprint,
+      charge,
+      ...describeBudget(gateway, request),
     },
   };
-  const next = nextStep(state, gateway, failure);
   releaseAttempt(gateway, request);
   if (next.kind === "send") {
     return yield* sendToRunner(state, gateway, {
@@ -194,12 +196,19 @@
   | { kind: "wait" }
   | { kind: "end" };
 
+/** How a retry stands to the budget that all daemons share. */
+type RetryCharge =
+  | "charged"
+  /** The failed attempt never arrived, so that the next one is no retry to the runners. */
+  | "free"
+  | "denied";
+
 /** Decides whether the request is sent again, waits for a slot, or ends. */
 function nextStep(
   state: State,
   gateway: Gateway,
   failure: FailedAttempt,
-): NextStep {
+): { next: NextStep; charge?: RetryCharge } {
   const { request } = failure;
   const { route } = request;
   const remainingMs = request.expiresAt - state.now;
@@ -207,20 +216,43 @@
     request.countedAttempts < route.maxAttempts &&
     remainingMs >= MIN_REMAINING_MS;
   const isHeld = findHeld(state, request.crashSuspects) !== undefined;
-  if (!mayResend || isHeld) return { kind: "end" };
+  if (!mayResend || isHeld) return { next: { kind: "end" } };
   const destination = chooseDestination(state, gateway, request, {
     canUseReserved: true,
   });
-  if (destination === undefined && !request.isRelaying) return { kind: "end" };
-  if (!neverArrived(failure)) {
-    const budget = retryBudgetOf(gateway, request.service);
-    if (!takeRetry(budget, state.now, retryLimitsOf(gateway))) {
-      return { kind: "end" };
-    }
+  if (destination === undefined && !request.isRelaying) {
+    return { next: { kind: "end" } };
   }
-  return destination === undefined
+  const charge = chargeRetry(state, gateway, failure);
+  if (charge === "denied") return { next: { kind: "end" }, charge };
+  const next: NextStep = destination === undefined
     ? { kind: "wait" }
     : { kind: "send", destination };
+  return { next, charge };
+}
+
+/** Takes a retry from the budget, unless the runners will not see it as one. */
+function chargeRetry(
+  { now }: State,
+  gateway: Gateway,
+  failure: FailedAttempt,
+): RetryCharge {
+  if (neverArrived(failure)) return "free";
+  const budget = retryBudgetOf(gateway, failure.request.service);
+  const isTaken = takeRetry(budget, now, retryLimitsOf(gateway));
+  return isTaken ? "charged" : "denied";
+}
+
+/** Returns what the budget holds for a log line. */
+function describeBudget(gateway: Gateway, { service }: RoutedRequest) {
+  const left = retriesLeft(
+    retryBudgetOf(gateway, service),
+    retryLimitsOf(gateway),
+  );
+  return {
+    retriesLeft: Number(left.toFixed(2)),
+    workShare: Number(gateway.workShare.value.toFixed(4)),
+  };
 }
 
 /** Returns whether a request that makes no progress can be sent to another runner now. */
--- a/packages/core/src/gateway/retry_budget.ts
+++ b/packages/core/src/gateway/retry_budget.ts
@@ -49,16 +49,24 @@
 export function hasRetry(
   budget: RetryBudget,
   now: number,
-  { windowMs, ratio, slack }: RetryLimits,
+  limits: RetryLimits,
 ): boolean {
-  sliceAt(budget, now, windowMs);
+  sliceAt(budget, now, limits.windowMs);
+  return retriesLeft(budget, limits) >= 1;
+}
+
+/** Returns how many retries are left in the budget. */
+export function retriesLeft(
+  budget: RetryBudget,
+  { ratio, slack }: RetryLimits,
+): number {
   let requests = 0;
   let retries = 0;
   for (const each of budget.slices) {
     requests += each.requests;
     retries += each.retries;
   }
-  return retries + 1 <= requests * ratio + slack;
+  return requests * ratio + slack - retries;
 }
 
 /**
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -99,6 +99,11 @@
     "Failed attempts, by outcome",
     ["outcome"],
   );
+  const retries = counter(
+    "primrose_retries_total",
+    "Retries wanted after a failed attempt, by how they stand to the budget and by the outcome",
+    ["charge", "outcome"],
+  );
   const orders = counter(
     "primrose_orders_total",
     "Orders sent to runners, by action",
@@ -128,8 +133,11 @@
       requests.inc({ ...labels, code: label(code) });
       duration.observe(labels, Number(tookMs) / MS_PER_SECOND);
     },
-    attempt_failed: ({ outcome }) =>
-      failedAttempts.inc({ outcome: label(outcome) }),
+    attempt_failed: ({ outcome, charge }) => {
+      failedAttempts.inc({ outcome: label(outcome) });
+      if (charge === undefined) return;
+      retries.inc({ charge: label(charge), outcome: label(outcome) });
+    },
     order_sent: ({ action }) => orders.inc({ action: label(action) }),
     order_failed: ({ outcome }) =>
       failedOrders.inc({ outcome: label(outcome) }),
