--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -71,8 +71,12 @@
 /** Smallest and largest share of a runner's limit that a daemon takes, as a multiple of an equal one. */
 export const MIN_LIMIT_SHARE_FACTOR = 0.5;
 export const MAX_LIMIT_SHARE_FACTOR = 1.25;
-/** Minimum number of daemons among which the slack of the retry budget is divided. */
+/** Daemons among which the slack of the retry budget is divided where their number is not known. */
 export const MIN_RETRY_DAEMONS = 12;
+/** Share of the slack that is used; the rest covers daemons that are not known yet, and delays on the way to runners. */
+export const USED_SLACK_SHARE = 0.9;
+/** Share of a daemon's part of the slack that it can keep; the rest comes evenly over each window. */
+export const KEPT_SLACK_SHARE = 0.6;
 /** Interval at which this daemon's share of all requests is measured, ms. */
 export const WORK_SHARE_INTERVAL_MS = 500;
 /** Weight of the newest measurement of this daemon's share of all requests. */
--- a/packages/core/src/gateway/occupancy.ts
+++ b/packages/core/src/gateway/occupancy.ts
@@ -86,8 +86,8 @@
 /**
  * Records this daemon's current share of the requests at all runners in its mean.
  *
- * A daemon does not know how many others there are. Its share of the requests is used instead: the shares add up to one
- * over all daemons, however unevenly callers are spread over them.
+ * The shares of all daemons add up to about one, however unevenly callers are spread over them; not while requests hang,
+ * which each daemon takes for its own work only.
  */
 export function recordWorkShare(gateway: Gateway, now: number): void {
   let local = 0;
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -81,7 +81,7 @@
       parts: describeParts(request),
       fingerprint: request.fingerprint,
       charge,
-      ...describeBudget(gateway, request),
+      ...describeBudget(state, gateway, request),
     },
   };
   releaseAttempt(gateway, request);
@@ -244,14 +244,17 @@
 }
 
 /** Returns what the budget holds for a log line. */
-function describeBudget(gateway: Gateway, { service }: RoutedRequest) {
-  const left = retriesLeft(
-    retryBudgetOf(gateway, service),
-    retryLimitsOf(gateway),
-  );
+function describeBudget(
+  { now }: State,
+  gateway: Gateway,
+  { service }: RoutedRequest,
+) {
+  const limits = retryLimitsOf(gateway);
+  const left = retriesLeft(retryBudgetOf(gateway, service), now, limits);
   return {
     retriesLeft: Number(left.toFixed(2)),
-    workShare: Number(gateway.workShare.value.toFixed(4)),
+    retryCapacity: Number(limits.capacity.toFixed(2)),
+    daemons: gateway.readSharing.fleetSize?.count,
   };
 }
 
--- a/packages/core/src/gateway/retry_allowance.ts
+++ b/packages/core/src/gateway/retry_allowance.ts
@@ -1,9 +1,14 @@
 /**
- * Finds the retry budget of a service and this daemon's part of the budget that all daemons share.
+ * Finds the retry budget of a service and this daemon's part of the slack that all daemons share.
  *
  * @module
  */
-import { MIN_RETRY_DAEMONS } from "./constants.ts";
+import type { FleetSize } from "../read_sharing/types.ts";
+import {
+  KEPT_SLACK_SHARE,
+  MIN_RETRY_DAEMONS,
+  USED_SLACK_SHARE,
+} from "./constants.ts";
 import {
   createRetryBudget,
   type RetryBudget,
@@ -15,18 +20,36 @@
 export function retryBudgetOf(gateway: Gateway, service: string): RetryBudget {
   let budget = gateway.retryBudgets.get(service);
   if (budget === undefined) {
-    budget = createRetryBudget();
+    budget = createRetryBudget(gateway.readSharing.startedAt);
     gateway.retryBudgets.set(service, budget);
   }
   return budget;
 }
 
-/** Returns this daemon's share of the common retry budget. */
-export function retryLimitsOf({ settings, workShare }: Gateway): RetryLimits {
+/**
+ * Returns this daemon's part of the slack: an equal one for each daemon, since the sum of estimates has no bound. Where
+ * there are more daemons than retries, the first ones get one each.
+ */
+function slackPart(slack: number, { count, position }: FleetSize): number {
+  if (count <= slack) return slack / count;
+  return position < Math.floor(slack) ? 1 : 0;
+}
+
+/** Returns this daemon's limits of the common retry budget. */
+export function retryLimitsOf(
+  { settings, readSharing: { self, fleetSize } }: Gateway,
+): RetryLimits {
+  const slack = settings.retrySlack * USED_SLACK_SHARE;
+  // A daemon that shares no reads knows no other; one that does keeps no slack until it knows them.
+  const alone = self === undefined
+    ? { count: MIN_RETRY_DAEMONS, position: 0 }
+    : undefined;
+  const size = fleetSize ?? alone;
+  const part = size === undefined ? 0 : slackPart(slack, size);
+  const capacity = Math.max(part * KEPT_SLACK_SHARE, Math.min(1, part));
   return {
-    windowMs: settings.retryWindowMs,
     ratio: settings.retryRatio,
-    slack: settings.retrySlack *
-      Math.min(workShare.value, 1 / MIN_RETRY_DAEMONS),
+    capacity,
+    perMs: (part - capacity) / settings.retryWindowMs,
   };
 }
--- a/packages/core/src/gateway/retry_budget.ts
+++ b/packages/core/src/gateway/retry_budget.ts
@@ -1,72 +1,77 @@
 /**
- * Limits the retries of this daemon to its share of a budget that all daemons share.
+ * Limits the retries of this daemon so that those of all daemons stay within a budget that they share.
+ *
+ * The budget allows a ratio of the requests and some slack in every window. Each request earns a part of a retry, which
+ * is kept only up to a daemon's part of the slack. In any window a daemon therefore sends no more retries than the
+ * requests in it have earned and it had kept before; the sum over all daemons holds whatever each of them gets to do,
+ * and however often they start again, since a process starts with nothing.
  *
  * @module
  */
 
-/** Slices of the sliding window; with more slices, old counts expire more evenly. */
-const SLICES = 10;
-
-/** Requests and retries of one service, by slice of the window. */
+/** Retries to the runners of one service that this daemon may still send. */
 export interface RetryBudget {
-  slices: { index: number; requests: number; retries: number }[];
+  /** Retries left. */
+  level: number;
+  /** Time up to which the slack has been added, ms. */
+  at: number;
 }
 
 /** Limits of a retry budget. */
 export interface RetryLimits {
-  windowMs: number;
-  /** Retries allowed for each request. */
+  /** Retries that each request earns. */
   ratio: number;
-  /** Retries of this daemon allowed in addition, in each window. */
-  slack: number;
+  /** Retries that can be kept. */
+  capacity: number;
+  /** Retries that are added without a request, each millisecond. */
+  perMs: number;
 }
 
-/** Creates an unused budget. */
-export function createRetryBudget(): RetryBudget {
-  return { slices: [] };
+/** Creates an empty budget. */
+export function createRetryBudget(now: number): RetryBudget {
+  return { level: 0, at: now };
 }
 
-function sliceAt(budget: RetryBudget, now: number, windowMs: number) {
-  const index = Math.floor(now / (windowMs / SLICES));
-  budget.slices = budget.slices.filter((slice) => slice.index > index - SLICES);
-  const newest = budget.slices.at(-1);
-  if (newest?.index === index) return newest;
-  const slice = { index, requests: 0, retries: 0 };
-  budget.slices.push(slice);
-  return slice;
+function add(
+  budget: RetryBudget,
+  amount: number,
+  { capacity }: RetryLimits,
+): void {
+  budget.level = Math.min(capacity, budget.level + amount);
 }
 
-/** Counts a caller's request. */
+function refill(budget: RetryBudget, now: number, limits: RetryLimits): void {
+  add(budget, (now - budget.at) * limits.perMs, limits);
+  budget.at = now;
+}
+
+/** Counts a caller's request, which earns a part of a retry. */
 export function countRequest(
   budget: RetryBudget,
   now: number,
-  { windowMs }: RetryLimits,
+  limits: RetryLimits,
 ): void {
-  sliceAt(budget, now, windowMs).requests += 1;
+  refill(budget, now, limits);
+  add(budget, limits.ratio, limits);
 }
 
-/** Returns whether a retry is left in the budget. */
-export function hasRetry(
+/** Returns how many retries are left. */
+export function retriesLeft(
   budget: RetryBudget,
   now: number,
   limits: RetryLimits,
-): boolean {
-  sliceAt(budget, now, limits.windowMs);
-  return retriesLeft(budget, limits) >= 1;
+): number {
+  refill(budget, now, limits);
+  return budget.level;
 }
 
-/** Returns how many retries are left in the budget. */
-export function retriesLeft(
+/** Returns whether a retry is left. */
+export function hasRetry(
   budget: RetryBudget,
-  { ratio, slack }: RetryLimits,
-): number {
-  let requests = 0;
-  let retries = 0;
-  for (const each of budget.slices) {
-    requests += each.requests;
-    retries += each.retries;
-  }
-  return requests * ratio + slack - retries;
+  now: number,
+  limits: RetryLimits,
+): boolean {
+  return retriesLeft(budget, now, limits) >= 1;
 }
 
 /**
@@ -74,10 +79,12 @@
  *
  * @example
  * ```ts
- * const limits = { windowMs: 10_000, ratio: 0.2, slack: 1 };
- * const budget = createRetryBudget();
- * takeRetry(budget, 0, limits); // true, from the slack
+ * const limits = { ratio: 0.5, capacity: 1, perMs: 0 };
+ * const budget = createRetryBudget(0);
+ * countRequest(budget, 0, limits);
  * takeRetry(budget, 0, limits); // false
+ * countRequest(budget, 0, limits);
+ * takeRetry(budget, 0, limits); // true
  * ```
  */
 export function takeRetry(
@@ -86,6 +93,6 @@
   limits: RetryLimits,
 ): boolean {
   if (!hasRetry(budget, now, limits)) return false;
-  sliceAt(budget, now, limits.windowMs).retries += 1;
+  budget.level -= 1;
   return true;
 }
--- a/packages/core/src/read_sharing/constants.ts
+++ b/packages/core/src/read_sharing/constants.ts
@@ -24,6 +24,8 @@
 export const CANDIDATES_PER_ZONE = 2;
 /** A daemon that has read the store for this long may lead the group planner, whatever its rank, ms. */
 export const STEADY_READER_MS = 5_000;
+/** Time for which the number of daemons is not taken for smaller, ms; daemons register again within it. */
+export const FLEET_SIZE_MEMORY_MS = 3_600_000;
 /** Time for which a failed upstream is not followed, ms; doubles with each consecutive failure. */
 export const AVOID_UPSTREAM_MS = 2_000;
 /** Time for which a failed upstream is not followed by a daemon that has no data yet, ms. */
--- a/packages/core/src/read_sharing/ranking.ts
+++ b/packages/core/src/read_sharing/ranking.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { hashText } from "../util/hash.ts";
-import type { DaemonEntry, RankedDaemons } from "./types.ts";
+import type { DaemonEntry, FleetSize, RankedDaemons } from "./types.ts";
 
 interface RankedDaemon {
   daemon: DaemonEntry;
@@ -49,3 +49,19 @@
     ]),
   };
 }
+
+/** Returns the number of daemons and the place of one of them, by a hash of their names, among all. */
+export function measureFleet(
+  self: DaemonEntry,
+  { daemons }: { daemons: Iterable<DaemonEntry> },
+): FleetSize {
+  const size: FleetSize = { count: 1, position: 0 };
+  const own = hashText(self.node);
+  for (const { node } of daemons) {
+    if (node === self.node) continue;
+    size.count += 1;
+    const hash = hashText(node);
+    if (hash < own || (hash === own && node < self.node)) size.position += 1;
+  }
+  return size;
+}
--- a/packages/core/src/read_sharing/types.ts
+++ b/packages/core/src/read_sharing/types.ts
@@ -20,6 +20,13 @@
   forwardKey?: string | undefined;
 }
 
+/** Number of daemons, and the place of one among them in an order on which all agree. */
+export interface FleetSize {
+  count: number;
+  /** 0 for the first one. */
+  position: number;
+}
+
 /** Daemons that another one may follow, the best first. */
 export interface RankedDaemons {
   /** Daemons of the same zone that read the store before this one does. */
@@ -60,6 +67,10 @@
   self: DaemonEntry | undefined;
   /** Known daemons by node, without this one; undefined before the first read. */
   daemons: Map<string, DaemonEntry> | undefined;
+  /** Largest known number of daemons, this one included, of late; undefined before the first read. */
+  fleetSize: FleetSize | undefined;
+  /** Time at which the known number was last as large as that, ms. */
+  fleetSizeAt: number;
   /** The known daemons in the order in which this one would follow them. */
   ranked: RankedDaemons;
   startedAt: number;
--- a/packages/core/src/read_sharing/upstream.ts
+++ b/packages/core/src/read_sharing/upstream.ts
@@ -19,6 +19,7 @@
 import {
   AVOID_UPSTREAM_MS,
   FALLBACK_JITTER_MS,
+  FLEET_SIZE_MEMORY_MS,
   MAX_AVOID_UPSTREAM_MS,
   NOT_READING_MS,
   START_AVOID_MS,
@@ -29,9 +30,9 @@
   UPSTREAM_START_MS,
 } from "./constants.ts";
 import { publishDaemons } from "./publish.ts";
-import { rankDaemons } from "./ranking.ts";
+import { measureFleet, rankDaemons } from "./ranking.ts";
 import { isStoreReader } from "./reader.ts";
-import type { DaemonEntry, ReadSharing, Upstream } from "./types.ts";
+import type { DaemonEntry, FleetSize, ReadSharing, Upstream } from "./types.ts";
 
 /** Creates the state of read sharing; without an own entry the daemon always reads the store. */
 export function createReadSharing(
@@ -41,6 +42,8 @@
   return {
     self,
     daemons: undefined,
+    fleetSize: undefined,
+    fleetSizeAt: now,
     ranked: { ahead: [], others: [] },
     startedAt: now,
     isReading: self === undefined,
@@ -81,11 +84,26 @@
   readSharing.daemons = known;
   if (self !== undefined) {
     readSharing.ranked = rankDaemons(self, { daemons: known.values() });
+    const size = measureFleet(self, { daemons: known.values() });
+    recordFleetSize(readSharing, size, state.now);
   }
   if (!isPassedOn) yield* publishDaemons(state, daemons);
   yield* updateSource(state);
 }
 
+/** Records the number of daemons; a smaller one only after a while, since a list from a store may lack some. */
+function recordFleetSize(
+  readSharing: ReadSharing,
+  size: FleetSize,
+  now: number,
+): void {
+  const { fleetSize, fleetSizeAt } = readSharing;
+  const isSmaller = fleetSize !== undefined && size.count < fleetSize.count;
+  if (isSmaller && now - fleetSizeAt < FLEET_SIZE_MEMORY_MS) return;
+  readSharing.fleetSize = size;
+  readSharing.fleetSizeAt = now;
+}
+
 /** Handles the answer of the upstream to a poll. */
 export function* confirmUpstream(
   state: State,
