--- a/packages/core/src/forwarding/admission.ts
+++ b/packages/core/src/forwarding/admission.ts
@@ -13,9 +13,10 @@
 import type { Gateway, Runner } from "../gateway/types.ts";
 import { crashSuspectsOf } from "../quarantine/mod.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
-import { isPathLost } from "../service_path/mod.ts";
+import { isPathLost, recordConnectionFailure } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
 import { addSample } from "../util/ewma.ts";
+import { verdictOf } from "../verdict/verdict_table.ts";
 import {
   LATENESS_WEIGHT,
   MAX_FORWARDED_PER_CORE,
@@ -95,6 +96,16 @@
   yield { kind: "forward", request, address: runner!.address };
 }
 
+/** Handles a connection that failed for another daemon, which tells as much of the own path as one for a caller. */
+export function* recordUnconnected(
+  state: State,
+  { runner, outcome }: EventOf<"forward_unconnected">,
+): Effects {
+  const service = state.gateway!.runners.get(runner)?.service;
+  if (service === undefined || verdictOf(outcome) !== "not_run") return;
+  yield* recordConnectionFailure(state, { runner, service });
+}
+
 /** Handles the end of a request of another daemon. */
 export function endForward(
   { gateway }: State,
--- a/packages/core/src/forwarding/constants.ts
+++ b/packages/core/src/forwarding/constants.ts
@@ -10,8 +10,8 @@
 export const FORWARD_AFTER_FAILED_CONNECTS = 2;
 /** Requests in flight that count as much as another availability zone, since traffic between zones costs. */
 export const OTHER_ZONE_PENALTY = 4;
-/** Time for which a daemon that turned a request down gets no more requests, ms, by its reason. */
-export const AVOID_AFTER_REFUSAL_MS = {
+/** Time for which a daemon that did not forward a request gets no more requests, ms, by the cause. */
+export const AVOID_FORWARDER_MS = {
   unauthorized: 1_000,
   not_ready: 500,
   stopping: 10_000,
@@ -20,11 +20,15 @@
   quarantined: 0,
   path_lost: 500,
   busy: 200,
+  /** The runner may be down; a forwarder that has lost its path says so. */
+  runner_unreached: 0,
+  /** Doubles with each consecutive failure. */
+  failed: 500,
 } as const;
-/** Time for which a daemon that failed as a forwarder gets no more requests, ms; doubles with each consecutive failure. */
-export const AVOID_AFTER_FAILURE_MS = 500;
 /** Longest time for which a failing forwarder gets no more requests, ms. */
 export const MAX_AVOID_MS = 4_000;
+/** Forwarders that cannot connect to a runner before the runner is blamed; one alone may have lost its own path. */
+export const BLAME_AFTER_FORWARDERS = 2;
 /** Requests of other daemons that one daemon sends at once, for each core of its VM. */
 export const MAX_FORWARDED_PER_CORE = 96;
 /** Mean lateness of sweeps above which a daemon has no processor time for the requests of others, ms. */
--- a/packages/core/src/forwarding/event_types.ts
+++ b/packages/core/src/forwarding/event_types.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import type { Outcome } from "../verdict/types.ts";
+
 /** Every event of forwarding. */
 export type ForwardingEvent =
   /** Another daemon asks this one to send a request to a runner. */
@@ -22,5 +24,7 @@
     /** True where the other daemon sends it as the trial of a quarantined part. */
     isTrial: boolean;
   }
+  /** A connection to the runner of a forwarded request failed. */
+  | { kind: "forward_unconnected"; runner: string; outcome: Outcome }
   /** A forwarded request has its response, or has failed. */
   | { kind: "forward_ended"; request: string };
--- a/packages/core/src/forwarding/forwarders.ts
+++ b/packages/core/src/forwarding/forwarders.ts
@@ -10,17 +10,16 @@
 import { createAverage } from "../util/ewma.ts";
 import { nextFloat } from "../util/random.ts";
 import {
-  AVOID_AFTER_FAILURE_MS,
-  AVOID_AFTER_REFUSAL_MS,
+  AVOID_FORWARDER_MS,
   MAX_AVOID_MS,
   MAX_FORWARDERS,
   OTHER_ZONE_PENALTY,
 } from "./constants.ts";
 import type {
   Forwarder,
+  ForwarderFault,
   ForwarderStats,
   Forwarding,
-  ForwardRefusal,
 } from "./types.ts";
 
 /** Creates the state of forwarding. */
@@ -109,20 +108,15 @@
   { request, forwarder, cause }: {
     request: RoutedRequest;
     forwarder: string;
-    /** Undefined where the forwarder failed and did not refuse. */
-    cause: ForwardRefusal | undefined;
+    cause: ForwarderFault;
   },
 ): Effects {
   const stats = forwarderStatsOf(state.gateway!, forwarder);
   request.triedForwarders.add(forwarder);
-  let avoidMs: number;
-  if (cause === undefined) {
-    avoidMs = Math.min(
-      MAX_AVOID_MS,
-      AVOID_AFTER_FAILURE_MS * 2 ** stats.failures,
-    );
-    stats.failures += 1;
-  } else avoidMs = AVOID_AFTER_REFUSAL_MS[cause];
+  const avoidMs = cause === "failed"
+    ? Math.min(MAX_AVOID_MS, AVOID_FORWARDER_MS[cause] * 2 ** stats.failures)
+    : AVOID_FORWARDER_MS[cause];
+  if (cause === "failed") stats.failures += 1;
   stats.avoidUntil = Math.max(stats.avoidUntil, state.now + avoidMs);
   yield {
     kind: "log",
@@ -130,7 +124,7 @@
     fields: {
       request: request.id,
       forwarder,
-      cause: cause ?? "failed",
+      cause,
       avoidMs,
       failures: stats.failures,
     },
--- a/packages/core/src/forwarding/forwarding_test.ts
+++ b/packages/core/src/forwarding/forwarding_test.ts
@@ -284,6 +284,41 @@
     expect(forwardersOf(sendRequest(harness, "r2"))).to.deep.equal(["entry-2"]);
   });
 
+  // Guards against a neighbor that has lost its own path without knowing, and runners that are blamed for it.
+  it("is not used again by a request where it reached no runner, and its runner is not blamed yet", () => {
+    const harness = sendForwarded("/loans/1");
+    const { runnerStats, requests } = harness.state.gateway!;
+    const { runner } = requests.get("r1")!.currentAttempt!;
+    const { avoidForwardedUntil } = runnerStats.get(runner)!;
+    const effects = failForwarded(harness, "r1", {
+      attempt: 1,
+      outcome: "connect_timeout",
+      side: "runner",
+    });
+    expect(forwardersOf(effects)).to.deep.equal(["entry-3"]);
+    expect(runnerStats.get(runner)!.avoidForwardedUntil).to.equal(
+      avoidForwardedUntil,
+    );
+  });
+
+  it("still gets requests, and the runner is blamed, where a second one does not reach it either", () => {
+    const harness = startDaemon({ runners: DESKS.slice(0, 1) });
+    losePath(harness);
+    sendRequest(harness, "r1");
+    for (const attempt of [1, 2]) {
+      failForwarded(harness, "r1", {
+        attempt,
+        outcome: "connect_refused",
+        side: "runner",
+      });
+    }
+    const stats = harness.state.gateway!.runnerStats.get("desk-0")!;
+    expect(stats.avoidForwardedUntil).to.be.above(harness.state.now);
+    stats.avoidForwardedUntil = 0;
+    harness.advance(600);
+    expect(forwardersOf(sendRequest(harness, "r2"))).to.deep.equal(["entry-2"]);
+  });
+
   it("is asked by one request once, and by no request without end", () => {
     const daemons = Array.from(
       { length: 40 },
@@ -411,7 +446,8 @@
     expect(effectsOf(effects, "send_to_runner")).to.deep.equal([]);
     const [refusal] = effectsOf(effects, "refuse_forward");
     if (refusal !== undefined) return refusal.cause;
-    expect(effectsOf(effects, "forward")[0]!.address).to.equal("desk-0:80");
+    const { runner = "desk-0" } = changes;
+    expect(effectsOf(effects, "forward")[0]!.address).to.equal(`${runner}:80`);
     return "sent";
   }
 
@@ -443,6 +479,17 @@
     expect(forward(harness)).to.equal("path_lost");
   });
 
+  // Guards against a cut-off daemon without traffic of its own, which finds out only by the requests of others.
+  it("refuses once connections for others have failed", () => {
+    const harness = startDaemon();
+    for (const runner of ["desk-0", "desk-1"]) {
+      expect(forward(harness, { runner })).to.equal("sent");
+      const outcome = "connect_timeout";
+      harness.feed({ kind: "forward_unconnected", runner, outcome });
+    }
+    expect(forward(harness)).to.equal("path_lost");
+  });
+
   it("refuses what is quarantined", () => {
     const harness = startDaemon();
     const record = { part: "bad", round: 0, crashes: 9, trials: 0 };
--- a/packages/core/src/forwarding/types.ts
+++ b/packages/core/src/forwarding/types.ts
@@ -22,6 +22,14 @@
   /** The forwarder has as much work as it can take. */
   | "busy";
 
+/** Why a forwarder gets no requests for a while. */
+export type ForwarderFault =
+  | ForwardRefusal
+  /** It could not connect to the runner: it may have lost its own path without knowing. */
+  | "runner_unreached"
+  /** It did not answer, or broke off. */
+  | "failed";
+
 /** Where an attempt through a forwarder failed. */
 export type FailureSide =
   /** Between the forwarder and the runner, as the forwarder reports. */
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -18,7 +18,7 @@
 import { passOnSuspects } from "../read_sharing/suspects.ts";
 import { createReadSharing, updateSource } from "../read_sharing/upstream.ts";
 import type { Effects } from "../reduce_types.ts";
-import { probeLostPaths } from "../service_path/mod.ts";
+import { probeLostPaths, pruneServicePaths } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
 import { sweepTimeline } from "../store_timeline/handlers.ts";
 import { createStoreTimeline } from "../store_timeline/timeline.ts";
@@ -92,6 +92,7 @@
     gateway.workShareMeasuredAt = state.now;
     recordWorkShare(gateway, state.now);
   }
+  pruneServicePaths(state);
   yield* probeLostPaths(state);
   pruneForwarders(gateway);
   yield* updateSource(state);
--- a/packages/core/src/gateway/handlers.ts
+++ b/packages/core/src/gateway/handlers.ts
@@ -4,7 +4,11 @@
  * @module
  */
 import type { EventOf } from "../event/types.ts";
-import { admitForward, endForward } from "../forwarding/admission.ts";
+import {
+  admitForward,
+  endForward,
+  recordUnconnected,
+} from "../forwarding/admission.ts";
 import { recordHealthCheck } from "../formation/health_checks.ts";
 import { beginTerm, renewLeadership } from "../formation/leadership.ts";
 import { completeOrder } from "../formation/orders.ts";
@@ -51,6 +55,7 @@
   runner_connected: recordConnection,
   path_probed: recordProbe,
   forward_arrived: admitForward,
+  forward_unconnected: recordUnconnected,
   forward_ended: endForward,
   attempt_sent: recordSend,
   response_started: startResponse,
--- a/packages/core/src/gateway/held_requests.ts
+++ b/packages/core/src/gateway/held_requests.ts
@@ -51,7 +51,11 @@
     .currentAttempt!;
   // A cut of this daemon's own network looks like a crash of every runner.
   if (forwarder === undefined && isOwnFault(state.gateway!, runner)) return;
-  if (outcome === "connect_refused") return yield* confirmCrash(state, runner);
+  if (outcome === "connect_refused") {
+    // A forwarder that cannot connect may be cut off itself.
+    if (forwarder === undefined) yield* confirmCrash(state, runner);
+    return;
+  }
   if (isSound || !isCut(outcome)) return;
   const cut = {
     runner,
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -58,6 +58,7 @@
   attempt.headersAt = state.now;
   attempt.lastByteAt = state.now;
   stats.lastSeenAt = state.now;
+  stats.unreachedBy.clear();
   const namesLimit = event.requestsPerSecond !== undefined;
   if (event.verdict === "ran" || namesLimit) {
     yield* hearLimit(state, stats, event);
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { BLAME_AFTER_FORWARDERS } from "../forwarding/constants.ts";
 import { recordForwarderFailure } from "../forwarding/forwarders.ts";
 import type { FailureSide, ForwardRefusal } from "../forwarding/types.ts";
 import { recordSuspect } from "../read_sharing/suspects.ts";
@@ -123,13 +124,23 @@
   const { runner, forwarder } = request.currentAttempt!;
   const { service } = request;
   if (neverArrived(failure)) request.unreachedRunners.add(runner);
+  const stats = runnerStatsOf(gateway, runner);
   // An attempt through a forwarder that is too slow may be stuck on either side.
   if (forwarder !== undefined && side !== "runner") {
-    const cause = refusal;
+    const cause = refusal ?? "failed";
     yield* recordForwarderFailure(state, { request, forwarder, cause });
     if (side === "forwarder") return;
   }
-  const stats = runnerStatsOf(gateway, runner);
+  if (side === "runner" && UNSENT_OUTCOMES.has(outcome)) {
+    const cause = "runner_unreached";
+    yield* recordForwarderFailure(state, {
+      request,
+      forwarder: forwarder!,
+      cause,
+    });
+    stats.unreachedBy.add(forwarder!);
+    if (stats.unreachedBy.size < BLAME_AFTER_FORWARDERS) return;
+  }
   const isOwnPath = forwarder === undefined && PATH_OUTCOMES.has(outcome);
   const isUnsent = UNSENT_OUTCOMES.has(outcome);
   if (isOwnPath && isUnsent) {
--- a/packages/core/src/gateway/runner_stats.ts
+++ b/packages/core/src/gateway/runner_stats.ts
@@ -32,6 +32,7 @@
       nextSendAt: -Infinity,
       avoidUntil: -Infinity,
       avoidForwardedUntil: -Infinity,
+      unreachedBy: new Set(),
       failures: 0,
       lastSeenAt: -Infinity,
     };
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -57,6 +57,8 @@
   avoidUntil: number;
   /** It gets none through other daemons either before this time, ms. */
   avoidForwardedUntil: number;
+  /** Forwarders that could not connect to it since it was last heard from, by node. */
+  unreachedBy: Set<string>;
   /** Failures since the last successful response. */
   failures: number;
   /** Time at which the last byte from the runner arrived, ms. */
--- a/packages/core/src/service_path/service_path.ts
+++ b/packages/core/src/service_path/service_path.ts
@@ -87,6 +87,21 @@
   return Math.min(limit, Math.max(1, count));
 }
 
+function dropOldEvidence({ failedRunners }: ServicePath, now: number): void {
+  for (const [id, at] of failedRunners) {
+    if (now - at > EVIDENCE_MS) failedRunners.delete(id);
+  }
+}
+
+/** Drops what is known of paths that work and to which no connection has failed of late. */
+export function pruneServicePaths({ gateway, now }: State): void {
+  for (const [service, path] of gateway!.servicePaths) {
+    if (path.lostSince !== undefined) continue;
+    dropOldEvidence(path, now);
+    if (path.failedRunners.size === 0) gateway!.servicePaths.delete(service);
+  }
+}
+
 /** Records a connection to a runner that failed or broke off, and whether the path to its service is lost. */
 export function* recordConnectionFailure(
   { gateway, now }: State,
@@ -98,9 +113,7 @@
   servicePaths.set(service, path);
   path.failedRunners.set(runner, now);
   if (path.lostSince !== undefined) return;
-  for (const [id, at] of path.failedRunners) {
-    if (now - at > EVIDENCE_MS) path.failedRunners.delete(id);
-  }
+  dropOldEvidence(path, now);
   if (path.failedRunners.size < lostAfter(gateway!, service)) return;
   path.lostSince = now;
   path.nextProbeAt = now;
@@ -120,6 +133,7 @@
   const stats = runnerStats.get(id);
   if (stats === undefined) return;
   stats.failures = 0;
+  stats.unreachedBy.clear();
   stats.avoidUntil = stats.avoidForwardedUntil;
 }
 
--- a/packages/core/src/service_path/service_path_test.ts
+++ b/packages/core/src/service_path/service_path_test.ts
@@ -70,6 +70,15 @@
     }
   });
 
+  it("keeps no evidence of failures that nothing followed", () => {
+    const harness = startDesk();
+    sendRequest(harness, "r1");
+    failAttempt(harness, "r1", { outcome: "connect_timeout" });
+    harness.feed({ kind: "routed_request_closed", request: "r1" });
+    harness.advance(3_000);
+    expect(harness.state.gateway!.servicePaths.size).to.equal(0);
+  });
+
   it("is lost with its only runner", () => {
     const harness = startDesk(["desk-0"]);
     sendRequest(harness, "r1");
--- a/packages/daemon/src/gateway/forward_listener.ts
+++ b/packages/daemon/src/gateway/forward_listener.ts
@@ -175,6 +175,8 @@
         },
         onEnd: () => end(response, undefined),
         onFailure(outcome) {
+          const { runner } = order;
+          dispatch({ kind: "forward_unconnected", runner, outcome });
           if (!response.headersSent) endWith(response, failureHead(outcome));
           else end(response, outcome);
         },
