--- a/packages/core/src/formation/health_checks.ts
+++ b/packages/core/src/formation/health_checks.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { EventOf } from "../event/types.ts";
+import { isResting } from "../gateway/runner_rest.ts";
 import type { Effects } from "../reduce_types.ts";
 import { isOwnFault } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
@@ -18,7 +19,7 @@
 
 /** Sends a health check to each group member whose last check is older than the interval. */
 export function* checkGroupMembers(state: State, views: GroupView[]): Effects {
-  const { groupPlanner } = state.gateway!;
+  const { groupPlanner, runnerStats } = state.gateway!;
   const count = views.reduce((sum, { members }) => sum + members.length, 0);
   const intervalMs = Math.max(
     HEALTH_CHECK_INTERVAL_MS,
@@ -29,6 +30,9 @@
       if (runner === undefined) continue;
       const check = groupPlanner.healthChecks.get(runner.id);
       if (check?.isPending) continue;
+      // It has just answered this daemon, and wants nothing from it.
+      const stats = runnerStats.get(runner.id);
+      if (stats !== undefined && isResting(stats, state.now)) continue;
       // A failed check is repeated soon: the group stands still if its member is dead.
       const dueMs = isDoubtful(check, runner)
         ? HEALTH_CHECK_INTERVAL_MS
--- a/packages/core/src/forwarding/admission.ts
+++ b/packages/core/src/forwarding/admission.ts
@@ -10,6 +10,14 @@
 import { quarantineRefusal } from "../gateway/held_requests.ts";
 import { lookUp } from "../gateway/lookup.ts";
 import { canServe } from "../gateway/runner_index.ts";
+import { hearLeaving } from "../gateway/leaving.ts";
+import {
+  endRest,
+  hasRested,
+  hearRest,
+  noteTrial,
+} from "../gateway/runner_rest.ts";
+import { runnerStatsOf } from "../gateway/runner_stats.ts";
 import type { Gateway, Runner } from "../gateway/types.ts";
 import { crashSuspectsOf } from "../quarantine/mod.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
@@ -52,6 +60,9 @@
   }
   if (found.team?.name !== event.team) return "not_allowed";
   if (runner === undefined || !canServe(runner)) return "runner_gone";
+  if (!hasRested(runnerStatsOf(gateway, runner.id), state.now)) {
+    return "runner_gone";
+  }
   const isAllowed = found.route.backends.some(({ service }) =>
     service === runner.service
   );
@@ -88,6 +99,7 @@
     return yield { kind: "refuse_forward", request, cause };
   }
   forwarding.inFlight.add(request);
+  noteTrial(runnerStatsOf(state.gateway!, id), state.now);
   yield {
     kind: "log",
     event: "request_forwarded",
@@ -106,6 +118,20 @@
   yield* recordConnectionFailure(state, { runner, service });
 }
 
+/** Handles what a runner says of itself in its answer to a forwarded request. */
+export function* recordForwardAnswer(
+  state: State,
+  { runner: id, restMs, isLeaving }: EventOf<"forward_answered">,
+): Effects {
+  const runner = state.gateway!.runners.get(id);
+  if (runner === undefined) return;
+  const { startedUnixMs } = runner;
+  const stats = runnerStatsOf(state.gateway!, id);
+  if (isLeaving) yield* hearLeaving(state, { id, startedUnixMs });
+  if (restMs === undefined) endRest(stats, state.now);
+  else yield* hearRest(state, stats, { restMs, startedUnixMs });
+}
+
 /** Handles the end of a request of another daemon. */
 export function endForward(
   { gateway }: State,
--- a/packages/core/src/forwarding/event_types.ts
+++ b/packages/core/src/forwarding/event_types.ts
@@ -26,5 +26,14 @@
   }
   /** A connection to the runner of a forwarded request failed. */
   | { kind: "forward_unconnected"; runner: string; outcome: Outcome }
+  /** The answer of a runner to a forwarded request has begun. */
+  | {
+    kind: "forward_answered";
+    runner: string;
+    /** Time for which the runner wants no more requests of this daemon, ms; undefined where it does not say. */
+    restMs: number | undefined;
+    /** True where the runner says that it leaves. */
+    isLeaving: boolean;
+  }
   /** A forwarded request has its response, or has failed. */
   | { kind: "forward_ended"; request: string };
--- a/packages/core/src/forwarding/forwarding_test.ts
+++ b/packages/core/src/forwarding/forwarding_test.ts
@@ -490,6 +490,23 @@
     expect(forward(harness)).to.equal("path_lost");
   });
 
+  // Guards against issue 38: what a runner asked of a daemon that forwards holds for that daemon.
+  it("refuses while the runner rests, and for one that has said that it leaves", () => {
+    for (
+      const answer of [{ restMs: 2_000, isLeaving: false }, {
+        restMs: undefined,
+        isLeaving: true,
+      }]
+    ) {
+      const harness = startDaemon();
+      expect(forward(harness)).to.equal("sent");
+      const kind = "forward_answered";
+      harness.feed({ kind, runner: "desk-0", ...answer });
+      expect(forward(harness)).to.equal("runner_gone");
+      expect(forward(harness, { runner: "desk-1" })).to.equal("sent");
+    }
+  });
+
   it("refuses what is quarantined", () => {
     const harness = startDaemon();
     const record = { part: "bad", round: 0, crashes: 9, trials: 0 };
--- a/packages/core/src/forwarding/types.ts
+++ b/packages/core/src/forwarding/types.ts
@@ -14,7 +14,7 @@
   | "stopping"
   /** The forwarder's configuration does not allow the request, or its team is another one. */
   | "not_allowed"
-  /** The forwarder knows no such runner, or the runner is leaving or serves no requests. */
+  /** The forwarder knows no such runner, or the runner is leaving, serves no requests or wants none for a while. */
   | "runner_gone"
   | "quarantined"
   /** The forwarder has lost its own path to the service. */
--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -22,6 +22,7 @@
 import { countRequest } from "./retry_budget.ts";
 import { isStream, pickService } from "./routes.ts";
 import { hasCandidates } from "./runner_index.ts";
+import { isHopeless, runnersRest } from "./runner_rest.ts";
 import { joinQueue, leaveQueue, sendToRunner } from "./send.ts";
 import { hastenSweep } from "./sweep_schedule.ts";
 import type { Gateway, Route, RoutedRequest, Team } from "./types.ts";
@@ -175,5 +176,13 @@
       retryAfterMs: RETRY_AFTER_MS,
     });
   }
+  if (isHopeless(state, request)) {
+    return yield* failRequest(
+      state,
+      gateway,
+      request,
+      runnersRest(state, request),
+    );
+  }
   joinQueue(gateway, request);
 }
--- a/packages/core/src/gateway/choose.ts
+++ b/packages/core/src/gateway/choose.ts
@@ -18,7 +18,7 @@
   URGENT_QUEUE_REQUESTS,
 } from "./constants.ts";
 import { occupancyOf } from "./occupancy.ts";
-import { isWithinLimit } from "./request_limit.ts";
+import { mayReceive } from "./request_limit.ts";
 import { candidatesFor } from "./runner_index.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
 import type { Gateway, RoutedRequest, Runner, RunnerStats } from "./types.ts";
@@ -106,7 +106,7 @@
   let best: Candidate | undefined;
   for (const runner of candidatesFor(gateway, request)) {
     const stats = runnerStatsOf(gateway, runner.id);
-    if (!isUsable(stats) || !isWithinLimit(stats, state.now)) continue;
+    if (!isUsable(stats) || !mayReceive(stats, state.now)) continue;
     const occupancy = occupancyOf(gateway, { runner, stats }, state.now);
     const slots = slotsOf(gateway, runner);
     const usable = usableSlots(slots, request, { canUseReserved });
--- a/packages/core/src/gateway/event_types.ts
+++ b/packages/core/src/gateway/event_types.ts
@@ -78,6 +78,10 @@
     load: { running: number; waiting: number } | undefined;
     /** Requests a second that the runner takes from all daemons together; undefined where it names no limit. */
     requestsPerSecond?: number | undefined;
+    /** Time for which the runner wants no more requests of this daemon, ms; undefined where it does not say. */
+    restMs?: number | undefined;
+    /** True where the runner says that it leaves. */
+    isLeaving?: boolean | undefined;
   }
   | {
     kind: "response_progressed";
--- a/packages/core/src/gateway/fleet_types.ts
+++ b/packages/core/src/gateway/fleet_types.ts
@@ -97,6 +97,13 @@
   limits: CallerLimits;
 }
 
+/** A process of a runner that has said that it leaves. */
+export interface LeavingRunner {
+  id: string;
+  /** Start time of the process, Unix ms. */
+  startedUnixMs: number;
+}
+
 /** A runner's own entry in the shared runner list. */
 export interface Runner {
   id: string;
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -53,6 +53,7 @@
     nextSweepAt: now,
     lastRunnerAddedAt: now,
     runnerStats: new Map(),
+    leavingRunners: new Map(),
     unreachableRunners: new Set(),
     servicePaths: new Map(),
     forwarding: createForwarding(),
--- a/packages/core/src/gateway/handlers.ts
+++ b/packages/core/src/gateway/handlers.ts
@@ -7,6 +7,7 @@
 import {
   admitForward,
   endForward,
+  recordForwardAnswer,
   recordUnconnected,
 } from "../forwarding/admission.ts";
 import { recordHealthCheck } from "../formation/health_checks.ts";
@@ -56,6 +57,7 @@
   path_probed: recordProbe,
   forward_arrived: admitForward,
   forward_unconnected: recordUnconnected,
+  forward_answered: recordForwardAnswer,
   forward_ended: endForward,
   attempt_sent: recordSend,
   response_started: startResponse,
--- a/packages/core/src/gateway/request_limit.ts
+++ b/packages/core/src/gateway/request_limit.ts
@@ -1,7 +1,7 @@
 /**
- * Keeps the requests to an overloaded runner within the rate that it names, which holds for all daemons together.
+ * Keeps the requests to an overloaded runner within what it asks for: a rate for all daemons together, or rest.
  *
- * Each daemon takes a share of the rate, and spreads its requests evenly in time: unused time is not saved up, since
+ * Each daemon takes a share of a rate, and spreads its requests evenly in time: unused time is not saved up, since
  * many daemons that had saved up a request each would exceed the limit at once.
  *
  * @module
@@ -14,6 +14,7 @@
   MIN_LIMIT_SHARE_FACTOR,
   MIN_REQUESTS_PER_SECOND,
 } from "./constants.ts";
+import { hasRested } from "./runner_rest.ts";
 import type { Gateway, RunnerStats } from "./types.ts";
 
 const MS_PER_SECOND = 1_000;
@@ -38,12 +39,11 @@
   return MS_PER_SECOND / (rate * limitShareOf(gateway));
 }
 
-/** Returns whether a request may be sent to a runner now without exceeding its limit. */
-export function isWithinLimit(
-  { requestsPerSecond, nextSendAt }: RunnerStats,
-  now: number,
-): boolean {
-  return requestsPerSecond === undefined || now >= nextSendAt;
+/** Returns whether a runner takes a request of this daemon now, by what it has asked for. */
+export function mayReceive(stats: RunnerStats, now: number): boolean {
+  const { requestsPerSecond, nextSendAt } = stats;
+  const isWithinLimit = requestsPerSecond === undefined || now >= nextSendAt;
+  return isWithinLimit && hasRested(stats, now);
 }
 
 /** Counts a request that is sent to a runner towards its limit. */
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -16,10 +16,12 @@
   reportCut,
   reportProgress,
 } from "./held_requests.ts";
+import { hearLeaving } from "./leaving.ts";
 import { recordLoad } from "./occupancy.ts";
 import { failAttempt } from "./retry.ts";
 import { hearLimit } from "./request_limit.ts";
 import { isStream } from "./routes.ts";
+import { endRest, hearRest } from "./runner_rest.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 
 function findByAttempt(
@@ -63,6 +65,11 @@
   if (event.verdict === "ran" || namesLimit) {
     yield* hearLimit(state, stats, event);
   }
+  const { restMs } = event;
+  const { runner: id, startedUnixMs } = attempt;
+  if (event.isLeaving) yield* hearLeaving(state, { id, startedUnixMs });
+  if (restMs === undefined) endRest(stats, state.now);
+  else yield* hearRest(state, stats, { restMs, startedUnixMs });
   if (event.load !== undefined) {
     stats.load = {
       ...event.load,
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -22,11 +22,11 @@
   MAX_REJECTED_SENDS,
   MIN_REMAINING_MS,
   RESUME_WAIT_MS,
-  RETRY_AFTER_MS,
 } from "./constants.ts";
 import { endRequest, failRequest, logEnd, releaseAttempt } from "./finish.ts";
 import { retryBudgetOf, retryLimitsOf } from "./retry_allowance.ts";
 import { hasRetry, retriesLeft, takeRetry } from "./retry_budget.ts";
+import { retryAfter } from "./runner_rest.ts";
 import { canRepeat } from "./routes.ts";
 import { joinQueue, sendToRunner } from "./send.ts";
 import { hastenSweep } from "./sweep_schedule.ts";
@@ -102,7 +102,7 @@
   yield* failRequest(state, gateway, request, {
     code: request.mayHaveRun ? "backend_failed" : "overloaded",
     message: `The last runner failed: ${outcome}`,
-    retryAfterMs: RETRY_AFTER_MS,
+    retryAfterMs: retryAfter(state, request),
   });
 }
 
--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -14,6 +14,8 @@
   isRewriting,
   recordDeparture,
 } from "../store_timeline/timeline.ts";
+import { withLeaving } from "./leaving.ts";
+import { forgetRest } from "./runner_rest.ts";
 import { pruneRunnerStats } from "./runner_stats.ts";
 import { canServe, indexRunner, removeRunner } from "./runner_index.ts";
 import { serveWaiting } from "./send.ts";
@@ -129,8 +131,9 @@
     known.staged[0] === runner.staged[0];
 }
 
-function* applyEntry(state: State, runner: Runner): Effects {
+function* applyEntry(state: State, read: Runner): Effects {
   const gateway = state.gateway!;
+  const runner = withLeaving(gateway, read);
   const known = gateway.runners.get(runner.id);
   if (known === runner) return;
   const isSame = known !== undefined && describesSame(known, runner);
@@ -140,12 +143,13 @@
     return;
   }
   indexRunner(gateway, runner);
-  if (known !== undefined && known.startedUnixMs !== runner.startedUnixMs) {
-    const stats = gateway.runnerStats.get(runner.id);
-    if (stats !== undefined) {
-      stats.load = undefined;
-      stats.requestsPerSecond = undefined;
-    }
+  const stats = gateway.runnerStats.get(runner.id);
+  if (stats !== undefined) forgetRest(stats, runner);
+  const isRestarted = known !== undefined &&
+    known.startedUnixMs !== runner.startedUnixMs;
+  if (isRestarted && stats !== undefined) {
+    stats.load = undefined;
+    stats.requestsPerSecond = undefined;
   }
   const { membership } = runner;
   if (isSame) return;
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -13,6 +13,7 @@
 import { quarantineRefusal } from "./held_requests.ts";
 import { countLimitedSend } from "./request_limit.ts";
 import { canRepeat, isStream } from "./routes.ts";
+import { noteTrial } from "./runner_rest.ts";
 import { workKey } from "./runner_index.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 
@@ -75,6 +76,7 @@
   const stats = runnerStatsOf(gateway, id);
   stats.inFlight += 1;
   countLimitedSend(gateway, stats, state.now);
+  noteTrial(stats, state.now);
   request.attempts += 1;
   request.countedAttempts += 1;
   request.triedRunners.add(id);
@@ -82,6 +84,7 @@
   request.currentAttempt = {
     number: request.attempts,
     runner: id,
+    startedUnixMs: runner.startedUnixMs,
     forwarder: forwarder?.node,
     sentAt: state.now,
     lastByteAt: state.now,
--- a/packages/core/src/gateway/sweep.ts
+++ b/packages/core/src/gateway/sweep.ts
@@ -18,6 +18,7 @@
 import { quarantineRefusal } from "./held_requests.ts";
 import { canMove, failAttempt } from "./retry.ts";
 import { isStream } from "./routes.ts";
+import { isHopeless, runnersRest } from "./runner_rest.ts";
 import { serveWaiting } from "./send.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 
@@ -65,6 +66,14 @@
   if (refusal !== undefined) {
     return yield* failRequest(state, gateway, request, refusal);
   }
+  if (isHopeless(state, request)) {
+    return yield* failRequest(
+      state,
+      gateway,
+      request,
+      runnersRest(state, request),
+    );
+  }
   if (state.now < request.waitUntil) return;
   yield* failRequest(state, gateway, request, {
     code: "overloaded",
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -41,6 +41,16 @@
   localInFlight: number;
 }
 
+/** Time for which a runner that turned a request away wants no more. */
+export interface Rest {
+  /** Its end, ms; the first request after it goes alone. */
+  until: number;
+  /** Time at which the last request after it was sent, ms. */
+  triedAt: number;
+  /** Start time of the process that asked for it, Unix ms. */
+  startedUnixMs: number;
+}
+
 /** What this daemon has learned of a runner by sending requests to it. */
 export interface RunnerStats {
   runner: string;
@@ -53,6 +63,8 @@
   requestsPerSecond: number | undefined;
   /** Time before which a runner with a limit gets no request from this daemon, ms. */
   nextSendAt: number;
+  /** Rest that the runner asked for; undefined where it has answered since. */
+  rest: Rest | undefined;
   /** The runner gets no new requests before this time, ms. */
   avoidUntil: number;
   /** It gets none through other daemons either before this time, ms. */
@@ -69,6 +81,8 @@
 export interface Attempt {
   number: number;
   runner: string;
+  /** Start time of the runner's process at the send, Unix ms. */
+  startedUnixMs: number;
   /** Node of the daemon through which it goes; undefined where it goes to the runner directly. */
   forwarder: string | undefined;
   sentAt: number;
@@ -161,6 +175,8 @@
   /** Time at which a new runner was last added to the list, ms. */
   lastRunnerAddedAt: number;
   runnerStats: Map<string, RunnerStats>;
+  /** Start times of the runner processes that have said that they leave, Unix ms, by runner id. */
+  leavingRunners: Map<string, number>;
   /** Runners to which the last connection of this daemon failed. */
   unreachableRunners: Set<string>;
   /** Paths to services to which a connection has failed since one last succeeded, by service. */
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -48,6 +48,8 @@
 export * from "./quarantine/event_types.ts";
 export type * from "./quarantine/types.ts";
 export { isHeld } from "./quarantine/suspects.ts";
+export { isLeaving } from "./gateway/leaving.ts";
+export { isResting } from "./gateway/runner_rest.ts";
 export { isPathLost } from "./service_path/mod.ts";
 export * from "./vm/types.ts";
 export * from "./reduce.ts";
--- a/packages/core/src/read_sharing/event_types.ts
+++ b/packages/core/src/read_sharing/event_types.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { LogPosition } from "../store_timeline/position.ts";
+import type { LeavingRunner } from "../gateway/fleet_types.ts";
 import type { DaemonEntry, RunnerLimit } from "./types.ts";
 
 /** Every event of read sharing, without the time at which it happened. */
@@ -42,5 +43,9 @@
   | { kind: "follower_left"; follower: string }
   /** Another daemon failed to reach these runners. */
   | { kind: "suspects_reported"; runners: string[] }
-  /** Another daemon has heard of these limits. */
-  | { kind: "limits_reported"; limits: RunnerLimit[] };
+  /** Another daemon has heard of these limits, and of runners that leave. */
+  | {
+    kind: "limits_reported";
+    limits: RunnerLimit[];
+    leaving?: LeavingRunner[] | undefined;
+  };
--- a/packages/core/src/read_sharing/limits.ts
+++ b/packages/core/src/read_sharing/limits.ts
@@ -1,5 +1,6 @@
 /**
- * Shares between the daemons of an availability zone which limits runners have named or dropped.
+ * Shares between the daemons of an availability zone what runners have said of themselves: limits that they have named
+ * or dropped, and that they leave.
  *
  * Each daemon of a large fleet asks a runner with a limit only rarely, and would hold back its requests for long after
  * the limit has ended.
@@ -7,18 +8,21 @@
  * @module
  */
 import type { EventOf } from "../event/types.ts";
+import { applyLeaving } from "../gateway/leaving.ts";
 import { recordLimit } from "../gateway/request_limit.ts";
 import { runnerStatsOf } from "../gateway/runner_stats.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { passOn } from "./suspects.ts";
 
-/** Handles limits that another daemon has heard of. */
+/** Handles limits that another daemon has heard of, and runners that have told it that they leave. */
 export function* applyLimits(
   state: State,
-  { limits }: EventOf<"limits_reported">,
+  event: EventOf<"limits_reported">,
 ): Effects {
   const gateway = state.gateway!;
+  const { limits } = event;
+  yield* applyLeaving(state, event);
   const { limitChanges, isReading } = gateway.readSharing;
   for (const { runner, requestsPerSecond } of limits) {
     if (!gateway.runners.has(runner)) continue;
@@ -29,14 +33,15 @@
   }
 }
 
-/** Passes on the limits that changed since the last sweep. */
+/** Passes on the limits that changed since the last sweep, and the runners that have said since then that they leave. */
 export function* passOnLimits(state: State): Effects {
-  const { limitChanges } = state.gateway!.readSharing;
-  if (limitChanges.size === 0) return;
+  const { limitChanges, newlyLeaving } = state.gateway!.readSharing;
+  if (limitChanges.size + newlyLeaving.length === 0) return;
   const limits = [...limitChanges].map(([runner, requestsPerSecond]) => ({
     runner,
     requestsPerSecond,
   }));
   limitChanges.clear();
-  yield* passOn(state, { kind: "limits", limits });
+  const leaving = newlyLeaving.splice(0);
+  yield* passOn(state, { kind: "limits", limits, leaving });
 }
--- a/packages/core/src/read_sharing/test_fleet.ts
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -93,7 +93,8 @@
         feed(to, { kind: "suspects_reported", runners: message.runners });
       }
       if (message.kind === "limits") {
-        feed(to, { kind: "limits_reported", limits: message.limits });
+        const { limits, leaving } = message;
+        feed(to, { kind: "limits_reported", limits, leaving });
       }
     }
     if (effect.kind !== "send_to_followers") return;
@@ -140,7 +141,8 @@
       : [];
     if (readings.length > 0) feed(to, { kind: "parts_read", readings });
     if (message.kind === "limits") {
-      feed(to, { kind: "limits_reported", limits: message.limits });
+      const { limits, leaving } = message;
+      feed(to, { kind: "limits_reported", limits, leaving });
     }
     if (message.kind === "runners") {
       feed(to, {
--- a/packages/core/src/read_sharing/types.ts
+++ b/packages/core/src/read_sharing/types.ts
@@ -4,7 +4,11 @@
  * @module
  */
 import type { PartReading } from "../quarantine/types.ts";
-import type { RoutingDocument, Runner } from "../gateway/fleet_types.ts";
+import type {
+  LeavingRunner,
+  RoutingDocument,
+  Runner,
+} from "../gateway/fleet_types.ts";
 import type { LogPosition } from "../store_timeline/position.ts";
 
 /** A daemon as it registered itself in the store. */
@@ -93,6 +97,8 @@
   suspects: Set<string>;
   /** Limits that runners have named or dropped, and that this daemon has not passed on yet, by runner. */
   limitChanges: Map<string, number | undefined>;
+  /** Runners that have said that they leave, which this daemon has not passed on yet. */
+  newlyLeaving: LeavingRunner[];
   /** Time until which a runner is avoided since another daemon failed to reach it, ms, by id. */
   suspectedUntil: Map<string, number>;
   /** Runners as they were last sent to the followers, by id. */
@@ -106,6 +112,14 @@
   requestsPerSecond: number | undefined;
 }
 
+/** What runners have said of themselves, for other daemons. */
+export interface RunnerReports {
+  kind: "limits";
+  limits: RunnerLimit[];
+  /** Daemons of an earlier version neither send nor read it. */
+  leaving?: LeavingRunner[] | undefined;
+}
+
 /** Message from a daemon to its followers. */
 export type UpstreamMessage =
   | {
@@ -131,7 +145,7 @@
   | { kind: "parts"; readings: PartReading[] }
   /** Runners that other daemons failed to reach. */
   | { kind: "suspects"; runners: string[] }
-  | { kind: "limits"; limits: RunnerLimit[] }
+  | RunnerReports
   | {
     kind: "poll_answer";
     /** Number of the poll that this answers. */
@@ -158,4 +172,4 @@
   }
   /** Runners that the follower failed to reach. */
   | { kind: "suspects"; runners: string[] }
-  | { kind: "limits"; limits: RunnerLimit[] };
+  | RunnerReports;
--- a/packages/core/src/read_sharing/upstream.ts
+++ b/packages/core/src/read_sharing/upstream.ts
@@ -57,6 +57,7 @@
     followers: new Map(),
     suspects: new Set(),
     limitChanges: new Map(),
+    newlyLeaving: [],
     suspectedUntil: new Map(),
     published: new Map(),
   };
--- a/packages/daemon/src/gateway/adapters.ts
+++ b/packages/daemon/src/gateway/adapters.ts
@@ -52,6 +52,10 @@
   load: { running: number; waiting: number } | undefined;
   /** Requests a second that the runner takes from all daemons together; undefined where it names no limit. */
   requestsPerSecond: number | undefined;
+  /** True where the runner says that it leaves. */
+  isLeaving: boolean;
+  /** Time for which the runner wants no more requests of this daemon, ms; undefined where it does not say. */
+  restMs: number | undefined;
 }
 
 /** Decodes the headers that the gateway receives and encodes those that it sends. */
--- a/packages/daemon/src/gateway/follower_listener.ts
+++ b/packages/daemon/src/gateway/follower_listener.ts
@@ -55,7 +55,8 @@
     return { kind: "suspects_reported", runners: message.runners };
   }
   if (message.kind === "limits") {
-    return { kind: "limits_reported", limits: message.limits };
+    const { limits, leaving } = message;
+    return { kind: "limits_reported", limits, leaving };
   }
   const { poll, runnersPosition } = message;
   return { kind: "follower_polled", follower, poll, runnersPosition };
--- a/packages/daemon/src/gateway/forward_listener.ts
+++ b/packages/daemon/src/gateway/forward_listener.ts
@@ -166,7 +166,11 @@
       bodyTimeout: 0,
     }, {
       events: {
-        onHeaders: (status, headers) => writeHead(response, status, headers),
+        onHeaders(status, headers) {
+          const { id } = headerCodec.readRequest(request.headers);
+          reportAnswer(order, id, { status, headers });
+          writeHead(response, status, headers);
+        },
         onData(chunk) {
           if (response.write(chunk)) return;
           const { attempt } = response as PassedResponse;
@@ -184,6 +188,18 @@
     });
   }
 
+  /** Reports what a runner's answer says to this daemon, which sent the request. */
+  function reportAnswer(
+    { runner }: ForwardOrder,
+    id: string | undefined,
+    { status, headers }: { status: number; headers: ResponseHeaders },
+  ): void {
+    const { restMs, isLeaving } = headerCodec.readResponse(status, headers, {
+      id,
+    });
+    dispatch({ kind: "forward_answered", runner, restMs, isLeaving });
+  }
+
   function writeHead(
     response: ServerResponse,
     status: number,
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -8,7 +8,9 @@
   isGatewayReady,
   isHeld,
   isLeader,
+  isLeaving,
   isPathLost,
+  isResting,
   isStoreReader,
   type LogEventName,
   type State,
@@ -214,6 +216,22 @@
         until > now()
       ).length,
   );
+  addGauge(
+    "primrose_resting_runners",
+    "Runners that have turned a request away and want none for a while",
+    () =>
+      [...gateway.runnerStats.values()].filter((stats) =>
+        isResting(stats, now())
+      ).length,
+  );
+  addGauge(
+    "primrose_leaving_runners",
+    "Known runners that have said in an answer that they leave",
+    () =>
+      [...gateway.runners.values()].filter((runner) =>
+        isLeaving(gateway, runner)
+      ).length,
+  );
   addGauge(
     "primrose_lost_paths",
     "Services whose runners this daemon does not reach",
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -212,6 +212,8 @@
       verdict: metadata.verdict,
       load: metadata.load,
       requestsPerSecond: metadata.requestsPerSecond,
+      restMs: metadata.restMs,
+      isLeaving: metadata.isLeaving,
     });
     if (metadata.isForeign) fail(upstream, "foreign_answer");
   }
--- a/packages/daemon/src/gateway/sharing_frames.ts
+++ b/packages/daemon/src/gateway/sharing_frames.ts
@@ -129,6 +129,9 @@
   limits: z.array(
     z.object({ runner: z.string(), requestsPerSecond: optional(count) }),
   ),
+  leaving: optional(
+    z.array(z.object({ id: z.string(), startedUnixMs: z.number() })),
+  ),
 });
 
 const upstreamMessage = z.discriminatedUnion("kind", [
--- a/packages/daemon/src/gateway/upstream_client.ts
+++ b/packages/daemon/src/gateway/upstream_client.ts
@@ -100,7 +100,8 @@
       parts: ({ readings }) => passParts(readings),
       suspects: ({ runners }) =>
         dispatch({ kind: "suspects_reported", runners }),
-      limits: ({ limits }) => dispatch({ kind: "limits_reported", limits }),
+      limits: ({ limits, leaving }) =>
+        dispatch({ kind: "limits_reported", limits, leaving }),
       poll_answer({ poll: answered, ...answer }) {
         const pollSentAt = sentAt.get(answered);
         if (pollSentAt === undefined) return;
