--- a/packages/core/src/capacity/targets.ts
+++ b/packages/core/src/capacity/targets.ts
@@ -19,11 +19,12 @@
 const KV_FULL_SHARE = 0.95;
 /** Engines slower than their peers by more than this factor get a smaller batch. */
 const SLOW_FACTOR = 1.3;
-/** Requests allowed at an ejected target that is probed. */
+/** Requests allowed at an ejected target that is probed, or at one that has had its rest. */
 const PROBE_ALLOWANCE = 1;
 
-function acceptsWork(target: Target): boolean {
-  return target.phase === "serving" || target.phase === "probing";
+function acceptsWork({ now }: State, { phase, restUntil }: Target): boolean {
+  if (restUntil !== undefined && now < restUntil) return false;
+  return phase === "serving" || phase === "probing";
 }
 
 function limitOf(pool: Pool, target: Target): number {
@@ -56,8 +57,11 @@
 }
 
 function allowanceOf(state: State, pool: Pool, target: Target): number {
-  if (!acceptsWork(target)) return 0;
-  if (target.phase === "probing") return PROBE_ALLOWANCE;
+  if (!acceptsWork(state, target)) return 0;
+  // After a rest, too, the first request goes alone.
+  if (target.phase === "probing" || target.restUntil !== undefined) {
+    return PROBE_ALLOWANCE;
+  }
   if ((target.report?.kvUsedShare ?? 0) > KV_FULL_SHARE) return 0;
   const own = ownLimit(pool, target);
   const borrowable = borrowableSlots(state, pool, target);
@@ -71,7 +75,7 @@
   const pool = state.pools.get(target.deployment);
   if (pool === undefined) return;
   const before = target.limit;
-  target.limit = acceptsWork(target) ? limitOf(pool, target) : 0;
+  target.limit = acceptsWork(state, target) ? limitOf(pool, target) : 0;
   pool.slots += target.limit - before;
   target.allowance = allowanceOf(state, pool, target);
   const over = Math.max(0, target.attempts.size - target.allowance);
--- a/packages/core/src/event/types.ts
+++ b/packages/core/src/event/types.ts
@@ -74,6 +74,15 @@
   | ({ kind: "request_arrived" } & Arrival)
   | { kind: "caller_gone"; request: string }
   | { kind: "attempt_accepted"; request: string; attempt: number }
+  /** An answer's head says something of its backend server. */
+  | {
+    kind: "server_reported";
+    request: string;
+    attempt: number;
+    /** Time for which it wants no more requests of this entry VM, ms; undefined where it does not say. */
+    restMs: number | undefined;
+    isLeaving: boolean;
+  }
   | {
     kind: "attempt_progress";
     request: string;
--- a/packages/core/src/health/members.ts
+++ b/packages/core/src/health/members.ts
@@ -13,6 +13,7 @@
 import type { MemberState, Pool, State, Target } from "../state/types.ts";
 import { evaluateReport } from "./ejection.ts";
 import { isCutOff } from "./own_path.ts";
+import { endRest } from "./rest.ts";
 import { clearLeaving, markLeaving } from "./leaving.ts";
 import {
   changeTargetPhase,
@@ -80,7 +81,10 @@
   const isHead = target.members[0] === member;
   const isRestarted = member.incarnation !== undefined &&
     member.incarnation !== status.incarnation;
-  if (isHead && isRestarted) yield* confirmCrash(state, target.name);
+  if (isHead && isRestarted) {
+    endRest(state, target);
+    yield* confirmCrash(state, target.name);
+  }
   if (isHead && !isRestarted) dismissCuts(state, target.name);
   member.status = status;
   member.confirmedAt = state.now;
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -55,6 +55,7 @@
 } from "./request/progress.ts";
 import { checkStall, expireRequest } from "./request/expiry.ts";
 import { retryRequest } from "./request/retry.ts";
+import { handleServerReport, resumeTarget } from "./request/server_report.ts";
 import { applyCacheEvents } from "./routing/cache_events.ts";
 import { writeSnapshots } from "./snapshot/snapshot.ts";
 import { updateReadiness } from "./state/readiness.ts";
@@ -75,6 +76,7 @@
   request_arrived: handleArrival,
   caller_gone: handleDisconnect,
   attempt_accepted: handleFirstByte,
+  server_reported: handleServerReport,
   attempt_progress: handleProgress,
   attempt_ended: handleAttemptEnd,
   member_reported: handleMemberReport,
@@ -110,6 +112,7 @@
   stream_stall: checkStall,
   member_check: checkMembers,
   ejection_end: probeTarget,
+  rest_end: resumeTarget,
   housekeeping: runHousekeeping,
   peer_digest: sendDigests,
   append_retry: retryAppends,
--- a/packages/core/src/request/dispatch.ts
+++ b/packages/core/src/request/dispatch.ts
@@ -10,6 +10,7 @@
 import { weightOf } from "../admission/weights.ts";
 import { updateAttemptAverage } from "../capacity/load_estimate.ts";
 import { refreshTarget } from "../capacity/targets.ts";
+import { poolRestLeft } from "../health/rest.ts";
 import type { Effects } from "../reduce_types.ts";
 import { addHolder } from "../routing/prefix_index.ts";
 import { chooseTarget } from "../routing/route.ts";
@@ -39,6 +40,18 @@
       refusal: { code: "no_capacity", message, verdict },
     });
   }
+  const restMs = poolRestLeft(state, pool);
+  if (restMs !== undefined && state.now + restMs > request.startBy) {
+    return yield* refuseRequest(state, request, {
+      refusal: {
+        code: "overloaded",
+        message:
+          `All backend servers of "${pool.name}" have asked for a pause; try again after it`,
+        verdict: request.verdict,
+        retryAfterMs: restMs,
+      },
+    });
+  }
   if (!advance(request, "enqueue")) return;
   if (request.deliveredTokens > 0) pool.resumptions.push(request);
   else {enqueue(pool.queues[request.rank], request, {
--- a/packages/daemon/src/http/chat_exchange.ts
+++ b/packages/daemon/src/http/chat_exchange.ts
@@ -22,6 +22,7 @@
   type Attempt,
   startAttempt,
 } from "../backend/transport.ts";
+import { reportServer } from "../backend/server_report.ts";
 import { createChatFormat, formatUsage, type Usage } from "./chat_format.ts";
 import type { ChatRequest } from "./chat_request.ts";
 import { errorBody, sendError, sendJson } from "./errors.ts";
@@ -230,6 +231,9 @@
         onHeaders(received, headers) {
           status = received;
           retryAfterMs = Number(headers["retry-after"] ?? NaN) * MS_PER_SECOND;
+          reportServer({ request: id, attempt: number, status, headers }, {
+            dispatch,
+          });
           dispatch({ kind: "attempt_accepted", request: id, attempt: number });
         },
         onData(chunk) {
--- a/packages/daemon/src/http/service_exchange.ts
+++ b/packages/daemon/src/http/service_exchange.ts
@@ -20,6 +20,7 @@
   type AttemptRequest,
   startAttempt,
 } from "../backend/transport.ts";
+import { reportServer } from "../backend/server_report.ts";
 import type { BodyStart } from "./body.ts";
 import { sendError } from "./errors.ts";
 import type { Exchange, SendEffect } from "./exchanges.ts";
@@ -156,6 +157,9 @@
             contentType = String(
               headers["content-type"] ?? "application/octet-stream",
             );
+            reportServer({ request: id, attempt: number, status, headers }, {
+              dispatch,
+            });
             failure = failureOutcomeOf(received);
             if (failure === undefined) forwardHeaders(received, headers);
           },
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -26,6 +26,8 @@
   streamFault: StreamFault | undefined;
   /** Refuses every request with status 503 without running it. */
   refusesRequests: boolean;
+  /** Times at which requests were refused, ms. */
+  refusedAt: number[];
 }
 
 /** A faulty chunk in a stream. */
@@ -97,6 +99,7 @@
     cutAfterTokens: undefined,
     streamFault: undefined,
     refusesRequests: false,
+    refusedAt: [],
   };
 }
 
@@ -198,6 +201,7 @@
     const canRun = status.state === "ready" && isForCurrentGroup(request) &&
       running < maxBatch && !faults.refusesRequests;
     if (!canRun) {
+      faults.refusedAt.push(performance.now());
       return sendJson(response, 503, { body: { error: "not begun" } });
     }
     const resumeFrom = body.resume?.offset ?? 0;
--- a/packages/stand_ins/src/http/listener.ts
+++ b/packages/stand_ins/src/http/listener.ts
@@ -22,6 +22,8 @@
   slowMs: number;
   /** Requests take effect, but their responses are lost. */
   loseResponses: boolean;
+  /** Headers that all responses have. */
+  headers?: Record<string, string>;
 }
 
 /** A running stand-in server. */
@@ -75,6 +77,9 @@
   } = {},
 ): Promise<Listener> {
   const server: Server = createServer((request, response) => {
+    for (const [name, value] of Object.entries(faults.headers ?? {})) {
+      response.setHeader(name, value);
+    }
     if (
       !faults.down && !faults.paused && faults.slowMs === 0 &&
       !faults.loseResponses
--- a/packages/stand_ins/src/service/lending.ts
+++ b/packages/stand_ins/src/service/lending.ts
@@ -26,6 +26,8 @@
   resetAfterRun: boolean;
   /** Responds with this status without running the booking. */
   refusalStatus: number | undefined;
+  /** Times at which bookings were refused, ms. */
+  refusedAt: number[];
   /** Sends part of the list of bookings, then resets the connection. */
   cutBody: boolean;
   /** Delay between running a booking and the response, ms. */
@@ -54,6 +56,7 @@
     loseResponses: false,
     resetAfterRun: false,
     refusalStatus: undefined,
+    refusedAt: [],
     cutBody: false,
     responseDelayMs: 0,
   };
@@ -76,6 +79,7 @@
     })
     .post("/bookings", async (request, response) => {
       if (faults.refusalStatus !== undefined) {
+        faults.refusedAt.push(performance.now());
         return sendJson(response, faults.refusalStatus, {
           body: { error: "not run" },
         });
