--- a/packages/core/src/config/schema.ts
+++ b/packages/core/src/config/schema.ts
@@ -15,7 +15,7 @@
 const address = z.string().regex(
   /^https?:\/\/[0-9a-f.:[\]]+:\d+$/i,
   "must be http://IP:PORT",
-);
+).refine((text) => URL.canParse(text), "must have a port from 1 to 65535");
 const weight = z.number().positive().default(1);
 
 const limitSchema = z.strictObject({
--- a/packages/daemon/src/backend/path_probe.ts
+++ b/packages/daemon/src/backend/path_probe.ts
@@ -17,14 +17,18 @@
   const [hostname, port] = address.split(":") as [string, string];
   return new Promise((resolve) => {
     const options = { hostname, port, protocol: "http:" };
-    const socket = connect(options, (...[error]) => {
+    let socket: ReturnType<Connect> | undefined;
+    const end = (isReachable: boolean) => {
       clearTimeout(timer);
-      socket.destroy();
-      resolve(error === null);
-    });
-    const timer = setTimeout(() => {
-      socket.destroy();
-      resolve(false);
-    }, timeoutMs);
+      socket?.destroy();
+      resolve(isReachable);
+    };
+    const timer = setTimeout(() => end(false), timeoutMs);
+    try {
+      socket = connect(options, (...[error]) => end(error === null));
+    } catch {
+      // An address that cannot be connected to is not reachable; the reducer logs what follows.
+      end(false);
+    }
   });
 }
--- a/packages/daemon/src/backend/status_poll.ts
+++ b/packages/daemon/src/backend/status_poll.ts
@@ -5,11 +5,12 @@
  */
 import type {
   EventBody,
-  MemberStatus,
+  LogEventName,
   State,
   WatchedMember,
 } from "@primroseshed/core";
 import { type Agent, request } from "undici";
+import { decodeStatus } from "./fleet_decoder.ts";
 import { outcomeOfError } from "./transport.ts";
 
 /** Options of {@link createStatusPoll}. */
@@ -19,6 +20,7 @@
   everyMs: number;
   timeoutMs: number;
   dispatch(event: EventBody): void;
+  log(event: LogEventName, fields?: Record<string, unknown>): void;
 }
 
 /** Periodic poll of VMs. */
@@ -30,11 +32,22 @@
 
 /** Starts to poll each VM once per interval, spread evenly over it. */
 export function createStatusPoll(
-  { agent, state, everyMs, timeoutMs, dispatch }: StatusPollOptions,
+  { agent, state, everyMs, timeoutMs, dispatch, log }: StatusPollOptions,
 ): StatusPoll {
   let watched: readonly WatchedMember[] = [];
   const pending = new Set<string>();
 
+  /** Reports a status; one that cannot be read says only that the VM answers, and changes nothing. */
+  function reportStatus(address: string, value: unknown): void {
+    try {
+      const status = decodeStatus(value);
+      dispatch({ kind: "member_reported", address, status });
+    } catch (error) {
+      const problem = (error as Error).message;
+      log("entry_unreadable", { topic: "status", key: address, problem });
+    }
+  }
+
   async function poll({ vm, address }: WatchedMember): Promise<void> {
     if (pending.has(address)) return;
     pending.add(address);
@@ -44,8 +57,8 @@
         dispatcher: agent,
         signal,
       });
-      const status = await response.body.json() as MemberStatus;
-      dispatch({ kind: "member_reported", address, status });
+      const status = await response.body.json();
+      reportStatus(address, status);
     } catch (error) {
       const refused =
         outcomeOfError(error, { sent: false }) === "connect_refused";
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -4,13 +4,13 @@
  * @module
  */
 import { readFileSync } from "node:fs";
-import { checkSchema, parseJsonc } from "@primroseshed/core";
+import { checkSchema, isAddress, parseJsonc } from "@primroseshed/core";
 import * as z from "zod";
 import { SettingsError } from "../settings/load.ts";
 
-const address = z.string().regex(
-  /^[0-9.]+:\d+$/,
-  "must be IP:PORT with a numeric IP address",
+const address = z.string().refine(
+  isAddress,
+  "must be IP:PORT with a numeric IP address and a port from 1 to 65535",
 );
 const milliseconds = z.number().positive();
 
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -25,7 +25,7 @@
   monotonicNow,
 } from "../driver/driver.ts";
 import { createLogger, type Logger } from "../observe/logger.ts";
-import type { Adapters } from "./adapters.ts";
+import type { Adapters, HealthCheckResult } from "./adapters.ts";
 import { createCallerListener } from "./caller_listener.ts";
 import { createLeadershipRenewal } from "./leadership_renewal.ts";
 import { createGatewayMetrics } from "./metrics.ts";
@@ -156,19 +156,29 @@
       runner,
       fence,
       order,
-    });
+    }).catch(() => "unknown" as const);
     dispatch({ kind: "order_completed", runner, fence, outcome });
   }
 
   async function checkHealth(runner: string, address: string): Promise<void> {
     const { status, report, problem } = await adapters.runnerControl
-      .checkHealth(address);
+      .checkHealth(address).catch((error: Error): HealthCheckResult => ({
+        status: "silent",
+        problem: error.message,
+      }));
     if (problem !== undefined) {
       log("entry_unreadable", { topic: "report", key: runner, problem });
     }
     dispatch({ kind: "runner_checked", runner, status, report });
   }
 
+  /** Runs work that nothing waits for; a failure of an adapter must not end the process. */
+  function runDetached(work: Promise<void>): void {
+    work.catch((error: Error) =>
+      log("internal_error", { cause: error.stack ?? String(error) })
+    );
+  }
+
   async function probe(runner: string, address: string): Promise<void> {
     const timeoutMs = timing.connectTimeoutMs;
     const isReachable = await probePath(address, {
@@ -185,10 +195,11 @@
     refuse: (effect) => relays.get(effect.request)?.refuse(effect),
     finish: ({ request }) => relays.get(request)?.finish(),
     begin_term: () => leadership.beginTerm(),
-    order_runner: (effect) => void sendOrder(effect),
-    check_runner: ({ runner, address }) => void checkHealth(runner, address),
+    order_runner: (effect) => runDetached(sendOrder(effect)),
+    check_runner: ({ runner, address }) =>
+      runDetached(checkHealth(runner, address)),
     limits_in_force: ({ limits }) => callers.setLimits(limits),
-    probe_path: ({ runner, address }) => void probe(runner, address),
+    probe_path: ({ runner, address }) => runDetached(probe(runner, address)),
     forward: (effect) => forwards.forward(effect),
     refuse_forward: (effect) => forwards.refuse(effect),
     first_event: ({ ms, priority }) =>
@@ -219,8 +230,8 @@
       const { stoppingSince, settings: { graceMs } } = state.gateway!;
       const maxWaitMs = stoppingSince + graceMs - EXIT_MARGIN_MS -
         monotonicNow();
-      void callers.close({ maxWaitMs }).then(() =>
-        shutDown(interruptedRequests)
+      runDetached(
+        callers.close({ maxWaitMs }).then(() => shutDown(interruptedRequests)),
       );
     },
   };
--- a/packages/daemon/src/peers/vm_list.ts
+++ b/packages/daemon/src/peers/vm_list.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
-import type { EventBody, VmListing } from "@primroseshed/core";
+import type { EventBody, LogEventName } from "@primroseshed/core";
 import { request } from "undici";
+import { decodeVmList } from "../backend/fleet_decoder.ts";
 
 const REQUEST_TIMEOUT_MS = 2_000;
 
@@ -13,11 +14,12 @@
   address: string;
   everyMs: number;
   dispatch(event: EventBody): void;
+  log(event: LogEventName, fields?: Record<string, unknown>): void;
 }
 
 /** Starts to poll the VM list and returns a function that stops it; a failed poll changes nothing. */
 export function createVmListPoll(
-  { address, everyMs, dispatch }: VmListPollOptions,
+  { address, everyMs, dispatch, log }: VmListPollOptions,
 ): () => void {
   async function poll(): Promise<void> {
     try {
@@ -25,7 +27,10 @@
         headersTimeout: REQUEST_TIMEOUT_MS,
         bodyTimeout: REQUEST_TIMEOUT_MS,
       });
-      const { vms } = await response.body.json() as { vms: VmListing[] };
+      const vms = decodeVmList(await response.body.json(), {
+        onProblem: (place, problem) =>
+          log("entry_unreadable", { topic: "vms", key: place, problem }),
+      });
       dispatch({ kind: "vms_listed", vms });
     } catch {
       // The last list stays in use until the platform responds again.
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -170,6 +170,7 @@
     everyMs: statusPollMs,
     timeoutMs: statusTimeoutMs,
     dispatch,
+    log: logger.write,
   });
   const cacheFeed = createCacheFeed({
     agent: agents.reusing,
@@ -237,6 +238,7 @@
       address: vmsAddress,
       everyMs: vmListPollMs,
       dispatch,
+      log: logger.write,
     });
   const refreshPeers = () => mesh.setPeers(listPeers(settings, state));
   refreshPeers();
