--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -13,6 +13,7 @@
 import type { CallerLimits, EventBody, LogEventName } from "@primroseshed/core";
 import polka from "polka";
 import type { Agents } from "../backend/transport.ts";
+import { createCallerConnections } from "../http/caller_connections.ts";
 import { CutOffError, readBody } from "../http/body.ts";
 import { RequestError, sendClientError, sendError } from "../http/errors.ts";
 import type { HeaderCodec } from "./adapters.ts";
@@ -61,6 +62,7 @@
 ): CallerListener {
   const { headerCodec, agents, relays, isStopping, dispatch, log } = options;
   let limits = INITIAL_LIMITS;
+  const connections = createCallerConnections();
   let requestCount = 0;
   let readingCount = 0;
 
@@ -68,6 +70,8 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    // Node ends the connection, and with it this request, after the answer that closes it.
+    if (!connections.accept(request)) return;
     const headerBytes = request.rawHeaders.reduce(
       (sum, part) => sum + part.length + 2,
       0,
@@ -95,6 +99,7 @@
       agents,
       headerCodec,
       isStopping,
+      connections,
       dispatch,
     });
     relays.set(name, relay);
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -13,6 +13,7 @@
   isFramed,
   startAttempt,
 } from "../backend/transport.ts";
+import type { CallerConnections } from "../http/caller_connections.ts";
 import type {
   HeaderCodec,
   ResponseHeaders,
@@ -51,8 +52,9 @@
   body: Buffer;
   agents: Agents;
   headerCodec: HeaderCodec;
-  /** Returns true once persistent connections should close after their next response. */
+  /** Returns true once persistent connections should close. */
   isStopping(): boolean;
+  connections: CallerConnections;
   dispatch(event: EventBody): void;
 }
 
@@ -96,6 +98,7 @@
     body,
     agents,
     headerCodec,
+    connections,
     dispatch,
   } = options;
   let current: UpstreamResponse | undefined;
@@ -103,7 +106,7 @@
   let isRelayFramed = true;
 
   function closeIfStopping(): void {
-    if (options.isStopping()) response.setHeader("connection", "close");
+    if (options.isStopping()) connections.closeAfter(request, response);
   }
 
   function writeHead(upstream: UpstreamResponse): void {
@@ -341,7 +344,7 @@
       if (retryAfterMs !== undefined) {
         response.setHeader("retry-after", String(retryAfterMs / MS_PER_SECOND));
       }
-      if (effect.closesConnection) response.setHeader("connection", "close");
+      if (effect.closesConnection) connections.closeAfter(request, response);
       closeIfStopping();
       response.end(JSON.stringify({ error: { code, message, verdict } }));
     },
--- a/packages/daemon/src/http/caller_app.ts
+++ b/packages/daemon/src/http/caller_app.ts
@@ -27,6 +27,7 @@
 import type { Settings } from "../settings/schema.ts";
 import { authenticate, indexKeys, type KeyIndex } from "./auth.ts";
 import { readBody, readBodyStart } from "./body.ts";
+import { createCallerConnections } from "./caller_connections.ts";
 import { createGuard, NotReadyError } from "./guard.ts";
 import { createChatExchange } from "./chat_exchange.ts";
 import {
@@ -63,6 +64,7 @@
 export function createCallerApp(options: CallerAppOptions): Server {
   const { settings, state, exchanges, agents, dispatch, log } = options;
   const { limits } = settings;
+  const connections = createCallerConnections();
   let keys: KeyIndex = new Map();
   let keysOffset: number | undefined;
   let requestCount = 0;
@@ -98,7 +100,6 @@
       }
       exchanges.delete(id);
     });
-    if (state.phase !== "serving") response.setHeader("connection", "close");
     dispatch({ kind: "request_arrived", ...arrival });
   }
 
@@ -280,12 +281,28 @@
 
   const guarded = createGuard({ log });
 
+  /** Lets the connection close with this answer where the daemon stops by the time at which the answer begins. */
+  function closeWhileStopping(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const writeHead = response.writeHead.bind(response) as (
+      ...args: unknown[]
+    ) => ServerResponse;
+    response.writeHead = ((...args: unknown[]) => {
+      if (state.phase !== "serving") connections.closeAfter(request, response);
+      return writeHead(...args);
+    }) as ServerResponse["writeHead"];
+  }
+
   function checkHeaderCount(
     request: IncomingMessage,
     response: ServerResponse,
     next: Next,
   ): void {
-    if (state.phase !== "serving") response.setHeader("connection", "close");
+    // Node ends the connection, and with it this request, after the answer that closes it.
+    if (!connections.accept(request)) return;
+    closeWhileStopping(request, response);
     if (request.rawHeaders.length / 2 <= limits.maxHeaders) return next();
     const message =
       `Cannot accept more than ${limits.maxHeaders} headers; send fewer`;
