--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -45,6 +45,11 @@
     "request of another daemon sent to a runner",
   ),
   forward_refused: event(1122, "info", "request of another daemon refused"),
+  request_relayed: event(
+    1123,
+    "info",
+    "request sent through another daemon, own path lost",
+  ),
   request_sent: event(1111, "info", "request sent to a runner"),
   batch_preempted: event(
     1108,
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -48,6 +48,7 @@
 export * from "./quarantine/event_types.ts";
 export type * from "./quarantine/types.ts";
 export { isHeld } from "./quarantine/suspects.ts";
+export { isCutOff } from "./health/own_path.ts";
 export { isAddress } from "./util/address.ts";
 export { isLeaving } from "./gateway/leaving.ts";
 export { isResting } from "./gateway/runner_rest.ts";
--- a/packages/daemon/src/http/caller_app.ts
+++ b/packages/daemon/src/http/caller_app.ts
@@ -28,7 +28,8 @@
 import { authenticate, indexKeys, type KeyIndex } from "./auth.ts";
 import { readBody, readBodyStart } from "./body.ts";
 import { createCallerConnections } from "./caller_connections.ts";
-import { createGuard, NotReadyError } from "./guard.ts";
+import { createGuard, NotReadyError, type Route } from "./guard.ts";
+import type { PeerRelay } from "./peer_relay.ts";
 import { createChatExchange } from "./chat_exchange.ts";
 import {
   type ChatRequest,
@@ -52,6 +53,7 @@
   state: State;
   exchanges: Exchanges;
   agents: Agents;
+  relay: PeerRelay;
   dispatch(event: EventBody): void;
   log(event: LogEventName, fields?: Record<string, unknown>): void;
 }
@@ -62,7 +64,7 @@
 
 /** Creates the callers' server. */
 export function createCallerApp(options: CallerAppOptions): Server {
-  const { settings, state, exchanges, agents, dispatch, log } = options;
+  const { settings, state, exchanges, agents, relay, dispatch, log } = options;
   const { limits } = settings;
   const connections = createCallerConnections();
   let keys: KeyIndex = new Map();
@@ -313,6 +315,15 @@
     });
   }
 
+  /** Returns a route that goes through another daemon while this one reaches no backend servers. */
+  function reachable(route: Route): Route {
+    return guarded((request, response) =>
+      relay.isNeeded(request)
+        ? relay.relay(request, response)
+        : route(request, response)
+    );
+  }
+
   const server = createServer({
     maxHeaderSize: limits.maxHeaderBytes,
     headersTimeout: limits.headerTimeoutMs,
@@ -329,10 +340,10 @@
     },
   })
     .use(checkHeaderCount)
-    .post("/v1/chat/completions", guarded(completeChat))
+    .post("/v1/chat/completions", reachable(completeChat))
     .get("/v1/models", guarded(listModels))
-    .all("/services/:name", guarded(callService))
-    .all("/services/:name/*", guarded(callService));
+    .all("/services/:name", reachable(callService))
+    .all("/services/:name/*", reachable(callService));
   server.on("request", app.handler);
   return server;
 }
--- a/packages/daemon/src/http/request_headers.ts
+++ b/packages/daemon/src/http/request_headers.ts
@@ -82,12 +82,15 @@
   "transfer-encoding",
   "upgrade",
 ]);
+/** Header with the name of the daemon that sends a request for one of its callers. */
+export const RELAYED_BY_HEADER = "primrose-relayed-by";
 /** Headers that primroseshed consumes, or sets itself for each attempt. */
 const CONSUMED: ReadonlySet<string> = new Set([
   "authorization",
   "host",
   "expect",
   "content-length",
+  RELAYED_BY_HEADER,
 ]);
 
 type HeaderMap = Readonly<Record<string, string | string[] | undefined>>;
--- a/packages/daemon/src/peers/mesh.ts
+++ b/packages/daemon/src/peers/mesh.ts
@@ -3,7 +3,12 @@
  *
  * @module
  */
-import { createServer as createHttpServer, type Server } from "node:http";
+import {
+  createServer as createHttpServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { EventBody, LogEventName, PeerMessage } from "@primroseshed/core";
 import { WebSocket, WebSocketServer } from "ws";
@@ -33,6 +38,8 @@
   listen: { host: string; port: number };
   key: string;
   tls?: PeerTls;
+  /** Handles requests that other daemons send for their callers, on the same port. */
+  onRequest(request: IncomingMessage, response: ServerResponse): void;
   dispatch(event: EventBody): void;
   log(event: LogEventName, fields: Record<string, unknown>): void;
 }
@@ -61,7 +68,7 @@
 
 /** Creates the mesh of one daemon. */
 export function createMesh(
-  { self, listen, key: initialKey, tls, dispatch, log }: MeshOptions,
+  { self, listen, key: initialKey, tls, onRequest, dispatch, log }: MeshOptions,
 ): Mesh {
   let key = initialKey;
   let stopped = false;
@@ -73,6 +80,7 @@
   const server: Server = tls
     ? createTlsServer({ ...tls, requestCert: true, rejectUnauthorized: true })
     : createHttpServer();
+  server.on("request", onRequest);
   const acceptor = new WebSocketServer({
     server,
     maxPayload: MAX_FRAME_BYTES,
@@ -204,6 +212,7 @@
       for (const { connection } of connections.values()) connection.close();
       acceptor.close();
       server.close();
+      server.closeAllConnections();
     },
   };
 }
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -13,6 +13,7 @@
   type EffectHandlers,
   monotonicNow,
 } from "./driver/driver.ts";
+import { createPeerRelay, isRelayed } from "./http/peer_relay.ts";
 import { createCallerApp } from "./http/caller_app.ts";
 import type { Exchange, Exchanges } from "./http/exchanges.ts";
 import { createOperatorApp } from "./http/operator_app.ts";
@@ -55,6 +56,7 @@
 const INCARNATION_BYTES = 4;
 const SEED_RANGE = 2 ** 31;
 const CACHE_POLL_MS = 1_000;
+const NOT_FOUND = 404;
 const PEER_REFRESH_MS = 1_000;
 
 /** Options of {@link createDaemon}. */
@@ -178,19 +180,34 @@
     everyMs: CACHE_POLL_MS,
     dispatch,
   });
+  const peerTls = readPeerTls(settings);
   const mesh = createMesh({
     self: { name, zone, incarnation },
     listen: settings.listen.peers,
     key: peerKey,
-    ...readPeerTls(settings),
+    ...peerTls,
+    onRequest(request, response) {
+      if (isRelayed(request)) callers.emit("request", request, response);
+      else response.writeHead(NOT_FOUND).end();
+    },
     dispatch,
     log: write,
   });
+  const relay = createPeerRelay({
+    state,
+    tls: peerTls.tls,
+    connectTimeoutMs: settings.timing.connectTimeoutMs,
+    firstByteTimeoutMs: settings.timing.firstByteTimeoutMs,
+    maxBodyBytes: settings.limits.maxBodyBytes,
+    listPeers: () => listPeers(settings, state),
+    log: write,
+  });
   const callers = createCallerApp({
     settings,
     state,
     exchanges,
     agents,
+    relay,
     dispatch,
     log: write,
   });
@@ -209,6 +226,7 @@
     poll.stop();
     cacheFeed.stop();
     mesh.stop();
+    relay.stop();
     for (const server of [callers, operators]) server.close();
     callers.closeAllConnections();
     operators.closeIdleConnections();
