--- a/packages/core/src/capacity/targets.ts
+++ b/packages/core/src/capacity/targets.ts
@@ -19,11 +19,11 @@
 const KV_FULL_SHARE = 0.95;
 /** Engines slower than their peers by more than this factor get a smaller batch. */
 const SLOW_FACTOR = 1.3;
-/** Requests allowed at an ejected target that is probed, or at one that has had its rest. */
+/** Requests allowed at an ejected target that is probed, or at one that has had its back-off. */
 const PROBE_ALLOWANCE = 1;
 
-function acceptsWork({ now }: State, { phase, restUntil }: Target): boolean {
-  if (restUntil !== undefined && now < restUntil) return false;
+function acceptsWork({ now }: State, { phase, backoffUntil }: Target): boolean {
+  if (backoffUntil !== undefined && now < backoffUntil) return false;
   return phase === "serving" || phase === "probing";
 }
 
@@ -58,8 +58,8 @@
 
 function allowanceOf(state: State, pool: Pool, target: Target): number {
   if (!acceptsWork(state, target)) return 0;
-  // After a rest, too, the first request goes alone.
-  if (target.phase === "probing" || target.restUntil !== undefined) {
+  // After a back-off, too, the first request goes alone.
+  if (target.phase === "probing" || target.backoffUntil !== undefined) {
     return PROBE_ALLOWANCE;
   }
   if ((target.report?.kvUsedShare ?? 0) > KV_FULL_SHARE) return 0;
--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -81,7 +81,7 @@
   runner_limited: event(1214, "warn", "runner names a limit on its requests"),
   runner_unlimited: event(1215, "info", "runner names no limit any more"),
   runner_entry_ignored: event(1216, "info", "outdated entry of a runner"),
-  runner_rests: event(1219, "info", "runner wants no requests for a while"),
+  runner_backoff: event(1219, "info", "runner wants no requests for a while"),
   runner_leaves: event(1220, "info", "runner says that it leaves"),
   path_lost: event(1217, "warn", "own path to the runners of a service lost"),
   path_regained: event(
--- a/packages/core/src/event/types.ts
+++ b/packages/core/src/event/types.ts
@@ -80,7 +80,7 @@
     request: string;
     attempt: number;
     /** Time for which it wants no more requests of this entry VM, ms; undefined where it does not say. */
-    restMs: number | undefined;
+    backoffMs: number | undefined;
     isLeaving: boolean;
   }
   | {
--- a/packages/core/src/formation/health_checks.ts
+++ b/packages/core/src/formation/health_checks.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { EventOf } from "../event/types.ts";
-import { isResting } from "../gateway/runner_rest.ts";
+import { isBackingOff } from "../gateway/runner_backoff.ts";
 import type { Effects } from "../reduce_types.ts";
 import { isOwnFault } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
@@ -32,7 +32,7 @@
       if (check?.isPending) continue;
       // It has just answered this daemon, and wants nothing from it.
       const stats = runnerStats.get(runner.id);
-      if (stats !== undefined && isResting(stats, state.now)) continue;
+      if (stats !== undefined && isBackingOff(stats, state.now)) continue;
       // A failed check is repeated soon: the group stands still if its member is dead.
       const dueMs = isDoubtful(check, runner)
         ? HEALTH_CHECK_INTERVAL_MS
--- a/packages/core/src/forwarding/admission.ts
+++ b/packages/core/src/forwarding/admission.ts
@@ -12,11 +12,11 @@
 import { canServe } from "../gateway/runner_index.ts";
 import { hearLeaving } from "../gateway/leaving.ts";
 import {
-  endRest,
-  hasRested,
-  hearRest,
+  endBackoff,
+  hearBackoff,
+  isPastBackoff,
   noteTrial,
-} from "../gateway/runner_rest.ts";
+} from "../gateway/runner_backoff.ts";
 import { runnerStatsOf } from "../gateway/runner_stats.ts";
 import type { Gateway, Runner } from "../gateway/types.ts";
 import { crashSuspectsOf } from "../quarantine/mod.ts";
@@ -60,7 +60,7 @@
   }
   if (found.team?.name !== event.team) return "not_allowed";
   if (runner === undefined || !canServe(runner)) return "runner_gone";
-  if (!hasRested(runnerStatsOf(gateway, runner.id), state.now)) {
+  if (!isPastBackoff(runnerStatsOf(gateway, runner.id), state.now)) {
     return "runner_gone";
   }
   const isAllowed = found.route.backends.some(({ service }) =>
@@ -121,15 +121,15 @@
 /** Handles what a runner says of itself in its answer to a forwarded request. */
 export function* recordForwardAnswer(
   state: State,
-  { runner: id, restMs, isLeaving }: EventOf<"forward_answered">,
+  { runner: id, backoffMs, isLeaving }: EventOf<"forward_answered">,
 ): Effects {
   const runner = state.gateway!.runners.get(id);
   if (runner === undefined) return;
   const { startedUnixMs } = runner;
   const stats = runnerStatsOf(state.gateway!, id);
   if (isLeaving) yield* hearLeaving(state, { id, startedUnixMs });
-  if (restMs === undefined) endRest(stats, state.now);
-  else yield* hearRest(state, stats, { restMs, startedUnixMs });
+  if (backoffMs === undefined) endBackoff(stats, state.now);
+  else yield* hearBackoff(state, stats, { backoffMs, startedUnixMs });
 }
 
 /** Handles the end of a request of another daemon. */
--- a/packages/core/src/forwarding/event_types.ts
+++ b/packages/core/src/forwarding/event_types.ts
@@ -31,7 +31,7 @@
     kind: "forward_answered";
     runner: string;
     /** Time for which the runner wants no more requests of this daemon, ms; undefined where it does not say. */
-    restMs: number | undefined;
+    backoffMs: number | undefined;
     /** True where the runner says that it leaves. */
     isLeaving: boolean;
   }
--- a/packages/core/src/forwarding/forwarding_test.ts
+++ b/packages/core/src/forwarding/forwarding_test.ts
@@ -491,10 +491,10 @@
   });
 
   // Guards against issue 38: what a runner asked of a daemon that forwards holds for that daemon.
-  it("refuses while the runner rests, and for one that has said that it leaves", () => {
+  it("refuses while the runner has asked for a back-off, and for one that has said that it leaves", () => {
     for (
-      const answer of [{ restMs: 2_000, isLeaving: false }, {
-        restMs: undefined,
+      const answer of [{ backoffMs: 2_000, isLeaving: false }, {
+        backoffMs: undefined,
         isLeaving: true,
       }]
     ) {
--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -22,7 +22,7 @@
 import { countRequest } from "./retry_budget.ts";
 import { isStream, pickService } from "./routes.ts";
 import { hasCandidates } from "./runner_index.ts";
-import { isHopeless, runnersRest } from "./runner_rest.ts";
+import { backoffRefusal, isHopeless } from "./runner_backoff.ts";
 import { joinQueue, leaveQueue, sendToRunner } from "./send.ts";
 import { hastenSweep } from "./sweep_schedule.ts";
 import type { Gateway, Route, RoutedRequest, Team } from "./types.ts";
@@ -181,7 +181,7 @@
       state,
       gateway,
       request,
-      runnersRest(state, request),
+      backoffRefusal(state, request),
     );
   }
   joinQueue(gateway, request);
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -70,12 +70,12 @@
 export const LIMIT_MEMORY_MS = 30_000;
 /** Runners that are remembered as leaving; the ones that said so first are forgotten beyond it. */
 export const MAX_LEAVING_RUNNERS = 10_000;
-/** Longest time for which a runner gets no requests since it asked for that, ms. */
-export const MAX_REST_MS = 3_600_000;
-/** Time for which the first request after a rest goes alone, where it has no answer, ms. */
-export const REST_TRIAL_MS = 500;
-/** Part by which daemons and callers that wait for the same runner spread their return. */
-export const REST_JITTER = 0.1;
+/** Longest back-off that a runner may ask for, ms. */
+export const MAX_BACKOFF_MS = 3_600_000;
+/** Time for which the first request after a back-off goes alone, where it has no answer, ms. */
+export const BACKOFF_TRIAL_MS = 500;
+/** Part by which daemons and callers spread their return after a back-off. */
+export const BACKOFF_JITTER = 0.1;
 /** Smallest and largest share of a runner's limit that a daemon takes, as a multiple of an equal one. */
 export const MIN_LIMIT_SHARE_FACTOR = 0.5;
 export const MAX_LIMIT_SHARE_FACTOR = 1.25;
--- a/packages/core/src/gateway/event_types.ts
+++ b/packages/core/src/gateway/event_types.ts
@@ -79,7 +79,7 @@
     /** Requests a second that the runner takes from all daemons together; undefined where it names no limit. */
     requestsPerSecond?: number | undefined;
     /** Time for which the runner wants no more requests of this daemon, ms; undefined where it does not say. */
-    restMs?: number | undefined;
+    backoffMs?: number | undefined;
     /** True where the runner says that it leaves. */
     isLeaving?: boolean | undefined;
   }
--- a/packages/core/src/gateway/finish.ts
+++ b/packages/core/src/gateway/finish.ts
@@ -25,7 +25,7 @@
   }
   if (attempt.isStreaming) stats.streaming -= 1;
   const isUnused = stats.inFlight === 0 &&
-    stats.requestsPerSecond === undefined && stats.rest === undefined &&
+    stats.requestsPerSecond === undefined && stats.backoff === undefined &&
     !gateway.runners.has(attempt.runner);
   if (isUnused) gateway.runnerStats.delete(attempt.runner);
   request.currentAttempt = undefined;
--- a/packages/core/src/gateway/request_limit.ts
+++ b/packages/core/src/gateway/request_limit.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps the requests to an overloaded runner within what it asks for: a rate for all daemons together, or rest.
+ * Keeps the requests to an overloaded runner within what it asks for: a rate for all daemons together, or a back-off.
  *
  * Each daemon takes a share of a rate, and spreads its requests evenly in time: unused time is not saved up, since
  * many daemons that had saved up a request each would exceed the limit at once.
@@ -14,7 +14,7 @@
   MIN_LIMIT_SHARE_FACTOR,
   MIN_REQUESTS_PER_SECOND,
 } from "./constants.ts";
-import { hasRested } from "./runner_rest.ts";
+import { isPastBackoff } from "./runner_backoff.ts";
 import type { Gateway, RunnerStats } from "./types.ts";
 
 const MS_PER_SECOND = 1_000;
@@ -43,7 +43,7 @@
 export function mayReceive(stats: RunnerStats, now: number): boolean {
   const { requestsPerSecond, nextSendAt } = stats;
   const isWithinLimit = requestsPerSecond === undefined || now >= nextSendAt;
-  return isWithinLimit && hasRested(stats, now);
+  return isWithinLimit && isPastBackoff(stats, now);
 }
 
 /** Counts a request that is sent to a runner towards its limit. */
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -21,7 +21,7 @@
 import { failAttempt } from "./retry.ts";
 import { hearLimit } from "./request_limit.ts";
 import { isStream } from "./routes.ts";
-import { endRest, hearRest } from "./runner_rest.ts";
+import { endBackoff, hearBackoff } from "./runner_backoff.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 
 function findByAttempt(
@@ -65,11 +65,11 @@
   if (event.verdict === "ran" || namesLimit) {
     yield* hearLimit(state, stats, event);
   }
-  const { restMs } = event;
+  const { backoffMs } = event;
   const { runner: id, startedUnixMs } = attempt;
   if (event.isLeaving) yield* hearLeaving(state, { id, startedUnixMs });
-  if (restMs === undefined) endRest(stats, state.now);
-  else yield* hearRest(state, stats, { restMs, startedUnixMs });
+  if (backoffMs === undefined) endBackoff(stats, state.now);
+  else yield* hearBackoff(state, stats, { backoffMs, startedUnixMs });
   if (event.load !== undefined) {
     stats.load = {
       ...event.load,
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -26,7 +26,7 @@
 import { endRequest, failRequest, logEnd, releaseAttempt } from "./finish.ts";
 import { retryBudgetOf, retryLimitsOf } from "./retry_allowance.ts";
 import { hasRetry, retriesLeft, takeRetry } from "./retry_budget.ts";
-import { retryAfter } from "./runner_rest.ts";
+import { retryAfter } from "./runner_backoff.ts";
 import { canRepeat } from "./routes.ts";
 import { joinQueue, sendToRunner } from "./send.ts";
 import { hastenSweep } from "./sweep_schedule.ts";
--- a/packages/core/src/gateway/runner_rest_test.ts
+++ b/packages/core/src/gateway/runner_backoff_test.ts
@@ -28,12 +28,12 @@
   return state.gateway!.requests.get(request)?.currentAttempt?.runner;
 }
 
-/** Answers the current attempt of a request with 503 and a rest, and returns the effects. */
-function refuse(harness: GatewayHarness, request: string, restMs?: number) {
+/** Answers the current attempt of a request with 503 and a back-off, and returns the effects. */
+function refuse(harness: GatewayHarness, request: string, backoffMs?: number) {
   const { number: attempt } = harness.state.gateway!.requests.get(request)!
     .currentAttempt!;
   const at = { request, attempt, status: 503, verdict: "not_run" as const };
-  harness.feed({ kind: "response_started", ...at, load: undefined, restMs });
+  harness.feed({ kind: "response_started", ...at, load: undefined, backoffMs });
   return harness.feed({ kind: "response_ended", ...at, isRelayable: false });
 }
 
@@ -45,30 +45,33 @@
   return harness.feed({ kind: "response_ended", ...at, isRelayable: false });
 }
 
-/** Makes every runner ask for rest, and returns the effects. */
-function restAll(harness: GatewayHarness, restMs: number) {
+/** Makes every runner ask for a back-off, and returns the effects. */
+function restAll(harness: GatewayHarness, backoffMs: number) {
   sendRequest(harness, "first");
-  return [refuse(harness, "first", restMs), refuse(harness, "first", restMs)]
-    .concat([sendAndRefuse(harness, "second", restMs)]).flat();
+  return [
+    refuse(harness, "first", backoffMs),
+    refuse(harness, "first", backoffMs),
+  ]
+    .concat([sendAndRefuse(harness, "second", backoffMs)]).flat();
 }
 
-function sendAndRefuse(harness: GatewayHarness, id: string, restMs: number) {
+function sendAndRefuse(harness: GatewayHarness, id: string, backoffMs: number) {
   sendRequest(harness, id);
-  return refuse(harness, id, restMs);
+  return refuse(harness, id, backoffMs);
 }
 
-describe("a runner that answers 503 and asks for rest", () => {
-  // Guards against the second report of issue 38: requests in the rest that a runner had asked this daemon for.
+describe("a runner that answers 503 and asks for a back-off", () => {
+  // Guards against the second report of issue 38: requests in the back-off that a runner had asked this daemon for.
   it("gets no requests in that time, also where many are sent, and few at first after it", () => {
     const harness = startDesk();
     sendRequest(harness, "r0");
-    const rested = targetOf(harness, "r0")!;
+    const refusing = targetOf(harness, "r0")!;
     refuse(harness, "r0", 2_500);
     const sentAt: number[] = [];
     for (let index = 1; index <= 250; index += 1) {
       harness.advance(20);
       sendRequest(harness, `r${index}`);
-      if (targetOf(harness, `r${index}`) === rested) {
+      if (targetOf(harness, `r${index}`) === refusing) {
         sentAt.push(harness.state.now);
       } else answer(harness, `r${index}`);
     }
@@ -82,11 +85,11 @@
     const harness = startDesk();
     const { runnerStats } = harness.state.gateway!;
     sendRequest(harness, "r0");
-    const rested = targetOf(harness, "r0")!;
+    const refusing = targetOf(harness, "r0")!;
     refuse(harness, "r0", 500);
     harness.advance(600);
     let index = 1;
-    for (; runnerStats.get(rested)!.rest !== undefined; index += 1) {
+    for (; runnerStats.get(refusing)!.backoff !== undefined; index += 1) {
       sendRequest(harness, `r${index}`);
       answer(harness, `r${index}`);
     }
@@ -94,16 +97,16 @@
   });
 
   it("gets none until the later end where it asks twice, whichever comes last", () => {
-    for (const rests of [[3_000, 500], [500, 3_000]]) {
+    for (const backoffs of [[3_000, 500], [500, 3_000]]) {
       const harness = startDesk();
       for (const id of IDS) sendRequest(harness, `a-${id}`);
-      const rested = targetOf(harness, "a-desk-0")!;
+      const refusing = targetOf(harness, "a-desk-0")!;
       sendRequest(harness, "b");
-      while (targetOf(harness, "b") !== rested) refuse(harness, "b");
-      refuse(harness, "a-desk-0", rests[0]);
-      refuse(harness, "b", rests[1]);
-      const { rest } = harness.state.gateway!.runnerStats.get(rested)!;
-      expect(rest!.until).to.be.at.least(3_000);
+      while (targetOf(harness, "b") !== refusing) refuse(harness, "b");
+      refuse(harness, "a-desk-0", backoffs[0]);
+      refuse(harness, "b", backoffs[1]);
+      const { backoff } = harness.state.gateway!.runnerStats.get(refusing)!;
+      expect(backoff!.until).to.be.at.least(3_000);
     }
   });
 
@@ -123,7 +126,7 @@
       .length(1);
   });
 
-  it("keeps its rest where its entry is missing for a moment", () => {
+  it("keeps its back-off where its entry is missing for a moment", () => {
     const harness = startDesk();
     restAll(harness, 3_000);
     for (const runners of [[], createDesks()]) {
@@ -147,7 +150,7 @@
   });
 });
 
-describe("a service whose runners all ask for rest", () => {
+describe("a service whose runners all ask for a back-off", () => {
   it("refuses at once, and says when the first one may be asked again", () => {
     const harness = startDesk();
     restAll(harness, 2_000);
@@ -176,7 +179,7 @@
     const effects = sendRequest(harness, "r1");
     expect(refusalOf(effects)).to.equal(undefined);
     for (const id of IDS) {
-      harness.state.gateway!.runnerStats.get(id)!.rest!.until += 1_000;
+      harness.state.gateway!.runnerStats.get(id)!.backoff!.until += 1_000;
     }
     const [refusal] = effectsOf(harness.advance(50), "refuse");
     expect(refusal).to.include({ request: "r1", verdict: "not_run" });
--- a/packages/core/src/gateway/runner_stats.ts
+++ b/packages/core/src/gateway/runner_stats.ts
@@ -4,10 +4,10 @@
  * @module
  */
 import { LIMIT_MEMORY_MS } from "./constants.ts";
-import { isResting } from "./runner_rest.ts";
+import { isBackingOff } from "./runner_backoff.ts";
 import type { Gateway, RunnerStats } from "./types.ts";
 
-/** Drops the stats of runners that are gone and have no request left; limits and rests are kept for a while. */
+/** Drops the stats of runners that are gone and have no request left; limits and back-offs are kept for a while. */
 export function pruneRunnerStats(
   { runnerStats, runners }: Gateway,
   now: number,
@@ -16,7 +16,7 @@
     if (runners.has(id) || stats.inFlight > 0) continue;
     const isLimited = stats.requestsPerSecond !== undefined &&
       now - stats.lastSeenAt < LIMIT_MEMORY_MS;
-    if (!isLimited && !isResting(stats, now)) runnerStats.delete(id);
+    if (!isLimited && !isBackingOff(stats, now)) runnerStats.delete(id);
   }
 }
 
@@ -31,7 +31,7 @@
       load: undefined,
       requestsPerSecond: undefined,
       nextSendAt: -Infinity,
-      rest: undefined,
+      backoff: undefined,
       avoidUntil: -Infinity,
       avoidForwardedUntil: -Infinity,
       unreachedBy: new Set(),
--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -15,7 +15,7 @@
   recordDeparture,
 } from "../store_timeline/timeline.ts";
 import { withLeaving } from "./leaving.ts";
-import { forgetRest } from "./runner_rest.ts";
+import { forgetBackoff } from "./runner_backoff.ts";
 import { pruneRunnerStats } from "./runner_stats.ts";
 import { canServe, indexRunner, removeRunner } from "./runner_index.ts";
 import { serveWaiting } from "./send.ts";
@@ -144,7 +144,7 @@
   }
   indexRunner(gateway, runner);
   const stats = gateway.runnerStats.get(runner.id);
-  if (stats !== undefined) forgetRest(stats, runner);
+  if (stats !== undefined) forgetBackoff(stats, runner);
   const isRestarted = known !== undefined &&
     known.startedUnixMs !== runner.startedUnixMs;
   if (isRestarted && stats !== undefined) {
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -13,7 +13,7 @@
 import { quarantineRefusal } from "./held_requests.ts";
 import { countLimitedSend } from "./request_limit.ts";
 import { canRepeat, isStream } from "./routes.ts";
-import { noteTrial } from "./runner_rest.ts";
+import { noteTrial } from "./runner_backoff.ts";
 import { workKey } from "./runner_index.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 
--- a/packages/core/src/gateway/sweep.ts
+++ b/packages/core/src/gateway/sweep.ts
@@ -18,7 +18,7 @@
 import { quarantineRefusal } from "./held_requests.ts";
 import { canMove, failAttempt } from "./retry.ts";
 import { isStream } from "./routes.ts";
-import { isHopeless, runnersRest } from "./runner_rest.ts";
+import { backoffRefusal, isHopeless } from "./runner_backoff.ts";
 import { serveWaiting } from "./send.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 
@@ -71,7 +71,7 @@
       state,
       gateway,
       request,
-      runnersRest(state, request),
+      backoffRefusal(state, request),
     );
   }
   if (state.now < request.waitUntil) return;
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -42,7 +42,7 @@
 }
 
 /** Time for which a runner that turned a request away wants no more. */
-export interface Rest {
+export interface Backoff {
   /** Its end, ms; the first request after it goes alone. */
   until: number;
   /** Time at which the last request after it was sent, ms. */
@@ -63,8 +63,8 @@
   requestsPerSecond: number | undefined;
   /** Time before which a runner with a limit gets no request from this daemon, ms. */
   nextSendAt: number;
-  /** Rest that the runner asked for; undefined where it has answered since. */
-  rest: Rest | undefined;
+  /** Back-off that the runner asked for; undefined where it has answered since. */
+  backoff: Backoff | undefined;
   /** The runner gets no new requests before this time, ms. */
   avoidUntil: number;
   /** It gets none through other daemons either before this time, ms. */
--- a/packages/core/src/health/ejection.ts
+++ b/packages/core/src/health/ejection.ts
@@ -9,7 +9,7 @@
 import type { Pool, State, Target } from "../state/types.ts";
 import { schedule } from "../util/timer_queue.ts";
 import { advanceTarget } from "./machine.ts";
-import { endRest } from "./rest.ts";
+import { endBackoff } from "./backoff.ts";
 
 /** A target is ejected after this many consecutive failures. */
 const MAX_CONSECUTIVE_FAILURES = 3;
@@ -108,7 +108,7 @@
 /** Records a completed attempt of a target; a probed service has recovered after one. */
 export function* recordSuccess(state: State, target: Target): Effects {
   target.failures = 0;
-  endRest(state, target);
+  endBackoff(state, target);
   const isService =
     state.pools.get(target.deployment)?.deployment.kind === "service";
   if (target.phase === "probing" && isService) {
--- a/packages/core/src/health/target_lifecycle.ts
+++ b/packages/core/src/health/target_lifecycle.ts
@@ -90,7 +90,7 @@
     ejections: 0,
     probes: 0,
     ejectedUntil: 0,
-    restUntil: undefined,
+    backoffUntil: undefined,
     cacheSequence: 0,
     removing: false,
   };
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -51,7 +51,7 @@
 export { isCutOff } from "./health/own_path.ts";
 export { isAddress } from "./util/address.ts";
 export { isLeaving } from "./gateway/leaving.ts";
-export { isResting } from "./gateway/runner_rest.ts";
+export { isBackingOff } from "./gateway/runner_backoff.ts";
 export { isPathLost } from "./service_path/mod.ts";
 export * from "./vm/types.ts";
 export * from "./reduce.ts";
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -112,7 +112,7 @@
   stream_stall: checkStall,
   member_check: checkMembers,
   ejection_end: probeTarget,
-  rest_end: resumeTarget,
+  backoff_end: resumeTarget,
   housekeeping: runHousekeeping,
   peer_digest: sendDigests,
   append_retry: retryAppends,
--- a/packages/core/src/request/dispatch.ts
+++ b/packages/core/src/request/dispatch.ts
@@ -10,7 +10,7 @@
 import { weightOf } from "../admission/weights.ts";
 import { updateAttemptAverage } from "../capacity/load_estimate.ts";
 import { refreshTarget } from "../capacity/targets.ts";
-import { poolRestLeft } from "../health/rest.ts";
+import { poolBackoffLeft } from "../health/backoff.ts";
 import type { Effects } from "../reduce_types.ts";
 import { addHolder } from "../routing/prefix_index.ts";
 import { chooseTarget } from "../routing/route.ts";
@@ -40,15 +40,15 @@
       refusal: { code: "no_capacity", message, verdict },
     });
   }
-  const restMs = poolRestLeft(state, pool);
-  if (restMs !== undefined && state.now + restMs > request.startBy) {
+  const backoffMs = poolBackoffLeft(state, pool);
+  if (backoffMs !== undefined && state.now + backoffMs > request.startBy) {
     return yield* refuseRequest(state, request, {
       refusal: {
         code: "overloaded",
         message:
           `All backend servers of "${pool.name}" have asked for a pause; try again after it`,
         verdict: request.verdict,
-        retryAfterMs: restMs,
+        retryAfterMs: backoffMs,
       },
     });
   }
--- a/packages/core/src/request/server_report.ts
+++ b/packages/core/src/request/server_report.ts
@@ -6,7 +6,7 @@
 import { refreshTarget } from "../capacity/targets.ts";
 import type { EventOf } from "../event/types.ts";
 import { markLeaving } from "../health/leaving.ts";
-import { restTarget } from "../health/rest.ts";
+import { backOffTarget } from "../health/backoff.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { dispatchPool } from "./dispatch.ts";
@@ -25,12 +25,12 @@
   if (event.isLeaving && incarnation !== undefined) {
     yield* markLeaving(state, vm, incarnation);
   }
-  if (event.restMs !== undefined) {
-    yield* restTarget(state, target, event.restMs);
+  if (event.backoffMs !== undefined) {
+    yield* backOffTarget(state, target, event.backoffMs);
   }
 }
 
-/** Lets one request go to a target that has had its rest. */
+/** Lets one request go to a target that has had its back-off. */
 export function* resumeTarget(
   state: State,
   { target: name }: { target: string },
--- a/packages/core/src/state/types.ts
+++ b/packages/core/src/state/types.ts
@@ -83,8 +83,8 @@
   /** Good reports since probing started. */
   probes: number;
   ejectedUntil: number;
-  /** End of the rest that the target asked for, ms; undefined where it has answered since. */
-  restUntil: number | undefined;
+  /** End of the back-off that the target asked for, ms; undefined where it has answered since. */
+  backoffUntil: number | undefined;
   cacheSequence: number;
   removing: boolean;
 }
--- a/packages/core/src/util/timer_queue.ts
+++ b/packages/core/src/util/timer_queue.ts
@@ -12,7 +12,7 @@
   | { kind: "stream_stall"; request: string; attempt: number }
   | { kind: "member_check"; target: string }
   | { kind: "ejection_end"; target: string }
-  | { kind: "rest_end"; target: string }
+  | { kind: "backoff_end"; target: string }
   | { kind: "housekeeping" }
   | { kind: "peer_digest" }
   | { kind: "append_retry" }
--- a/packages/daemon/src/backend/server_report.ts
+++ b/packages/daemon/src/backend/server_report.ts
@@ -18,16 +18,16 @@
 }
 
 /**
- * Returns the longest rest that a refusal asks for in `retry-after`, ms; undefined where it asks for none. Dates,
+ * Returns the longest back-off that a refusal asks for in `retry-after`, ms; undefined where it asks for none. Dates,
  * negative numbers and other text ask for none.
  *
  * @example
  * ```ts
- * parseRest(503, "2.5"); // 2500
- * parseRest(200, "2.5"); // undefined
+ * parseBackoff(503, "2.5"); // 2500
+ * parseBackoff(200, "2.5"); // undefined
  * ```
  */
-export function parseRest(
+export function parseBackoff(
   status: number,
   value: HeaderValue,
 ): number | undefined {
@@ -55,8 +55,8 @@
   },
   { dispatch }: { dispatch(event: EventBody): void },
 ): void {
-  const restMs = parseRest(status, headers["retry-after"]);
+  const backoffMs = parseBackoff(status, headers["retry-after"]);
   const isLeaving = parseLeaving(headers[LEAVING_HEADER]);
-  if (restMs === undefined && !isLeaving) return;
-  dispatch({ kind: "server_reported", request, attempt, restMs, isLeaving });
+  if (backoffMs === undefined && !isLeaving) return;
+  dispatch({ kind: "server_reported", request, attempt, backoffMs, isLeaving });
 }
--- a/packages/daemon/src/gateway/adapters.ts
+++ b/packages/daemon/src/gateway/adapters.ts
@@ -55,7 +55,7 @@
   /** True where the runner says that it leaves. */
   isLeaving: boolean;
   /** Time for which the runner wants no more requests of this daemon, ms; undefined where it does not say. */
-  restMs: number | undefined;
+  backoffMs: number | undefined;
 }
 
 /** Decodes the headers that the gateway receives and encodes those that it sends. */
--- a/packages/daemon/src/gateway/forward_listener.ts
+++ b/packages/daemon/src/gateway/forward_listener.ts
@@ -194,10 +194,10 @@
     id: string | undefined,
     { status, headers }: { status: number; headers: ResponseHeaders },
   ): void {
-    const { restMs, isLeaving } = headerCodec.readResponse(status, headers, {
+    const { backoffMs, isLeaving } = headerCodec.readResponse(status, headers, {
       id,
     });
-    dispatch({ kind: "forward_answered", runner, restMs, isLeaving });
+    dispatch({ kind: "forward_answered", runner, backoffMs, isLeaving });
   }
 
   function writeHead(
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -5,12 +5,12 @@
  */
 import {
   ageOf,
+  isBackingOff,
   isGatewayReady,
   isHeld,
   isLeader,
   isLeaving,
   isPathLost,
-  isResting,
   isStoreReader,
   type LogEventName,
   type State,
@@ -217,11 +217,11 @@
       ).length,
   );
   addGauge(
-    "primrose_resting_runners",
+    "primrose_backoff_runners",
     "Runners that have turned a request away and want none for a while",
     () =>
       [...gateway.runnerStats.values()].filter((stats) =>
-        isResting(stats, now())
+        isBackingOff(stats, now())
       ).length,
   );
   addGauge(
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -215,7 +215,7 @@
       verdict: metadata.verdict,
       load: metadata.load,
       requestsPerSecond: metadata.requestsPerSecond,
-      restMs: metadata.restMs,
+      backoffMs: metadata.backoffMs,
       isLeaving: metadata.isLeaving,
     });
     if (metadata.isForeign) fail(upstream, "foreign_answer");
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -24,7 +24,7 @@
   SNAPSHOT_STREAM,
 } from "./log_service/log_client.ts";
 export * from "./gateway/adapters.ts";
-export { parseLeaving, parseRest } from "./backend/server_report.ts";
+export { parseBackoff, parseLeaving } from "./backend/server_report.ts";
 export {
   type GatewaySettingsFile,
   gatewaySettingsSchema,
--- a/packages/system_tests/src/server_wishes_test.ts
+++ b/packages/system_tests/src/server_signals_test.ts
@@ -3,8 +3,8 @@
 import { book, chat } from "./client.ts";
 import { startTestSystem } from "./fixture.ts";
 
-const REST_S = 3;
-const REST_HEADERS = { "retry-after": String(REST_S) };
+const BACKOFF_S = 3;
+const BACKOFF_HEADERS = { "retry-after": String(BACKOFF_S) };
 const LEAVING_HEADERS = { "primrose-leaving": "1" };
 /** Time for which requests that were on their way may still arrive, ms. */
 const TOLERANCE_MS = 500;
@@ -13,11 +13,11 @@
 
 const pause = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
 
-/** Returns the times that fall into the rest that was asked for first. */
+/** Returns the times that fall into the back-off that was asked for first. */
 function lateOf(refusedAt: number[]): number[] {
   const [first = Infinity] = refusedAt;
   return refusedAt.filter((at) =>
-    at > first + TOLERANCE_MS && at < first + REST_S * 1_000
+    at > first + TOLERANCE_MS && at < first + BACKOFF_S * 1_000
   );
 }
 
@@ -26,12 +26,12 @@
   beforeEach(async () => system = await startTestSystem({ lendingServers: 2 }));
   afterEach(() => system.kill());
 
-  // Guards against the second report of issue 38 on this path: requests in the rest that a server had asked for.
-  it("get at most two requests of a daemon in the rest that a service asks for, while others serve", async () => {
-    const [resting] = system.lendingServers;
-    resting!.faults.refusalStatus = 503;
-    resting!.faults.headers = REST_HEADERS;
-    const end = performance.now() + REST_S * 1_000;
+  // Guards against the second report of issue 38 on this path: requests in the back-off that a server had asked for.
+  it("get at most two requests of a daemon in the back-off that a service asks for, while others serve", async () => {
+    const [refusing] = system.lendingServers;
+    refusing!.faults.refusalStatus = 503;
+    refusing!.faults.headers = BACKOFF_HEADERS;
+    const end = performance.now() + BACKOFF_S * 1_000;
     for (let index = 0; performance.now() < end; index += 1) {
       const response = await book(system.daemons[0]!, "sling-1", {
         "idempotency-key": `k${index}`,
@@ -39,15 +39,15 @@
       expect(response.status).to.equal(201);
       await pause(PAUSE_MS);
     }
-    const { refusedAt } = resting!.faults;
+    const { refusedAt } = refusing!.faults;
     expect(refusedAt.length).to.be.at.least(1);
     expect(lateOf(refusedAt).length).to.be.at.most(TOLERATED_REQUESTS);
   });
 
-  it("get at most two in the rest that an engine asks for, and callers are refused at once where all rest", async () => {
+  it("get at most two in the back-off that an engine asks for, and callers are refused at once where all ask for a back-off", async () => {
     for (const { faults } of system.engines) {
       faults.refusesRequests = true;
-      faults.headers = REST_HEADERS;
+      faults.headers = BACKOFF_HEADERS;
     }
     await chat(system.daemons[0]!, "first");
     await chat(system.daemons[0]!, "second");
