--- a/packages/core/src/gateway/runner_backoff_test.ts
+++ b/packages/core/src/gateway/runner_backoff_test.ts
@@ -46,7 +46,7 @@
 }
 
 /** Makes every runner ask for a back-off, and returns the effects. */
-function restAll(harness: GatewayHarness, backoffMs: number) {
+function askAll(harness: GatewayHarness, backoffMs: number) {
   sendRequest(harness, "first");
   return [
     refuse(harness, "first", backoffMs),
@@ -112,7 +112,7 @@
 
   it("owes nothing as another process, also where its entry was missing", () => {
     const harness = startDesk();
-    restAll(harness, 3_000);
+    askAll(harness, 3_000);
     harness.advance(600);
     harness.feed({
       kind: "runners_read",
@@ -128,7 +128,7 @@
 
   it("keeps its back-off where its entry is missing for a moment", () => {
     const harness = startDesk();
-    restAll(harness, 3_000);
+    askAll(harness, 3_000);
     for (const runners of [[], createDesks()]) {
       harness.feed({
         kind: "runners_read",
@@ -143,9 +143,19 @@
       .equal([]);
   });
 
+  it("gets none before its end where this daemon was suspended meanwhile", () => {
+    const harness = startDesk();
+    askAll(harness, 3_000);
+    harness.feed({ kind: "clock_jumped", driftMs: 2_000 });
+    harness.advance(2_000);
+    publish(harness, { runners: createDesks() });
+    expect(effectsOf(sendRequest(harness, "r1"), "send_to_runner")).to.deep
+      .equal([]);
+  });
+
   it("gets no health checks of the planner", () => {
     const harness = startDesk();
-    restAll(harness, 3_000);
+    askAll(harness, 3_000);
     expect(effectsOf(harness.advance(2_000), "check_runner")).to.deep.equal([]);
   });
 });
@@ -153,7 +163,7 @@
 describe("a service whose runners all ask for a back-off", () => {
   it("refuses at once, and says when the first one may be asked again", () => {
     const harness = startDesk();
-    restAll(harness, 2_000);
+    askAll(harness, 2_000);
     const delays = Array.from({ length: 20 }, (_, index) => {
       const effects = sendRequest(harness, `r${index}`);
       return refusalOf(effects)!;
@@ -168,13 +178,13 @@
 
   it("tells those whose last attempt was refused the same", () => {
     const harness = startDesk();
-    const refusals = effectsOf(restAll(harness, 2_000), "refuse");
+    const refusals = effectsOf(askAll(harness, 2_000), "refuse");
     expect(refusals.at(-1)!.retryAfterMs).to.be.at.least(2_000);
   });
 
   it("answers those that wait as soon as they cannot be served in time", () => {
     const harness = startDesk();
-    restAll(harness, 20);
+    askAll(harness, 20);
     // The route's requests wait for 37 ms at most.
     const effects = sendRequest(harness, "r1");
     expect(refusalOf(effects)).to.equal(undefined);
