--- a/packages/core/src/health/backoff.ts
+++ b/packages/core/src/health/backoff.ts
@@ -39,8 +39,14 @@
   };
 }
 
-/** Ends the caution after a back-off: the target has answered, or another process has taken its place. */
+/** Ends the caution after a back-off, since the target has answered; an answer during it says nothing. */
 export function endBackoff(state: State, target: Target): void {
+  const { backoffUntil = Infinity } = target;
+  if (state.now >= backoffUntil) forgetBackoff(state, target);
+}
+
+/** Drops a back-off, since another process has taken the place of the one that asked for it. */
+export function forgetBackoff(state: State, target: Target): void {
   if (target.backoffUntil === undefined) return;
   target.backoffUntil = undefined;
   refreshTarget(state, target);
--- a/packages/core/src/health/members.ts
+++ b/packages/core/src/health/members.ts
@@ -13,7 +13,7 @@
 import type { MemberState, Pool, State, Target } from "../state/types.ts";
 import { evaluateReport } from "./ejection.ts";
 import { isCutOff } from "./own_path.ts";
-import { endBackoff } from "./backoff.ts";
+import { forgetBackoff } from "./backoff.ts";
 import { clearLeaving, markLeaving } from "./leaving.ts";
 import {
   changeTargetPhase,
@@ -82,7 +82,7 @@
   const isRestarted = member.incarnation !== undefined &&
     member.incarnation !== status.incarnation;
   if (isHead && isRestarted) {
-    endBackoff(state, target);
+    forgetBackoff(state, target);
     yield* confirmCrash(state, target.name);
   }
   if (isHead && !isRestarted) dismissCuts(state, target.name);
