--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -50,6 +50,11 @@
     "info",
     "request sent through another daemon, own path lost",
   ),
+  answer_unwritable: event(
+    1124,
+    "warn",
+    "answer has a header that cannot be written",
+  ),
   request_sent: event(1111, "info", "request sent to a runner"),
   batch_preempted: event(
     1108,
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -120,7 +120,7 @@
 ): Effects {
   const { request, outcome, isRelayable, side, refusal, isDisconnect } =
     failure;
-  if (isRelayable || outcome === "cancelled") return;
+  if (isRelayable || BLAMELESS_OUTCOMES.has(outcome)) return;
   const { runner, forwarder } = request.currentAttempt!;
   const { service } = request;
   if (neverArrived(failure)) request.unreachedRunners.add(runner);
@@ -162,6 +162,12 @@
   if (!isOwnPath) stats.avoidForwardedUntil = stats.avoidUntil;
 }
 
+/** Outcomes that tell nothing of a runner or of the path to it. */
+const BLAMELESS_OUTCOMES: ReadonlySet<Outcome> = new Set([
+  "cancelled",
+  "request_unwritable",
+]);
+
 /** Outcomes of attempts whose request never left. */
 const UNSENT_OUTCOMES: ReadonlySet<Outcome> = new Set([
   "connect_refused",
@@ -220,7 +226,9 @@
   gateway: Gateway,
   failure: FailedAttempt,
 ): { next: NextStep; charge?: RetryCharge } {
-  const { request } = failure;
+  const { request, outcome } = failure;
+  // The same would come of it at any other runner.
+  if (outcome === "request_unwritable") return { next: { kind: "end" } };
   const { route } = request;
   const remainingMs = request.expiresAt - state.now;
   const mayResend = (!request.mayHaveRun || canRepeat(route)) &&
--- a/packages/core/src/gateway/routed_request_test.ts
+++ b/packages/core/src/gateway/routed_request_test.ts
@@ -46,6 +46,7 @@
     ["connect_refused", 1, undefined],
     ["connect_timeout", 1, undefined],
     ["reset_before_send", 1, undefined],
+    ["request_unwritable", 0, "not_run"],
     ["status_not_run", 0, "not_run"],
     ["reset_after_send", 0, "may_have_run"],
     ["response_timeout", 0, "may_have_run"],
--- a/packages/core/src/verdict/types.ts
+++ b/packages/core/src/verdict/types.ts
@@ -13,6 +13,8 @@
   | "connect_timeout"
   | "tls_failed"
   | "reset_before_send"
+  /** Holds what no request over HTTP can carry. */
+  | "request_unwritable"
   | "reset_after_send"
   | "response_timeout"
   | "body_cut_off"
--- a/packages/core/src/verdict/verdict_table.ts
+++ b/packages/core/src/verdict/verdict_table.ts
@@ -11,6 +11,7 @@
   connect_timeout: "not_run",
   tls_failed: "not_run",
   reset_before_send: "not_run",
+  request_unwritable: "not_run",
   reset_after_send: "may_have_run",
   response_timeout: "may_have_run",
   body_cut_off: "may_have_run",
--- a/packages/daemon/src/backend/transport.ts
+++ b/packages/daemon/src/backend/transport.ts
@@ -6,6 +6,7 @@
 import type { Outcome } from "@primroseshed/core";
 import type { Socket } from "node:net";
 import { Agent, buildConnector, type Dispatcher, errors } from "undici";
+import { decodeHeaders, type Headers } from "../http/header_bytes.ts";
 
 /** Outcomes by the codes of errors that arise only before a connection exists. */
 const CONNECT_OUTCOMES: Readonly<Record<string, Outcome>> = {
@@ -23,6 +24,12 @@
   EPROTO: "tls_failed",
 };
 
+/** Codes of errors of the HTTP client about a request that it cannot write, whichever server it is for. */
+const UNWRITABLE_CODES: ReadonlySet<string> = new Set([
+  "UND_ERR_INVALID_ARG",
+  "UND_ERR_NOT_SUPPORTED",
+]);
+
 const TIMEOUT_CODES: ReadonlySet<string> = new Set([
   "UND_ERR_HEADERS_TIMEOUT",
   "UND_ERR_BODY_TIMEOUT",
@@ -40,6 +47,7 @@
   { sent, hasResponse = false }: { sent: boolean; hasResponse?: boolean },
 ): Outcome {
   const code = codeOf(error);
+  if (!sent && UNWRITABLE_CODES.has(code)) return "request_unwritable";
   if (!sent) return CONNECT_OUTCOMES[code] ?? "reset_before_send";
   if (TIMEOUT_CODES.has(code)) return "response_timeout";
   return hasResponse ? "body_cut_off" : "reset_after_send";
@@ -49,12 +57,9 @@
 export interface AttemptEvents {
   /** Called before the first byte of the request leaves. */
   onSend?(): void;
-  onHeaders(
-    status: number,
-    headers: Record<string, string | string[] | undefined>,
-  ): void;
+  onHeaders(status: number, headers: Headers): void;
   onData(chunk: Buffer): void;
-  onEnd(trailers: Record<string, string | string[] | undefined>): void;
+  onEnd(trailers: Headers): void;
   onFailure(outcome: Outcome): void;
 }
 
@@ -152,40 +157,46 @@
   request: AttemptRequest,
   { events }: { events: AttemptEvents },
 ): Attempt {
-  let controller: Dispatcher.DispatchController | undefined;
+  let abort: ((reason: Error) => void) | undefined;
+  let resume: (() => void) | undefined;
   let isOver = false;
   let isPaused = false;
   let hasResponse = false;
   let framed = false;
 
+  // Only handlers of this form get headers as bytes; the client decodes them as UTF-8 for those of the other one.
   agent.dispatch(request, {
-    onRequestStart(started) {
-      controller = started;
-      if (isOver) return started.abort(new Error("cancelled"));
+    onConnect(abortRequest) {
+      abort = abortRequest;
+      if (isOver) return abort(new Error("cancelled"));
       events.onSend?.();
     },
-    onResponseStart(_controller, status, headers) {
-      if (status < 200 || isOver) return;
+    onHeaders(status, rawHeaders, resumeResponse) {
+      resume = resumeResponse;
+      if (status < 200 || isOver) return true;
       hasResponse = true;
+      const headers = decodeHeaders(rawHeaders);
       framed = isFramed(headers);
       events.onHeaders(status, headers);
+      return !isPaused;
     },
-    onResponseData(_controller, chunk) {
+    onData(chunk) {
       if (!isOver) events.onData(chunk);
+      return !isPaused;
     },
-    onResponseEnd(_controller, trailers) {
+    onComplete(rawTrailers) {
       if (isOver) return;
       isOver = true;
       const isCut = currentSocketEvent === "error" ||
         (currentSocketEvent === "end" && framed);
       if (isCut) return events.onFailure("body_cut_off");
-      events.onEnd(trailers ?? {});
+      events.onEnd(decodeHeaders((rawTrailers ?? []) as unknown as Buffer[]));
     },
-    onResponseError(_controller, error) {
+    onError(error) {
       if (isOver) return;
       isOver = true;
       events.onFailure(
-        outcomeOfError(error, { sent: controller !== undefined, hasResponse }),
+        outcomeOfError(error, { sent: abort !== undefined, hasResponse }),
       );
     },
   });
@@ -194,17 +205,15 @@
     cancel() {
       if (isOver) return;
       isOver = true;
-      controller?.abort(new Error("cancelled"));
+      abort?.(new Error("cancelled"));
     },
     pause() {
-      if (isOver || isPaused) return;
-      isPaused = true;
-      controller?.pause();
+      if (!isOver) isPaused = true;
     },
     resume() {
       if (!isPaused) return;
       isPaused = false;
-      controller?.resume();
+      resume?.();
     },
   };
 }
--- a/packages/daemon/src/driver/driver.ts
+++ b/packages/daemon/src/driver/driver.ts
@@ -31,8 +31,13 @@
   state: State;
   /** Effects without a handler are reported as errors. */
   handlers: Partial<EffectHandlers>;
-  /** Called when the reducer or a handler throws; the event loop continues. */
-  onError(error: unknown): void;
+  /**
+   * Called when the reducer or a handler throws, then with the effect that has failed; the event loop continues.
+   *
+   * The reducer takes each effect for done, so whoever is told must keep later effects on the same matter from acting as
+   * if this one had been.
+   */
+  onError(error: unknown, failed?: Effect): void;
 }
 
 const MIN_SLEEP_MS = 1;
@@ -66,7 +71,7 @@
       }
       handler(effect);
     } catch (error) {
-      onError(error);
+      onError(error, effect);
     }
   }
 
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -101,6 +101,7 @@
       isStopping,
       connections,
       dispatch,
+      log,
     });
     relays.set(name, relay);
     response.once("close", () => {
--- a/packages/daemon/src/gateway/forward_headers.ts
+++ b/packages/daemon/src/gateway/forward_headers.ts
@@ -32,6 +32,8 @@
   "transfer-encoding",
   "content-length",
   "trailer",
+  "upgrade",
+  "expect",
   ORDER_HEADER,
   REFUSAL_HEADER,
   OUTCOME_HEADER,
--- a/packages/daemon/src/gateway/forward_listener.ts
+++ b/packages/daemon/src/gateway/forward_listener.ts
@@ -20,6 +20,7 @@
   startAttempt,
 } from "../backend/transport.ts";
 import { readBody } from "../http/body.ts";
+import { findUnwritable } from "../http/header_bytes.ts";
 import { fingerprintOf } from "../http/fingerprint.ts";
 import type { HeaderCodec, ResponseHeaders } from "./adapters.ts";
 import {
@@ -50,6 +51,8 @@
   handle(request: IncomingMessage, response: ServerResponse): void;
   forward(effect: Extract<Effect, { kind: "forward" }>): void;
   refuse(effect: Extract<Effect, { kind: "refuse_forward" }>): void;
+  /** Ends a request of which an effect has failed, so that its daemon gets no answer. */
+  abandon(request: string): void;
 }
 
 interface ForwardedRequest {
@@ -57,11 +60,14 @@
   request: IncomingMessage;
   response: ServerResponse;
   body: Buffer;
+  /** Attempt at the runner; undefined before its start. */
+  attempt?: Attempt;
 }
 
 /** Requests whose bodies are read at once. */
 const MAX_READING = 64;
 const MISSING_STATUS = 404;
+const NOTHING = Buffer.alloc(0);
 
 function hasSameBytes(left: string, right: string): boolean {
   const [a, b] = [Buffer.from(left), Buffer.from(right)];
@@ -81,7 +87,8 @@
   { headerCodec, agents, forwardKey, maxBodyBytes, dispatch, log }:
     ForwardListenerOptions,
 ): ForwardListener {
-  const waiting = new Map<string, ForwardedRequest>();
+  /** Requests that are open, by name. */
+  const open = new Map<string, ForwardedRequest>();
   let count = 0;
   let readingCount = 0;
 
@@ -124,7 +131,12 @@
     const name = `${id ?? "unnamed"}#forward${count}`;
     const host = request.headers.host ?? "";
     const path = request.url ?? "/";
-    waiting.set(name, { order, request, response, body });
+    open.set(name, { order, request, response, body });
+    response.once("close", () => {
+      open.get(name)?.attempt?.cancel();
+      open.delete(name);
+      dispatch({ kind: "forward_ended", request: name });
+    });
     dispatch({
       kind: "forward_arrived",
       request: name,
@@ -145,16 +157,11 @@
     });
   }
 
-  function take(name: string): ForwardedRequest | undefined {
-    const forwarded = waiting.get(name);
-    waiting.delete(name);
-    return forwarded;
-  }
-
   function send(
-    { order, request, response, body }: ForwardedRequest,
+    forwarded: ForwardedRequest,
     { address }: { address: string },
   ): Attempt {
+    const { order, request, response, body } = forwarded;
     const agent = order.isRepeatable ? agents.reusing : agents.fresh;
     return startAttempt(agent, {
       origin: `http://${address}`,
@@ -168,12 +175,19 @@
       events: {
         onHeaders(status, headers) {
           const { id } = headerCodec.readRequest(request.headers);
+          const passed = encodeForwardedHeaders(headers);
+          const unwritable = findUnwritable(passed);
+          if (unwritable !== undefined) {
+            log("answer_unwritable", { request: id, header: unwritable });
+            forwarded.attempt?.cancel();
+            return endWith(response, failureHead("broken_frame"));
+          }
           reportAnswer(order, id, { status, headers });
-          writeHead(response, status, headers);
+          writeHead(response, status, passed);
         },
         onData(chunk) {
           if (response.write(chunk)) return;
-          const { attempt } = response as PassedResponse;
+          const { attempt } = forwarded;
           attempt?.pause();
           response.once("drain", () => attempt?.resume());
         },
@@ -206,13 +220,12 @@
     headers: ResponseHeaders,
   ): void {
     response.statusCode = status;
-    for (
-      const [name, value] of Object.entries(encodeForwardedHeaders(headers))
-    ) {
+    for (const [name, value] of Object.entries(headers)) {
       if (value !== undefined) response.setHeader(name, value);
     }
     response.setHeader("transfer-encoding", "chunked");
-    response.flushHeaders();
+    // Sends the head as it is; `flushHeaders` would encode its values in UTF-8.
+    response.write(NOTHING);
   }
 
   function end(response: ServerResponse, outcome: Outcome | undefined): void {
@@ -223,28 +236,19 @@
   return {
     handle,
     forward({ request: name, address }) {
-      const forwarded = take(name);
-      const finish = () => dispatch({ kind: "forward_ended", request: name });
-      if (forwarded === undefined || forwarded.response.destroyed) {
-        // The reducer is not called from within its own effect.
-        return queueMicrotask(finish);
+      const forwarded = open.get(name);
+      if (forwarded !== undefined) {
+        forwarded.attempt = send(forwarded, { address });
       }
-      const { response } = forwarded;
-      const attempt = send(forwarded, { address });
-      (response as PassedResponse).attempt = attempt;
-      response.once("close", () => {
-        attempt.cancel();
-        finish();
-      });
     },
     refuse({ request: name, cause }) {
-      const forwarded = take(name);
+      const forwarded = open.get(name);
       if (forwarded !== undefined) {
         endWith(forwarded.response, refusalHead(cause));
       }
     },
+    abandon(name) {
+      open.get(name)?.response.destroy();
+    },
   };
 }
-
-/** A response with the attempt whose data it passes on. */
-type PassedResponse = ServerResponse & { attempt?: Attempt };
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Effect, EventBody } from "@primroseshed/core";
+import type { Effect, EventBody, LogEventName } from "@primroseshed/core";
 import {
   type Agents,
   type Attempt,
@@ -14,11 +14,13 @@
   startAttempt,
 } from "../backend/transport.ts";
 import type { CallerConnections } from "../http/caller_connections.ts";
+import { findUnwritable } from "../http/header_bytes.ts";
 import type {
   HeaderCodec,
   ResponseHeaders,
   ResponseMetadata,
 } from "./adapters.ts";
+import { createCallerAnswer } from "./caller_answer.ts";
 import { statusOfRefusal } from "./refusal_status.ts";
 import {
   decodeForwardedHeaders,
@@ -37,6 +39,8 @@
   cancel(attempt: number): void;
   refuse(effect: EffectOf<"refuse">): void;
   finish(): void;
+  /** Ends a request of which an effect has failed: the caller gets no answer, or can tell that it is not complete. */
+  abandon(): void;
 }
 
 /** Options of {@link createRelay}. */
@@ -56,6 +60,7 @@
   isStopping(): boolean;
   connections: CallerConnections;
   dispatch(event: EventBody): void;
+  log(event: LogEventName, fields?: Record<string, unknown>): void;
 }
 
 type ResponseFailure = Extract<EventBody, { kind: "response_failed" }>;
@@ -70,6 +75,8 @@
   attempt: Attempt | undefined;
   status: number;
   headers: ResponseHeaders;
+  /** Headers that its caller gets. */
+  relayedHeaders: ResponseHeaders;
   metadata: ResponseMetadata | undefined;
   chunks: Buffer[];
   size: number;
@@ -100,31 +107,23 @@
     headerCodec,
     connections,
     dispatch,
+    log,
   } = options;
+  const answer = createCallerAnswer(options);
   let current: UpstreamResponse | undefined;
-  let isRelaying = false;
   let isRelayFramed = true;
 
-  function closeIfStopping(): void {
-    if (options.isStopping()) connections.closeAfter(request, response);
-  }
-
-  function writeHead(upstream: UpstreamResponse): void {
-    isRelaying = true;
-    for (
-      const [header, value] of Object.entries(
-        headerCodec.responseHeaders(upstream.headers),
-      )
-    ) {
-      if (value !== undefined) response.setHeader(header, value);
-    }
-    closeIfStopping();
-    response.statusCode = upstream.status;
-    if (isFramed(upstream.headers)) return;
-    // The end of the connection delimits this response, so the caller must be able to see a truncation too.
-    isRelayFramed = false;
-    response.useChunkedEncodingByDefault = false;
-    response.shouldKeepAlive = false;
+  function beginAnswer(
+    upstream: UpstreamResponse,
+    { length }: { length?: number } = {},
+  ): void {
+    isRelayFramed = isFramed(upstream.headers);
+    answer.begin({
+      status: upstream.status,
+      headers: upstream.relayedHeaders,
+      length: isRelayFramed ? length : undefined,
+      isFramed: isRelayFramed,
+    });
   }
 
   function writeEvents(upstream: UpstreamResponse, bytes: Buffer): void {
@@ -154,7 +153,7 @@
     }
     if (complete === undefined) return;
     upstream.hasEvents = true;
-    if (!isRelaying) writeHead(upstream);
+    if (!answer.hasBegun()) beginAnswer(upstream);
     writeEvents(upstream, complete.bytes);
     const { lastEvent } = complete;
     dispatch({
@@ -200,12 +199,20 @@
       if (!forwarded.ok) return reportFailure(upstream, forwarded.failure);
       headers = forwarded.headers;
     }
+    const relayedHeaders = headerCodec.responseHeaders(headers);
+    const unwritable = findUnwritable(relayedHeaders);
+    if (unwritable !== undefined) {
+      const { number: attempt } = upstream;
+      log("answer_unwritable", { request: name, attempt, header: unwritable });
+      return fail(upstream, "broken_frame");
+    }
     const metadata = headerCodec.readResponse(status, headers, {
       id,
       isKept: upstream.isKept,
     });
     upstream.status = status;
     upstream.headers = headers;
+    upstream.relayedHeaders = relayedHeaders;
     upstream.metadata = metadata;
     dispatch({
       kind: "response_started",
@@ -230,13 +237,17 @@
   ): boolean {
     const isSuccess = isStream && metadata?.verdict === "ran";
     if (!isSuccess || isFramed(headers)) return false;
-    return !hasEvents || (isRelaying && isRelayFramed);
+    return !hasEvents || (answer.hasBegun() && isRelayFramed);
   }
 
-  /** Breaks off the relayed response so that the caller can tell that it is not complete. */
-  function breakOff(): void {
-    if (isRelayFramed) response.destroy();
-    else response.socket?.resetAndDestroy();
+  /** Returns the length of an answer's body; for a request without one, the length that the runner names. */
+  function lengthOf(
+    { headers }: UpstreamResponse,
+    body: Buffer,
+  ): number | undefined {
+    if (request.method !== "HEAD") return body.length;
+    const named = headers["content-length"];
+    return typeof named === "string" ? Number(named) : undefined;
   }
 
   function onEnd(upstream: UpstreamResponse, trailers: ResponseHeaders): void {
@@ -269,6 +280,7 @@
         attempt: undefined,
         status: 0,
         headers: {},
+        relayedHeaders: {},
         metadata: undefined,
         chunks: [],
         size: 0,
@@ -323,34 +335,39 @@
       });
     },
     relay(attempt) {
-      if (current?.number !== attempt || isRelaying) return;
+      if (current?.number !== attempt || answer.hasBegun()) return;
       if (current.isStream && current.metadata?.verdict === "ran") return;
-      writeHead(current);
       const whole = Buffer.concat(current.chunks);
-      if (isRelayFramed) response.setHeader("content-length", whole.length);
+      beginAnswer(current, { length: lengthOf(current, whole) });
       response.write(whole);
     },
     cancel(attempt) {
       if (current?.number === attempt) current.attempt?.cancel();
     },
     refuse(effect) {
-      if (isRelaying) {
-        breakOff();
-        return;
-      }
+      if (answer.hasBegun()) return answer.breakOff();
       const { code, message, verdict, retryAfterMs } = effect;
-      response.statusCode = statusOfRefusal(effect);
-      response.setHeader("content-type", "application/json");
+      const headers: ResponseHeaders = { "content-type": "application/json" };
       if (retryAfterMs !== undefined) {
-        response.setHeader("retry-after", String(retryAfterMs / MS_PER_SECOND));
+        headers["retry-after"] = String(retryAfterMs / MS_PER_SECOND);
       }
       if (effect.closesConnection) connections.closeAfter(request, response);
-      closeIfStopping();
-      response.end(JSON.stringify({ error: { code, message, verdict } }));
+      const body = JSON.stringify({ error: { code, message, verdict } });
+      answer.begin({
+        status: statusOfRefusal(effect),
+        headers,
+        length: Buffer.byteLength(body),
+        isFramed: true,
+      });
+      response.end(body);
     },
     finish() {
-      if (current !== undefined && !isRelaying) writeHead(current);
+      if (current !== undefined && !answer.hasBegun()) beginAnswer(current);
       response.end();
     },
+    abandon() {
+      current?.attempt?.cancel();
+      answer.breakOff();
+    },
   };
 }
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -188,6 +188,14 @@
     dispatch({ kind: "path_probed", runner, isReachable });
   }
 
+  /** Ends a request of which an effect has failed; its later effects find nothing to act on. */
+  function abandonRequest(request: string): void {
+    const relay = relays.get(request);
+    relays.delete(request);
+    relay?.abandon();
+    forwards.abandon(request);
+  }
+
   const handlers: Partial<EffectHandlers> = {
     send_to_runner: (effect) => relays.get(effect.request)?.send(effect),
     relay: ({ request, attempt }) => relays.get(request)?.relay(attempt),
@@ -239,10 +247,14 @@
   const driver = createDriver({
     state,
     handlers,
-    onError: (error) =>
-      log("internal_error", {
-        cause: error instanceof Error ? error.stack : String(error),
-      }),
+    onError(error, failed) {
+      const request = failed && "request" in failed
+        ? failed.request
+        : undefined;
+      const cause = error instanceof Error ? error.stack : String(error);
+      log("internal_error", { cause, effect: failed?.kind, request });
+      if (request !== undefined) abandonRequest(request);
+    },
   });
   const callers = createCallerListener({
     headerCodec: adapters.headerCodec,
--- a/packages/daemon/src/http/caller_app.ts
+++ b/packages/daemon/src/http/caller_app.ts
@@ -166,6 +166,7 @@
     const exchange = createChatExchange({
       id,
       chat,
+      request,
       response,
       agents,
       firstByteTimeoutMs: settings.timing.firstByteTimeoutMs,
@@ -238,6 +239,7 @@
       response,
       agents,
       dispatch,
+      log,
     });
     const { key, ...rest } = requestOptions;
     registerRequest(
--- a/packages/daemon/src/http/chat_exchange.ts
+++ b/packages/daemon/src/http/chat_exchange.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import {
   advanceCursor,
   type EventBody,
@@ -23,6 +23,7 @@
   startAttempt,
 } from "../backend/transport.ts";
 import { reportServer } from "../backend/server_report.ts";
+import { breakOff } from "./break_off.ts";
 import { createChatFormat, formatUsage, type Usage } from "./chat_format.ts";
 import type { ChatRequest } from "./chat_request.ts";
 import { errorBody, sendError, sendJson } from "./errors.ts";
@@ -32,6 +33,7 @@
 export interface ChatExchangeOptions {
   id: string;
   chat: ChatRequest;
+  request: IncomingMessage;
   response: ServerResponse;
   agents: Agents;
   firstByteTimeoutMs: number;
@@ -56,7 +58,7 @@
 
 /** Creates the exchange of one chat completion. */
 export function createChatExchange(options: ChatExchangeOptions): Exchange {
-  const { id, chat, response, agents, dispatch, log } = options;
+  const { id, chat, request, response, agents, dispatch, log } = options;
   const cursor: StreamCursor = { id, next: 0 };
   const format = createChatFormat({
     id,
@@ -311,6 +313,11 @@
       response.writeHead(stored.status, { "content-type": stored.contentType });
       response.end(stored.body);
     },
+    abandon() {
+      current?.attempt.cancel();
+      current = undefined;
+      breakOff(request, response);
+    },
   };
 }
 
--- a/packages/daemon/src/http/exchanges.ts
+++ b/packages/daemon/src/http/exchanges.ts
@@ -18,6 +18,8 @@
   refuse(effect: RefuseEffect): void;
   finish(): void;
   replay(response: StoredResponse): void;
+  /** Ends a request of which an effect has failed: the caller gets no answer, or can tell that it is not complete. */
+  abandon(): void;
 }
 
 /** Exchanges by request id. */
--- a/packages/daemon/src/http/peer_relay.ts
+++ b/packages/daemon/src/http/peer_relay.ts
@@ -19,7 +19,9 @@
 import { Agent } from "undici";
 import { type Attempt, startAttempt } from "../backend/transport.ts";
 import { readBody } from "./body.ts";
+import { breakOff } from "./break_off.ts";
 import { sendError } from "./errors.ts";
+import { findUnwritable, type Headers } from "./header_bytes.ts";
 import { forwardableHeaders, RELAYED_BY_HEADER } from "./request_headers.ts";
 
 /** Options of {@link createPeerRelay}. */
@@ -42,8 +44,6 @@
   stop(): void;
 }
 
-type HeaderMap = Record<string, string | string[] | undefined>;
-
 /** How a request fared at a daemon; `relayed` once its answer is on the way to the caller. */
 type Result =
   | { kind: "relayed" }
@@ -103,17 +103,22 @@
         bodyTimeout: 0,
       }, {
         events: {
-          onHeaders(status, received: HeaderMap) {
+          onHeaders(status, received: Headers) {
             const isRefusal = status === NOT_SERVING_STATUS &&
               received["primrose-verdict"] === "not_run";
             if (isRefusal) {
               attempt.cancel();
               return fail("status_not_run");
             }
-            response.writeHead(
-              status,
-              forwardableHeaders(received, { consume: false }),
-            );
+            const passed = forwardableHeaders(received, { consume: false });
+            const unwritable = findUnwritable(passed);
+            if (unwritable !== undefined) {
+              const { name: peerName } = peer;
+              log("answer_unwritable", { peer: peerName, header: unwritable });
+              attempt.cancel();
+              return fail("broken_frame");
+            }
+            response.writeHead(status, passed);
             resolve({ kind: "relayed" });
           },
           onData(chunk) {
@@ -123,8 +128,7 @@
           },
           onEnd: () => void response.end(),
           onFailure(outcome) {
-            // Only a broken connection tells the caller that the answer is incomplete.
-            if (response.headersSent) response.destroy();
+            if (response.headersSent) breakOff(request, response);
             fail(outcome);
           },
         },
--- a/packages/daemon/src/http/request_headers.ts
+++ b/packages/daemon/src/http/request_headers.ts
@@ -70,9 +70,10 @@
   };
 }
 
-/** Headers that apply to one connection and are never forwarded. */
+/** Headers that apply to one connection, or to what is asked of the daemon itself, and are never forwarded. */
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
   "connection",
+  "expect",
   "keep-alive",
   "proxy-authenticate",
   "proxy-authorization",
@@ -88,7 +89,6 @@
 const CONSUMED: ReadonlySet<string> = new Set([
   "authorization",
   "host",
-  "expect",
   "content-length",
   RELAYED_BY_HEADER,
 ]);
--- a/packages/daemon/src/http/service_exchange.ts
+++ b/packages/daemon/src/http/service_exchange.ts
@@ -7,6 +7,7 @@
 import { Readable } from "node:stream";
 import {
   type EventBody,
+  type LogEventName,
   type Outcome,
   outcomeOfStatus,
   type ServiceDeployment,
@@ -22,8 +23,10 @@
 } from "../backend/transport.ts";
 import { reportServer } from "../backend/server_report.ts";
 import type { BodyStart } from "./body.ts";
+import { breakOff } from "./break_off.ts";
 import { sendError } from "./errors.ts";
 import type { Exchange, SendEffect } from "./exchanges.ts";
+import { findUnwritable, type Headers } from "./header_bytes.ts";
 import { forwardableHeaders } from "./request_headers.ts";
 
 /** Options of {@link createServiceExchange}. */
@@ -40,13 +43,12 @@
   response: ServerResponse;
   agents: Agents;
   dispatch(event: EventBody): void;
+  log(event: LogEventName, fields: Record<string, unknown>): void;
 }
 
 /** Statuses of a gateway in front of the service; an idempotent call is retried on another backend server. */
 const RETRIED_STATUSES: ReadonlySet<number> = new Set([502, 503, 504]);
 
-type HeaderMap = Record<string, string | string[] | undefined>;
-
 async function* streamBody(
   start: BodyStart,
   request: IncomingMessage,
@@ -84,15 +86,23 @@
     });
   }
 
-  function forwardHeaders(status: number, headers: HeaderMap): void {
+  /** Writes the head of an answer; returns false, and writes nothing, where a header cannot be written. */
+  function forwardHeaders(status: number, headers: Headers): boolean {
+    const forwarded = forwardableHeaders(headers, { consume: false });
+    const header = findUnwritable(forwarded);
+    if (header !== undefined) {
+      options.log("answer_unwritable", { request: id, header });
+      return false;
+    }
     const verdict = verdictOf(
       outcomeOfStatus(status, deployment.notRunStatuses),
     );
     response.writeHead(status, {
-      ...forwardableHeaders(headers, { consume: false }),
+      ...forwarded,
       "primrose-verdict": verdict,
       "primrose-request-id": id,
     });
+    return true;
   }
 
   function forwardData(chunk: Buffer): void {
@@ -161,7 +171,10 @@
               dispatch,
             });
             failure = failureOutcomeOf(received);
-            if (failure === undefined) forwardHeaders(received, headers);
+            if (failure !== undefined) return;
+            if (!forwardHeaders(received, headers)) {
+              endAttempt(number, "broken_frame");
+            }
           },
           onData(chunk) {
             if (failure === undefined) forwardData(chunk);
@@ -189,13 +202,17 @@
     refuse(effect) {
       current?.attempt.cancel();
       current = undefined;
-      // The headers are sent, so only a broken connection tells the caller that the response is incomplete.
-      if (response.headersSent) response.destroy();
+      if (response.headersSent) breakOff(request, response);
       else sendError(response, effect);
     },
     finish() {
       response.end();
     },
+    abandon() {
+      current?.attempt.cancel();
+      current = undefined;
+      breakOff(request, response);
+    },
     replay({ status, contentType, body }) {
       response.writeHead(status, {
         "content-type": contentType,
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -24,6 +24,7 @@
   SNAPSHOT_STREAM,
 } from "./log_service/log_client.ts";
 export * from "./gateway/adapters.ts";
+export { encodeHeaderText } from "./http/header_bytes.ts";
 export { parseBackoff, parseLeaving } from "./backend/server_report.ts";
 export {
   type GatewaySettingsFile,
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -113,6 +113,13 @@
     if (exchange !== undefined) act(exchange);
   }
 
+  /** Ends a request of which an effect has failed; its later effects find nothing to act on. */
+  function abandonRequest(request: string): void {
+    const exchange = exchanges.get(request);
+    exchanges.delete(request);
+    exchange?.abandon();
+  }
+
   const handlers: Partial<EffectHandlers> = {
     send: (effect) =>
       withExchange((exchange) => exchange.send(effect), effect.request),
@@ -152,10 +159,15 @@
   const driver = createDriver({
     state,
     handlers,
-    onError: (error) =>
-      logger.write("internal_error", {
-        cause: error instanceof Error ? error.stack : String(error),
-      }),
+    onError(error, failed) {
+      const request = failed && "request" in failed
+        ? failed.request
+        : undefined;
+      const cause = error instanceof Error ? error.stack : String(error);
+      const effect = failed?.kind;
+      logger.write("internal_error", { cause, effect, request });
+      if (request !== undefined) abandonRequest(request);
+    },
   });
   const write: Logger["write"] = (event, fields) => logger.write(event, fields);
   const sendOrder = createOrderSender({ agent: agents.reusing, log: write });
--- a/packages/system_tests/src/client.ts
+++ b/packages/system_tests/src/client.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import { Buffer } from "node:buffer";
+import { request as httpRequest } from "node:http";
 import type { Daemon } from "@primroseshed/daemon";
 import { CALLER_KEYS } from "@primroseshed/stand_ins";
 
@@ -68,6 +70,29 @@
   });
 }
 
+/** Sends a body to a service that returns it with its content type, a byte for each character of that. */
+export function echo(
+  daemon: Daemon,
+  { body, ...headers }: { body: string } & Record<string, string>,
+): Promise<{ status: number; type: string | undefined; text: string }> {
+  return new Promise((resolve, reject) => {
+    const url = `${daemon.addresses.callers}/services/lending/echo`;
+    const options = { method: "POST", headers: createHeaders(headers) };
+    const request = httpRequest(url, options, async (response) => {
+      const chunks: Buffer[] = [];
+      for await (const chunk of response) chunks.push(chunk as Buffer);
+      resolve({
+        status: response.statusCode!,
+        type: response.headers["content-type"],
+        text: Buffer.concat(chunks).toString(),
+      });
+    });
+    request.on("error", reject);
+    // Node would encode the headers in UTF-8 with a body that is a string.
+    request.end(Buffer.from(body));
+  });
+}
+
 /** Content of a finished stream. */
 export interface StreamContent {
   text: string;
--- a/packages/system_tests/src/lost_path_test.ts
+++ b/packages/system_tests/src/lost_path_test.ts
@@ -5,7 +5,7 @@
   waitUntil,
 } from "@primroseshed/stand_ins";
 import { expect } from "chai";
-import { book, chat, type ErrorBody } from "./client.ts";
+import { book, chat, echo, type ErrorBody } from "./client.ts";
 import { startTestSystem } from "./fixture.ts";
 
 /** Longer than the time after which a planner presumes a silent member dead, ms. */
@@ -76,6 +76,25 @@
     );
   });
 
+  // Guards against the class of case 1 of the review, and against a relayed request that cannot be sent for its `Expect`.
+  it("passes on the bytes of headers as they are, and requests that expect to be continued", async () => {
+    cut(0);
+    await new Promise((resolve) => setTimeout(resolve, CUT_KNOWN_MS));
+    for (
+      const { type, ...headers } of [
+        { type: "text/\u00f0lain" },
+        { type: "text/plain", expect: "100-continue" },
+      ]
+    ) {
+      const answer = await echo(system.daemons[0]!, {
+        "content-type": type,
+        ...headers,
+        body: "hello",
+      });
+      expect(answer).to.deep.equal({ status: 200, type, text: "hello" });
+    }
+  });
+
   it("does not say that a booking has not run where the other daemon breaks off", async () => {
     cut(0);
     await new Promise((resolve) => setTimeout(resolve, CUT_KNOWN_MS));
--- a/packages/system_tests/src/service_test.ts
+++ b/packages/system_tests/src/service_test.ts
@@ -6,7 +6,7 @@
   waitUntil,
 } from "@primroseshed/stand_ins";
 import { expect } from "chai";
-import { book, createHeaders, type ErrorBody } from "./client.ts";
+import { book, createHeaders, echo, type ErrorBody } from "./client.ts";
 import { startTestSystem } from "./fixture.ts";
 
 describe("plain services", () => {
@@ -30,6 +30,16 @@
     expect(await response.text()).to.equal("hello");
   });
 
+  // Guards against the class of case 1 of the review (MIXED): a header whose bytes are no UTF-8 cost the whole answer.
+  it("forwards the bytes of headers as they are", async () => {
+    const type = "text/\u00f0lain";
+    const answer = await echo(system.daemons[0]!, {
+      "content-type": type,
+      body: "hello",
+    });
+    expect(answer).to.deep.equal({ status: 200, type, text: "hello" });
+  });
+
   it("streams a large body in both directions", async () => {
     const body = "0123456789abcdef".repeat(64 * 1024);
     const response = await fetch(`${callersAddress()}/services/lending/echo`, {
