--- a/packages/daemon/src/command_line.ts
+++ b/packages/daemon/src/command_line.ts
@@ -17,6 +17,8 @@
   stop(): void;
   /** Applies changed settings. */
   reload(settings: S): void;
+  /** Logs an error that nothing in the daemon has handled. */
+  reportError(error: unknown): void;
   stopped: Promise<unknown>;
 }
 
@@ -54,6 +56,8 @@
     return EXIT_CODES.ok;
   }
   const daemon = await start(settings);
+  // Work that nothing waits for may fail; the requests of all callers must not end with it.
+  process.on("unhandledRejection", (error) => daemon.reportError(error));
   for (const signal of ["SIGTERM", "SIGINT"] as const) {
     process.on(signal, () => daemon.stop());
   }
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -45,6 +45,8 @@
   stop(): void;
   /** Applies the log level of changed settings; the others keep their values until the next start. */
   reload(changed: GatewaySettingsFile): void;
+  /** Logs an error that nothing in the daemon has handled. */
+  reportError(error: unknown): void;
   /** Stops at once and aborts the requests in flight. */
   kill(): void;
   /** Resolves with the number of interrupted requests once the gateway has stopped. */
@@ -172,11 +174,17 @@
     dispatch({ kind: "runner_checked", runner, status, report });
   }
 
+  function reportError(
+    error: unknown,
+    fields: { effect?: string | undefined; request?: string | undefined } = {},
+  ): void {
+    const cause = error instanceof Error ? error.stack : String(error);
+    log("internal_error", { cause, ...fields });
+  }
+
   /** Runs work that nothing waits for; a failure of an adapter must not end the process. */
   function runDetached(work: Promise<void>): void {
-    work.catch((error: Error) =>
-      log("internal_error", { cause: error.stack ?? String(error) })
-    );
+    work.catch((error) => reportError(error));
   }
 
   async function probe(runner: string, address: string): Promise<void> {
@@ -251,8 +259,7 @@
       const request = failed && "request" in failed
         ? failed.request
         : undefined;
-      const cause = error instanceof Error ? error.stack : String(error);
-      log("internal_error", { cause, effect: failed?.kind, request });
+      reportError(error, { effect: failed?.kind, request });
       if (request !== undefined) abandonRequest(request);
     },
   });
@@ -348,6 +355,7 @@
       logger.setLevel(changed.log.level);
       log("settings_reloaded", { level: changed.log.level });
     },
+    reportError: (error) => reportError(error),
     kill: () => shutDown(state.gateway!.requests.size),
     stopped,
   };
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -14,6 +14,7 @@
     return {
       stop: () => daemon.stop(),
       reload: ({ peerKey }) => daemon.setPeerKey(peerKey),
+      reportError: daemon.reportError,
       stopped: daemon.stopped,
     };
   },
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -47,6 +47,8 @@
   addresses: Addresses;
   /** Begins a graceful stop; a second call shortens it. */
   stop(): void;
+  /** Logs an error that nothing in the daemon has handled. */
+  reportError(error: unknown): void;
   /** Replaces the peers' key for new connections. */
   setPeerKey(key: string): void;
   /** Resolves with the number of interrupted requests once the daemon has stopped. */
@@ -113,6 +115,14 @@
     if (exchange !== undefined) act(exchange);
   }
 
+  function reportError(
+    error: unknown,
+    fields: { effect?: string | undefined; request?: string | undefined } = {},
+  ): void {
+    const cause = error instanceof Error ? error.stack : String(error);
+    logger.write("internal_error", { cause, ...fields });
+  }
+
   /** Ends a request of which an effect has failed; its later effects find nothing to act on. */
   function abandonRequest(request: string): void {
     const exchange = exchanges.get(request);
@@ -163,9 +173,7 @@
       const request = failed && "request" in failed
         ? failed.request
         : undefined;
-      const cause = error instanceof Error ? error.stack : String(error);
-      const effect = failed?.kind;
-      logger.write("internal_error", { cause, effect, request });
+      reportError(error, { effect: failed?.kind, request });
       if (request !== undefined) abandonRequest(request);
     },
   });
@@ -282,6 +290,7 @@
       stopCalls += 1;
       dispatch({ kind: "stop_ordered", immediate: stopCalls > 1 });
     },
+    reportError: (error) => reportError(error),
     setPeerKey: (key) => mesh.setKey(key),
     stopped,
   };
