--- a/packages/daemon/src/gateway/caller_answer.ts
+++ b/packages/daemon/src/gateway/caller_answer.ts
@@ -1,5 +1,9 @@
 /**
- * Writes the answer to a caller's request: its head whole or not at all.
+ * Writes the answer to a caller's request: its head whole or not at all, and framed so that its end shows.
+ *
+ * Where a runner ends its answer with the connection, callers of HTTP/1.1 get a length or chunks, so that they can tell
+ * the whole answer from one that the death of this process has cut. An answer without a length to a caller of HTTP/1.0
+ * can only end with its connection; a reset tells such a caller that the answer was broken off.
  *
  * @module
  */
@@ -15,8 +19,6 @@
   headers: ResponseHeaders;
   /** Length of the body, bytes; undefined where it is not known yet. */
   length: number | undefined;
-  /** False where only the end of the connection ends the answer. */
-  isFramed: boolean;
 }
 
 /** Answer to one request of a caller. */
@@ -51,25 +53,20 @@
  * @example
  * ```ts
  * const answer = createCallerAnswer({ request, response, connections, isStopping });
- * answer.begin({ status: 200, headers: { "content-type": "text/plain" }, length: 2, isFramed: true });
+ * answer.begin({ status: 200, headers: { "content-type": "text/plain" }, length: 2 });
  * response.end("ok");
  * ```
  */
 export function createCallerAnswer(
   { request, response, connections, isStopping }: CallerAnswerOptions,
 ): CallerAnswer {
-  function setHeaders(
-    { status, headers, length, isFramed }: AnswerHead,
-  ): void {
+  function setHeaders({ status, headers, length }: AnswerHead): void {
     for (const [name, value] of Object.entries(headers)) {
       if (value !== undefined) response.setHeader(name, value);
     }
     const hasLength = length !== undefined && !BODILESS_STATUSES.has(status);
     // Node changes the bytes of some values that come after the length.
     if (hasLength) response.setHeader("content-length", length);
-    if (isFramed) return;
-    response.useChunkedEncodingByDefault = false;
-    response.shouldKeepAlive = false;
   }
 
   return {
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -169,6 +169,8 @@
     while (readingCount + relays.size > 0 && Date.now() < deadline) {
       await new Promise((resolve) => setTimeout(resolve, CLOSE_CHECK_MS));
     }
+    // A connection that closes in order could end an answer without a length as if it were complete.
+    for (const relay of [...relays.values()]) relay.abandon();
     server.closeAllConnections();
   }
   return { server, setLimits, limits: () => limits, close };
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -111,19 +111,12 @@
   } = options;
   const answer = createCallerAnswer(options);
   let current: UpstreamResponse | undefined;
-  let isRelayFramed = true;
 
   function beginAnswer(
-    upstream: UpstreamResponse,
+    { status, relayedHeaders: headers }: UpstreamResponse,
     { length }: { length?: number } = {},
   ): void {
-    isRelayFramed = isFramed(upstream.headers);
-    answer.begin({
-      status: upstream.status,
-      headers: upstream.relayedHeaders,
-      length: isRelayFramed ? length : undefined,
-      isFramed: isRelayFramed,
-    });
+    answer.begin({ status, headers, length });
   }
 
   function writeEvents(upstream: UpstreamResponse, bytes: Buffer): void {
@@ -228,16 +221,12 @@
     if (metadata.isForeign) fail(upstream, "foreign_answer");
   }
 
-  /**
-   * Returns true if a stream ends only with its connection and is probably cut off: it has no event, or it was resumed
-   * and the relayed stream, which is framed, would look complete.
-   */
+  /** Returns true if a stream ends only with its connection and before its first event, so that it is probably cut. */
   function isEndAmbiguous(
     { isStream, headers, metadata, hasEvents }: UpstreamResponse,
   ): boolean {
     const isSuccess = isStream && metadata?.verdict === "ran";
-    if (!isSuccess || isFramed(headers)) return false;
-    return !hasEvents || (answer.hasBegun() && isRelayFramed);
+    return isSuccess && !hasEvents && !isFramed(headers);
   }
 
   /** Returns the length of an answer's body; for a request without one, the length that the runner names. */
@@ -353,12 +342,8 @@
       }
       if (effect.closesConnection) connections.closeAfter(request, response);
       const body = JSON.stringify({ error: { code, message, verdict } });
-      answer.begin({
-        status: statusOfRefusal(effect),
-        headers,
-        length: Buffer.byteLength(body),
-        isFramed: true,
-      });
+      const length = Buffer.byteLength(body);
+      answer.begin({ status: statusOfRefusal(effect), headers, length });
       response.end(body);
     },
     finish() {
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -248,6 +248,7 @@
     mesh.stop();
     relay.stop();
     for (const server of [callers, operators]) server.close();
+    for (const exchange of [...exchanges.values()]) exchange.abandon();
     callers.closeAllConnections();
     operators.closeIdleConnections();
     driver.stop();
