--- a/packages/core/src/formation/demand.ts
+++ b/packages/core/src/formation/demand.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import { addSample, createAverage } from "../util/ewma.ts";
+import { tupleKey } from "../util/tuple_key.ts";
 import { DEMAND_WEIGHT } from "./constants.ts";
 import type { GroupView } from "./group_view.ts";
 import type { GroupPlanner } from "./types.ts";
@@ -30,21 +31,22 @@
 ): void {
   const requests = new Map<string, number>();
   for (const view of views) {
-    const known = requests.get(view.model.name) ?? 0;
-    requests.set(view.model.name, known + countRequests(groupPlanner, view));
+    const key = tupleKey(view.service, view.model.name);
+    const known = requests.get(key) ?? 0;
+    requests.set(key, known + countRequests(groupPlanner, view));
   }
-  for (const [model, count] of requests) {
-    const mean = groupPlanner.demand.get(model) ?? createAverage(0);
+  for (const [key, count] of requests) {
+    const mean = groupPlanner.demand.get(key) ?? createAverage(0);
     addSample(mean, count, { weight: DEMAND_WEIGHT });
-    groupPlanner.demand.set(model, mean);
+    groupPlanner.demand.set(key, mean);
   }
 }
 
-/** Returns the mean demand for a model; undefined before it had any requests. */
+/** Returns the mean demand for a model of a service; undefined before it had any requests. */
 export function demandOf(
   { demand }: GroupPlanner,
-  model: string,
+  { service, model }: { service: string; model: string },
 ): number | undefined {
-  const mean = demand.get(model)?.value;
+  const mean = demand.get(tupleKey(service, model))?.value;
   return mean === undefined || mean < 1 ? undefined : mean;
 }
--- a/packages/core/src/formation/group_view.ts
+++ b/packages/core/src/formation/group_view.ts
@@ -9,6 +9,7 @@
 
 /** A replica group as its members report it, or as it is planned. */
 export interface GroupView {
+  service: string;
   name: string;
   epoch: number;
   model: Model;
@@ -32,9 +33,19 @@
   return [model, term, count].join(NAME_SEPARATOR);
 }
 
-/** Returns the model's name from a group's name. */
-function modelOfGroup(name: string): string {
-  return name.split(NAME_SEPARATOR)[0]!;
+/** Name of a group: that of its model, which may hold any character, then term and count. */
+const NAME_PATTERN = /^(.+):\d+:\d+$/s;
+
+/**
+ * Returns the model's name from a group's name; undefined where no planner has made that.
+ *
+ * @example
+ * ```ts
+ * modelOfGroup("qwen:72b:3:1"); // "qwen:72b"
+ * ```
+ */
+export function modelOfGroup(name: string): string | undefined {
+  return NAME_PATTERN.exec(name)?.[1];
 }
 
 /** Returns whether a runner is presumed dead, after consecutive failed health checks. */
@@ -69,6 +80,7 @@
     epochs.set(membership.group, Math.max(epoch, membership.epoch));
   }
   for (const [name, planned] of groupPlanner.plannedGroups) {
+    if (planned.service !== service) continue;
     const epoch = epochs.get(name);
     if (epoch !== undefined && epoch > planned.epoch) {
       groupPlanner.plannedGroups.delete(name);
@@ -78,9 +90,10 @@
   }
   const views: GroupView[] = [];
   for (const [name, epoch] of epochs) {
-    const model = models.find((each) => each.name === modelOfGroup(name));
-    if (model === undefined) continue;
     const planned = groupPlanner.plannedGroups.get(name);
+    const modelName = planned?.model ?? modelOfGroup(name);
+    const model = models.find((each) => each.name === modelName);
+    if (model === undefined) continue;
     const members = Array.from(
       { length: model.size },
       (_, rank) =>
@@ -96,7 +109,7 @@
       groupPlanner.plannedGroups.delete(name);
       continue;
     }
-    views.push({ name, epoch, model, domain, members });
+    views.push({ service, name, epoch, model, domain, members });
   }
   return views;
 }
--- a/packages/core/src/formation/health_checks_test.ts
+++ b/packages/core/src/formation/health_checks_test.ts
@@ -14,6 +14,7 @@
 function createViews(groups: number): GroupView[] {
   const model = MODELS[1]!;
   return Array.from({ length: groups }, (_, group) => ({
+    service: "llm",
     name: `${model.name}:1:${group}`,
     epoch: 1,
     model,
--- a/packages/core/src/formation/plan.ts
+++ b/packages/core/src/formation/plan.ts
@@ -76,7 +76,12 @@
   if (isLikelyPartitioned(state, views)) return;
   measureDemand(state.gateway!.groupPlanner, views);
   const domains = summarizeDomains(state, { service, views });
-  const round: PlanningRound = { engine, views, domains };
+  const round: PlanningRound = {
+    service: service.name,
+    engine,
+    views,
+    domains,
+  };
   for (const view of views) yield* reconcileGroup(state, round, view);
   yield* formGroups(state, round);
   if (!isStabilizing(state)) yield* orderWeightLoads(state, round);
@@ -110,10 +115,12 @@
  */
 function resolveDemand(
   state: State,
-  { models }: EngineProfile,
+  { service, engine: { models } }: PlanningRound,
 ): Map<string, number> {
   const { groupPlanner } = state.gateway!;
-  const measured = models.map(({ name }) => demandOf(groupPlanner, name));
+  const measured = models.map(({ name }) =>
+    demandOf(groupPlanner, { service, model: name })
+  );
   const isMeasured = measured.every((each) => each !== undefined);
   const expected = ({ share, size, pace }: Model) =>
     Math.max(MIN_MODEL_SHARE, share / (size * Math.sqrt(pace)));
@@ -129,7 +136,7 @@
 function* formGroups(state: State, round: PlanningRound): Effects {
   const { groupPlanner } = state.gateway!;
   const { models } = round.engine;
-  const demand = resolveDemand(state, round.engine);
+  const demand = resolveDemand(state, round);
   for (
     const model of sortByNeed([...round.domains.values()], { models, demand })
   ) {
@@ -141,7 +148,12 @@
       const name = groupName(model.name, groupPlanner.leadership.term!, {
         count: groupPlanner.groupCount,
       });
-      yield* orderJoins(state, { name, model, members });
+      yield* orderJoins(state, {
+        service: round.service,
+        name,
+        model,
+        members,
+      });
     }
   }
 }
@@ -158,7 +170,7 @@
   const { engine } = round;
   const { models } = engine;
   const domains = [...round.domains.values()];
-  const demand = resolveDemand(state, engine);
+  const demand = resolveDemand(state, round);
   while (true) {
     const staging = nextStaging(domains, { models, demand });
     if (staging === undefined) return;
--- a/packages/core/src/formation/plan_test.ts
+++ b/packages/core/src/formation/plan_test.ts
@@ -1,10 +1,15 @@
 import { expect } from "chai";
+import fc from "fast-check";
 import {
+  createDocument,
   createDomain,
   createHarness,
   effectsOf,
+  ENGINE,
   publish,
 } from "../gateway/test_fixture.ts";
+import type { Model, Runner } from "../gateway/types.ts";
+import { groupName, modelOfGroup } from "./group_view.ts";
 import { createSimulatedPool, openGroups } from "./test_pool.ts";
 
 describe("layout at the first start", () => {
@@ -225,3 +230,92 @@
     expect(pool.violations).to.deep.equal([]);
   });
 });
+
+/** A model of two members, and one of four whose name begins with its name and a colon. */
+const SIBLINGS: Model[] = [
+  { name: "qwen", size: 2, share: 0.5, pace: 1, loadMs: 1_000 },
+  { name: "qwen:72b", size: 4, share: 0.5, pace: 1, loadMs: 1_000 },
+];
+
+/** Starts a pool whose services have these models. */
+function startServices(
+  services: Record<string, Model[]>,
+  runners: Runner[],
+) {
+  const harness = createHarness();
+  const document = createDocument({
+    services: Object.entries(services).map(([name, models]) => ({
+      name,
+      engine: { ...ENGINE, models },
+    })),
+  });
+  publish(harness, { runners, document });
+  return { harness, pool: createSimulatedPool(harness, { runners }) };
+}
+
+const domainsOf = (count: number) =>
+  Array.from({ length: count }, (_, index) => createDomain(`d${index}`, 12))
+    .flat();
+
+describe("names of models, services and groups", () => {
+  // Guards against case 5 of the review (PARTIAL): "qwen:72b" was taken for "qwen", and opened before all had joined.
+  it("do not make a group one of the model named before the colon", () => {
+    const { pool } = startServices({ llm: SIBLINGS }, domainsOf(3));
+    const slow = new Set(
+      [...pool.runners.keys()].filter((_, index) => index % 3 === 0),
+    );
+    pool.delaysOrdersTo = (id) => slow.has(id);
+    for (let round = 0; round < 10; round += 1) {
+      pool.run(2_000);
+      pool.releaseOrders();
+    }
+    pool.delaysOrdersTo = () => false;
+    pool.run(20_000);
+    expect(pool.violations).to.deep.equal([]);
+    const models = openGroups(pool).map(modelOfGroup);
+    expect(models).to.include.members(["qwen", "qwen:72b"]);
+  });
+
+  // Guards against a model that is never served, since no model has the name before the colon.
+  it("let a model be served whose name has a colon and no sibling", () => {
+    const { pool } = startServices({ llm: [SIBLINGS[1]!] }, domainsOf(1));
+    pool.run(20_000);
+    expect(openGroups(pool).length).to.equal(3);
+  });
+
+  // Guards against groups of one service that are planned as those of another with a model of the same name.
+  it("keep the groups of two services apart whose models have the same name", () => {
+    const sizes = { llm: 2, vision: 4 };
+    const services = Object.fromEntries(
+      Object.entries(sizes).map(([name, size]) => [
+        name,
+        [{ ...SIBLINGS[0]!, size }],
+      ]),
+    );
+    const runners = domainsOf(2).map((runner, index) => ({
+      ...runner,
+      service: index % 2 === 0 ? "llm" : "vision",
+    }));
+    const { pool } = startServices(services, runners);
+    pool.run(20_000);
+    expect(pool.violations).to.deep.equal([]);
+    const open = [...pool.runners.values()].filter(({ membership }) =>
+      membership?.state === "open"
+    ).map(({ service }) => service);
+    expect(open.filter((each) => each === "llm").length).to.equal(6);
+    expect(open.filter((each) => each === "vision").length).to.equal(2);
+  });
+
+  it("are read back from a group's name as they were put in", () => {
+    const model = fc.oneof(
+      fc.string({ unit: fc.constantFrom(..."a:0\n"), minLength: 1 }),
+      fc.string({ unit: "binary", minLength: 1 }),
+    );
+    fc.assert(
+      fc.property(model, fc.nat(), fc.nat(), (name, term, count) => {
+        expect(modelOfGroup(groupName(name, term, { count }))).to.equal(name);
+      }),
+    );
+    expect(modelOfGroup("g7")).to.equal(undefined);
+  });
+});
--- a/packages/core/src/formation/repair.ts
+++ b/packages/core/src/formation/repair.ts
@@ -17,6 +17,7 @@
 
 /** Input of one round of planning for a service. */
 export interface PlanningRound {
+  service: string;
   engine: EngineProfile;
   views: GroupView[];
   domains: Map<string, DomainView>;
@@ -107,7 +108,8 @@
     return yield* dissolveGroup(state, { view, survivors });
   }
   const members = [...survivors, ...substitutes];
-  yield* orderJoins(state, { name: view.name, model, members });
+  const { service, name } = view;
+  yield* orderJoins(state, { service, name, model, members });
 }
 
 /** Returns whether a member is alive and belongs to no other group. */
@@ -121,12 +123,18 @@
 /** Orders members to join a group under a new epoch. */
 export function* orderJoins(
   state: State,
-  { name, model, members }: { name: string; model: Model; members: Runner[] },
+  { service, name, model, members }: {
+    service: string;
+    name: string;
+    model: Model;
+    members: Runner[];
+  },
 ): Effects {
   const { groupPlanner } = state.gateway!;
   const epoch = nextFence(groupPlanner);
   const ids = members.map(({ id }) => id);
   groupPlanner.plannedGroups.set(name, {
+    service,
     epoch,
     model: model.name,
     members: ids,
--- a/packages/core/src/formation/types.ts
+++ b/packages/core/src/formation/types.ts
@@ -106,6 +106,7 @@
 
 /** Planned members of a group. */
 export interface PlannedGroup {
+  service: string;
   epoch: number;
   model: string;
   /** Ids, the head first. */
@@ -121,7 +122,7 @@
   /** Groups that were planned in the current term, by name. */
   plannedGroups: Map<string, PlannedGroup>;
   healthChecks: Map<string, HealthCheck>;
-  /** Mean number of requests of each model's groups. */
+  /** Mean number of requests of each model's groups, by service and model. */
   demand: Map<string, Average>;
   /** Weight loads that may begin now, as of `weightLoadAllowanceAt`. */
   weightLoadAllowance: number;
--- a/packages/core/src/gateway/occupancy.ts
+++ b/packages/core/src/gateway/occupancy.ts
@@ -9,6 +9,7 @@
  * @module
  */
 import { addSample, createAverage } from "../util/ewma.ts";
+import { tupleKey } from "../util/tuple_key.ts";
 import {
   ASSUMED_DAEMONS,
   LOAD_DECAY_MS,
@@ -20,7 +21,7 @@
 import type { Gateway, LoadSample, Runner, RunnerStats } from "./types.ts";
 
 function kindOf({ service, model, zone }: Runner): string {
-  return `${service} ${model ?? ""} ${zone}`;
+  return tupleKey(service, model, zone);
 }
 
 /** Returns the remote requests in a report: those of other daemons. */
--- a/packages/core/src/gateway/runner_index.ts
+++ b/packages/core/src/gateway/runner_index.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { tupleKey } from "../util/tuple_key.ts";
 import type { Gateway, Runner } from "./types.ts";
 
 /** Kind of work: a service and its model; the model is undefined for plain services. */
@@ -13,11 +14,9 @@
   model: string | undefined;
 }
 
-const SEPARATOR = "\n";
-
 /** Returns the key of a kind of work, under which runners are indexed and requests wait. */
 export function workKey({ service, model }: WorkKind): string {
-  return model === undefined ? service : `${service}${SEPARATOR}${model}`;
+  return tupleKey(service, model);
 }
 
 /** Returns the kinds of work that a runner can serve: its service, and its model where it is the head of an open group. */
