--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -24,6 +24,7 @@
   type EffectHandlers,
   monotonicNow,
 } from "../driver/driver.ts";
+import { createErrorReport } from "../observe/error_report.ts";
 import { createLogger, type Logger } from "../observe/logger.ts";
 import type { Adapters, HealthCheckResult } from "./adapters.ts";
 import { createCallerListener } from "./caller_listener.ts";
@@ -174,17 +175,9 @@
     dispatch({ kind: "runner_checked", runner, status, report });
   }
 
-  function reportError(
-    error: unknown,
-    fields: { effect?: string | undefined; request?: string | undefined } = {},
-  ): void {
-    const cause = error instanceof Error ? error.stack : String(error);
-    log("internal_error", { cause, ...fields });
-  }
-
   /** Runs work that nothing waits for; a failure of an adapter must not end the process. */
   function runDetached(work: Promise<void>): void {
-    work.catch((error) => reportError(error));
+    work.catch(errors.report);
   }
 
   async function probe(runner: string, address: string): Promise<void> {
@@ -204,6 +197,7 @@
     forwards.abandon(request);
   }
 
+  const errors = createErrorReport({ log, abandonRequest });
   const handlers: Partial<EffectHandlers> = {
     send_to_runner: (effect) => relays.get(effect.request)?.send(effect),
     relay: ({ request, attempt }) => relays.get(request)?.relay(attempt),
@@ -255,13 +249,7 @@
   const driver = createDriver({
     state,
     handlers,
-    onError(error, failed) {
-      const request = failed && "request" in failed
-        ? failed.request
-        : undefined;
-      reportError(error, { effect: failed?.kind, request });
-      if (request !== undefined) abandonRequest(request);
-    },
+    onError: errors.reportFailure,
   });
   const callers = createCallerListener({
     headerCodec: adapters.headerCodec,
@@ -355,7 +343,7 @@
       logger.setLevel(changed.log.level);
       log("settings_reloaded", { level: changed.log.level });
     },
-    reportError: (error) => reportError(error),
+    reportError: errors.report,
     kill: () => shutDown(state.gateway!.requests.size),
     stopped,
   };
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -19,6 +19,7 @@
 import { createOperatorApp } from "./http/operator_app.ts";
 import { createLogClient } from "./log_service/log_client.ts";
 import { createLogTail } from "./log_service/log_tail.ts";
+import { createErrorReport } from "./observe/error_report.ts";
 import { createLogger, type Logger } from "./observe/logger.ts";
 import { createMetrics } from "./observe/metrics.ts";
 import { createMesh } from "./peers/mesh.ts";
@@ -115,14 +116,6 @@
     if (exchange !== undefined) act(exchange);
   }
 
-  function reportError(
-    error: unknown,
-    fields: { effect?: string | undefined; request?: string | undefined } = {},
-  ): void {
-    const cause = error instanceof Error ? error.stack : String(error);
-    logger.write("internal_error", { cause, ...fields });
-  }
-
   /** Ends a request of which an effect has failed; its later effects find nothing to act on. */
   function abandonRequest(request: string): void {
     const exchange = exchanges.get(request);
@@ -130,6 +123,10 @@
     exchange?.abandon();
   }
 
+  const errors = createErrorReport({
+    log: (event, fields) => logger.write(event, fields),
+    abandonRequest,
+  });
   const handlers: Partial<EffectHandlers> = {
     send: (effect) =>
       withExchange((exchange) => exchange.send(effect), effect.request),
@@ -169,13 +166,7 @@
   const driver = createDriver({
     state,
     handlers,
-    onError(error, failed) {
-      const request = failed && "request" in failed
-        ? failed.request
-        : undefined;
-      reportError(error, { effect: failed?.kind, request });
-      if (request !== undefined) abandonRequest(request);
-    },
+    onError: errors.reportFailure,
   });
   const write: Logger["write"] = (event, fields) => logger.write(event, fields);
   const sendOrder = createOrderSender({ agent: agents.reusing, log: write });
@@ -291,7 +282,7 @@
       stopCalls += 1;
       dispatch({ kind: "stop_ordered", immediate: stopCalls > 1 });
     },
-    reportError: (error) => reportError(error),
+    reportError: errors.report,
     setPeerKey: (key) => mesh.setKey(key),
     stopped,
   };
