--- a/packages/core/src/gateway/leaving_test.ts
+++ b/packages/core/src/gateway/leaving_test.ts
@@ -9,6 +9,7 @@
   publish,
   sendRequest,
 } from "./test_fixture.ts";
+import { workKey } from "./runner_index.ts";
 import type { Runner } from "./types.ts";
 
 const CHAT = { path: "/chat/1", model: "small", deadlineMs: 6_000 };
@@ -50,6 +51,8 @@
   });
 }
 
+const SMALL_KEY = workKey({ service: "llm", model: "small" });
+
 describe("a runner that says in an answer that it leaves", () => {
   // Guards against the rule DRAIN on answers with `Server-Leaving`: requests that wait for it or come later.
   it("gets no more requests from the head of the answer on, also of those that wait", () => {
@@ -106,7 +109,7 @@
     fleet.advance(1_000);
     for (const { harness } of fleet.daemons) {
       const { runnerIndex } = harness.state.gateway!;
-      const candidates = [...runnerIndex.get("llm\nsmall")!.keys()];
+      const candidates = [...runnerIndex.get(SMALL_KEY)!.keys()];
       expect(candidates).to.not.include(leaving);
       expect(candidates).to.have.length(1);
     }
--- a/packages/daemon/src/gateway/caller_answer.ts
+++ b/packages/daemon/src/gateway/caller_answer.ts
@@ -1,9 +1,9 @@
 /**
  * Writes the answer to a caller's request: its head whole or not at all, and framed so that its end shows.
  *
- * Where a runner ends its answer with the connection, callers of HTTP/1.1 get a length or chunks, so that they can tell
- * the whole answer from one that the death of this process has cut. An answer without a length to a caller of HTTP/1.0
- * can only end with its connection; a reset tells such a caller that the answer was broken off.
+ * A stream to a caller of HTTP/1.1 has chunks, also where its runner ends it with the connection, so that the caller can
+ * tell the whole stream from one that the death of this process has cut. An answer that can only end with its connection
+ * is reset where it is broken off.
  *
  * @module
  */
@@ -19,6 +19,8 @@
   headers: ResponseHeaders;
   /** Length of the body, bytes; undefined where it is not known yet. */
   length: number | undefined;
+  /** True where the end of the connection alone ends the answer, as nobody can tell whether it is whole. */
+  endsWithConnection: boolean;
 }
 
 /** Answer to one request of a caller. */
@@ -53,20 +55,27 @@
  * @example
  * ```ts
  * const answer = createCallerAnswer({ request, response, connections, isStopping });
- * answer.begin({ status: 200, headers: { "content-type": "text/plain" }, length: 2 });
+ * answer.begin({ status: 200, headers: {}, length: 2, endsWithConnection: false });
  * response.end("ok");
  * ```
  */
 export function createCallerAnswer(
   { request, response, connections, isStopping }: CallerAnswerOptions,
 ): CallerAnswer {
-  function setHeaders({ status, headers, length }: AnswerHead): void {
+  function setHeaders(
+    { status, headers, length, endsWithConnection }: AnswerHead,
+  ): void {
     for (const [name, value] of Object.entries(headers)) {
       if (value !== undefined) response.setHeader(name, value);
     }
-    const hasLength = length !== undefined && !BODILESS_STATUSES.has(status);
+    const mayHaveBody = !BODILESS_STATUSES.has(status);
     // Node changes the bytes of some values that come after the length.
-    if (hasLength) response.setHeader("content-length", length);
+    if (mayHaveBody && length !== undefined) {
+      response.setHeader("content-length", length);
+    }
+    if (!endsWithConnection || !mayHaveBody) return;
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
   }
 
   return {
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -112,11 +112,19 @@
   const answer = createCallerAnswer(options);
   let current: UpstreamResponse | undefined;
 
-  function beginAnswer(
+  function beginStream(
     { status, relayedHeaders: headers }: UpstreamResponse,
-    { length }: { length?: number } = {},
   ): void {
-    answer.begin({ status, headers, length });
+    const length = undefined;
+    answer.begin({ status, headers, length, endsWithConnection: false });
+  }
+
+  function beginWhole(upstream: UpstreamResponse, body: Buffer): void {
+    const { status, relayedHeaders: headers } = upstream;
+    // A runner's answer without a length may be cut where its connection ends, and its caller must not take it for whole.
+    const endsWithConnection = !isFramed(upstream.headers);
+    const length = endsWithConnection ? undefined : lengthOf(upstream, body);
+    answer.begin({ status, headers, length, endsWithConnection });
   }
 
   function writeEvents(upstream: UpstreamResponse, bytes: Buffer): void {
@@ -146,7 +154,7 @@
     }
     if (complete === undefined) return;
     upstream.hasEvents = true;
-    if (!answer.hasBegun()) beginAnswer(upstream);
+    if (!answer.hasBegun()) beginStream(upstream);
     writeEvents(upstream, complete.bytes);
     const { lastEvent } = complete;
     dispatch({
@@ -327,7 +335,7 @@
       if (current?.number !== attempt || answer.hasBegun()) return;
       if (current.isStream && current.metadata?.verdict === "ran") return;
       const whole = Buffer.concat(current.chunks);
-      beginAnswer(current, { length: lengthOf(current, whole) });
+      beginWhole(current, whole);
       response.write(whole);
     },
     cancel(attempt) {
@@ -343,11 +351,16 @@
       if (effect.closesConnection) connections.closeAfter(request, response);
       const body = JSON.stringify({ error: { code, message, verdict } });
       const length = Buffer.byteLength(body);
-      answer.begin({ status: statusOfRefusal(effect), headers, length });
+      answer.begin({
+        status: statusOfRefusal(effect),
+        headers,
+        length,
+        endsWithConnection: false,
+      });
       response.end(body);
     },
     finish() {
-      if (current !== undefined && !answer.hasBegun()) beginAnswer(current);
+      if (current !== undefined && !answer.hasBegun()) beginStream(current);
       response.end();
     },
     abandon() {
