--- a/packages/daemon/src/backend/transport.ts
+++ b/packages/daemon/src/backend/transport.ts
@@ -6,7 +6,7 @@
 import type { Outcome } from "@primroseshed/core";
 import type { Socket } from "node:net";
 import { Agent, buildConnector, type Dispatcher, errors } from "undici";
-import { decodeHeaders, type Headers } from "../http/header_bytes.ts";
+import { decodeHeaders, type HeaderMap } from "../http/header_bytes.ts";
 
 /** Outcomes by the codes of errors that arise only before a connection exists. */
 const CONNECT_OUTCOMES: Readonly<Record<string, Outcome>> = {
@@ -57,9 +57,9 @@
 export interface AttemptEvents {
   /** Called before the first byte of the request leaves. */
   onSend?(): void;
-  onHeaders(status: number, headers: Headers): void;
+  onHeaders(status: number, headers: HeaderMap): void;
   onData(chunk: Buffer): void;
-  onEnd(trailers: Headers): void;
+  onEnd(trailers: HeaderMap): void;
   onFailure(outcome: Outcome): void;
 }
 
--- a/packages/daemon/src/gateway/adapters.ts
+++ b/packages/daemon/src/gateway/adapters.ts
@@ -20,6 +20,7 @@
   TimelineFloor,
   Verdict,
 } from "@primroseshed/core";
+import type { HeaderMap } from "../http/header_bytes.ts";
 
 /** Metadata of a caller's request, read from its headers. */
 export interface RequestMetadata {
@@ -82,7 +83,7 @@
 }
 
 /** Headers of a response as the HTTP client returns them. */
-export type ResponseHeaders = Record<string, string | string[] | undefined>;
+export type ResponseHeaders = HeaderMap;
 
 /** Record of a keyed topic. */
 export interface KeyedRecord<T> {
--- a/packages/daemon/src/http/header_bytes.ts
+++ b/packages/daemon/src/http/header_bytes.ts
@@ -1,5 +1,5 @@
 /**
- * Headers as they are on the wire: each character of a name or value stands for one byte.
+ * HeaderMap as they are on the wire: each character of a name or value stands for one byte.
  *
  * HTTP allows the bytes 0x80 to 0xFF in values and says nothing of their encoding, so a relay passes them on as they are.
  *
@@ -8,12 +8,12 @@
 import { Buffer } from "node:buffer";
 import { validateHeaderName, validateHeaderValue } from "node:http";
 
-/** Headers by lower-case name; a list where a header is repeated. */
-export type Headers = Record<string, string | string[] | undefined>;
+/** HeaderMap by lower-case name; a list where a header is repeated. */
+export type HeaderMap = Record<string, string | string[] | undefined>;
 
 const LENGTH_HEADER = "content-length";
 
-function addValue(headers: Headers, name: string, value: string): void {
+function addValue(headers: HeaderMap, name: string, value: string): void {
   const known = headers[name];
   if (known === undefined) headers[name] = value;
   else if (typeof known === "string") headers[name] = [known, value];
@@ -28,9 +28,9 @@
  * decodeHeaders([Buffer.from("X-Note"), Buffer.from([0xe9])]); // { "x-note": "\u00e9" }
  * ```
  */
-export function decodeHeaders(received: readonly Buffer[]): Headers {
+export function decodeHeaders(received: readonly Buffer[]): HeaderMap {
   // Without a prototype, a header may have any name.
-  const headers: Headers = Object.create(null);
+  const headers: HeaderMap = Object.create(null);
   for (let index = 0; index < received.length; index += 2) {
     const name = received[index]!.toString("latin1").toLowerCase();
     addValue(headers, name, received[index + 1]!.toString("latin1"));
@@ -63,7 +63,7 @@
  * findUnwritable({ "content-type": "text/plain", "x-note": "\u20ac" }); // "x-note"
  * ```
  */
-export function findUnwritable(headers: Headers): string | undefined {
+export function findUnwritable(headers: HeaderMap): string | undefined {
   for (const [name, value] of Object.entries(headers)) {
     if (value !== undefined && !isWritable(name, value)) return name;
   }
--- a/packages/daemon/src/http/peer_relay.ts
+++ b/packages/daemon/src/http/peer_relay.ts
@@ -21,7 +21,7 @@
 import { readBody } from "./body.ts";
 import { breakOff } from "./break_off.ts";
 import { sendError } from "./errors.ts";
-import { findUnwritable, type Headers } from "./header_bytes.ts";
+import { findUnwritable, type HeaderMap } from "./header_bytes.ts";
 import { forwardableHeaders, RELAYED_BY_HEADER } from "./request_headers.ts";
 
 /** Options of {@link createPeerRelay}. */
@@ -103,7 +103,7 @@
         bodyTimeout: 0,
       }, {
         events: {
-          onHeaders(status, received: Headers) {
+          onHeaders(status, received: HeaderMap) {
             const isRefusal = status === NOT_SERVING_STATUS &&
               received["primrose-verdict"] === "not_run";
             if (isRefusal) {
--- a/packages/daemon/src/http/request_headers.ts
+++ b/packages/daemon/src/http/request_headers.ts
@@ -6,6 +6,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { nearestName, type Rank, RANKS } from "@primroseshed/core";
 import { RequestError } from "./errors.ts";
+import type { HeaderMap } from "./header_bytes.ts";
 
 /** Rank, deadline and idempotency of a request. */
 export interface RequestOptions {
@@ -93,11 +94,9 @@
   RELAYED_BY_HEADER,
 ]);
 
-type HeaderMap = Readonly<Record<string, string | string[] | undefined>>;
-
 /** Returns the headers to forward: neither hop-by-hop nor named by `Connection`; `consume` drops consumed ones too. */
 export function forwardableHeaders(
-  headers: HeaderMap,
+  headers: Readonly<HeaderMap>,
   { consume }: { consume: boolean },
 ): Record<string, string | string[]> {
   const named = new Set(
--- a/packages/daemon/src/http/service_exchange.ts
+++ b/packages/daemon/src/http/service_exchange.ts
@@ -26,7 +26,7 @@
 import { breakOff } from "./break_off.ts";
 import { sendError } from "./errors.ts";
 import type { Exchange, SendEffect } from "./exchanges.ts";
-import { findUnwritable, type Headers } from "./header_bytes.ts";
+import { findUnwritable, type HeaderMap } from "./header_bytes.ts";
 import { forwardableHeaders } from "./request_headers.ts";
 
 /** Options of {@link createServiceExchange}. */
@@ -87,7 +87,7 @@
   }
 
   /** Writes the head of an answer; returns false, and writes nothing, where a header cannot be written. */
-  function forwardHeaders(status: number, headers: Headers): boolean {
+  function forwardHeaders(status: number, headers: HeaderMap): boolean {
     const forwarded = forwardableHeaders(headers, { consume: false });
     const header = findUnwritable(forwarded);
     if (header !== undefined) {
