--- a/packages/core/src/formation/plan_test.ts
+++ b/packages/core/src/formation/plan_test.ts
@@ -97,6 +97,24 @@
     ).to.equal(false);
   });
 
+  // Guards against a finding of the review (issue 39, class 6): such a member was in no plan any more.
+  it("plans again for a member that was presumed dead and comes back in its old epoch", () => {
+    const { pool } = startPool({ domains: 1, size: 12 });
+    pool.run(20_000);
+    const member = [...pool.runners.values()].find(({ membership }) =>
+      membership?.rank === 1
+    )!;
+    const { epoch: oldEpoch } = member.membership!;
+    pool.kill(member.id);
+    pool.run(20_000);
+    pool.revive(member.id);
+    pool.run(20_000);
+    const { membership } = pool.runners.get(member.id)!;
+    const isStranded = membership?.epoch === oldEpoch;
+    expect(isStranded).to.equal(false);
+    expect(pool.violations).to.deep.equal([]);
+  });
+
   it("dissolves a group when no substitute is available, and forms groups of its survivors and others", () => {
     const { pool } = startPool({ size: 8 });
     pool.run(40_000);
--- a/packages/core/src/formation/test_pool.ts
+++ b/packages/core/src/formation/test_pool.ts
@@ -27,6 +27,8 @@
   violations: string[];
   /** Stops a runner for good. */
   kill(id: string, options?: { isListed: boolean }): void;
+  /** Lets a runner go on that fell silent, with what it held. */
+  revive(id: string): void;
   /** Lists a new runner. */
   add(runner: Runner): void;
   /** Changes what a runner reports of itself. */
@@ -78,6 +80,10 @@
       dead.add(id);
       if (!isListed) removeFromList(id);
     },
+    revive(id) {
+      dead.delete(id);
+      update(id, {});
+    },
     add(runner) {
       runners.set(runner.id, runner);
       update(runner.id, {});
