--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./callers/callers.ts";
 export * from "./http/listener.ts";
 export * from "./log/log_service.ts";
 export * from "./vms/vm_service.ts";
