--- a/packages/core/src/drain/drain.ts
+++ b/packages/core/src/drain/drain.ts
@@ -71,7 +71,8 @@
 /** Ends the daemon once nothing is in flight and its last records are in the log. */
 export function* checkDrain(state: State): Effects {
   if (state.phase !== "draining") return;
-  if (state.requests.size === 0 && !state.drainFlushed) {
+  const isIdle = state.requests.size + state.catchUp.deferred.length === 0;
+  if (isIdle && !state.drainFlushed) {
     state.drainFlushed = true;
     state.drainingSince = state.now;
     state.usage.publishedAt = -Infinity;
--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -28,6 +28,12 @@
   settings_invalid: event(1006, "error", "settings are not valid"),
   not_ready: event(1007, "warn", "daemon not ready"),
   loop_late: event(1008, "warn", "event loop was late"),
+  caught_up: event(1009, "info", "caught up after a late turn"),
+  deferred_dropped: event(
+    1125,
+    "info",
+    "request dropped whose caller left while the event loop was late",
+  ),
   followers_behind: event(
     1615,
     "warn",
--- a/packages/core/src/event/types.ts
+++ b/packages/core/src/event/types.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { CatchUpEvent } from "../catch_up/event_types.ts";
 import type { ConfigDocument, Principal, Rank } from "../config/types.ts";
 import type { FoldDump, StoredRecord, UsageCounter } from "../fold/types.ts";
 import type { PeerMessage } from "../peer/types.ts";
@@ -70,6 +71,7 @@
 export type EventBody =
   | GatewayEvent
   | QuarantineEvent
+  | CatchUpEvent
   | { kind: "tick" }
   | ({ kind: "request_arrived" } & Arrival)
   | { kind: "caller_gone"; request: string }
--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -10,6 +10,7 @@
 import { chooseDestination } from "./choose.ts";
 import {
   MAX_WAIT_SHARE,
+  MIN_REMAINING_MS,
   RETRY_AFTER_MS,
   STOP_MARGIN_MS,
   STOP_STREAMS_MS,
@@ -33,16 +34,20 @@
   retryAfterMs: 0,
 };
 
+const TOO_LATE: Refusal = {
+  code: "deadline_passed",
+  message: "The request was not sent within the time allowed",
+};
+
 /** True where a request may outlast this daemon's stop. */
 function outlivesStop(
   { gateway, phase, now }: State,
   route: Route,
 ): boolean {
   if (phase === "serving") return false;
-  const { stoppingSince, settings } = gateway!;
-  const elapsed = now - stoppingSince;
-  if (isStream(route)) return elapsed > STOP_STREAMS_MS;
-  return elapsed + route.timeoutMs > settings.graceMs - STOP_MARGIN_MS;
+  const { stoppingSince, graceEndsAt } = gateway!;
+  if (isStream(route)) return now - stoppingSince > STOP_STREAMS_MS;
+  return now + route.timeoutMs > graceEndsAt - STOP_MARGIN_MS;
 }
 
 function* refuseArrival(
@@ -94,6 +99,9 @@
   yield* tryHeldPart(state, request);
   const held = quarantineRefusal(state, request);
   if (held !== undefined) return yield* refuseArrival(id, held, { age });
+  if (request.expiresAt - now < MIN_REMAINING_MS) {
+    return yield* refuseArrival(id, TOO_LATE, { age });
+  }
   gateway.requests.set(id, request);
   countRequest(
     retryBudgetOf(gateway, request.service),
@@ -120,8 +128,8 @@
     model: engine === undefined ? undefined : event.model ?? "",
     team: team?.name,
     priority: team?.priority ?? route.priority,
-    arrivedAt: state.now,
-    expiresAt: state.now + timeoutMs,
+    arrivedAt: event.at,
+    expiresAt: event.at + timeoutMs,
     promptTokens: event.promptTokens,
     maxOutputTokens: event.maxOutputTokens,
     promptParts: event.promptParts,
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -69,6 +69,7 @@
     storeTimeline: createStoreTimeline(),
     settings,
     stoppingSince: 0,
+    graceEndsAt: Infinity,
   };
 }
 
@@ -114,6 +115,8 @@
   const gateway = state.gateway!;
   if (!advanceNode(state, "drain")) return;
   gateway.stoppingSince = state.now;
+  // The signal may have waited for as long as the event loop was late.
+  gateway.graceEndsAt = state.now - state.lateMs + gateway.settings.graceMs;
   yield {
     kind: "log",
     event: "stopping",
@@ -124,10 +127,11 @@
 function* checkStop(state: State, gateway: Gateway): Effects {
   if (state.phase === "stopped") return;
   const elapsed = state.now - gateway.stoppingSince;
-  const limit = gateway.settings.graceMs - STOP_MARGIN_MS;
-  if (elapsed < STOP_LISTEN_MS) return;
-  const isIdle = gateway.requests.size + gateway.forwarding.inFlight.size === 0;
-  if (!isIdle && elapsed < limit) return;
+  const isOver = state.now >= gateway.graceEndsAt - STOP_MARGIN_MS;
+  if (elapsed < STOP_LISTEN_MS && !isOver) return;
+  const isIdle = gateway.requests.size + gateway.forwarding.inFlight.size +
+      state.catchUp.deferred.length === 0;
+  if (!isIdle && !isOver) return;
   const cut = gateway.requests.size;
   for (const request of [...gateway.requests.values()]) {
     yield* failRequest(state, gateway, request, {
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -38,7 +38,10 @@
   event: EventOf<"attempt_sent">,
 ): Effects {
   const request = findByAttempt(state.gateway!, event);
-  if (request !== undefined) request.currentAttempt!.isSent = true;
+  if (request === undefined) return noEffects();
+  request.currentAttempt!.isSent = true;
+  // A runner is not silent before it has the request.
+  request.currentAttempt!.lastByteAt = state.now;
   return noEffects();
 }
 
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { mayDecide } from "../catch_up/mod.ts";
 import { chooseForwarder, forwarderStatsOf } from "../forwarding/forwarders.ts";
 import type { Effects } from "../reduce_types.ts";
 import { knownChains } from "../quarantine/mod.ts";
@@ -46,7 +47,7 @@
   key: string,
 ): Effects {
   const queue = gateway.waitingRequests.get(key);
-  if (queue === undefined || queue.size === 0) return;
+  if (queue === undefined || queue.size === 0 || !mayDecide(state)) return;
   const requests = [...queue].flatMap((id) => gateway.requests.get(id) ?? []);
   requests.sort(byUrgency);
   for (const request of requests) {
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -200,6 +200,8 @@
   settings: GatewaySettings;
   /** Time at which the stop signal arrived, ms; 0 before. */
   stoppingSince: number;
+  /** Time at which the process may be killed after the stop signal, ms; infinite before. */
+  graceEndsAt: number;
 }
 
 /** Limits and times of the deployment that decisions depend on. */
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+export { hasDueEvent, isCatchingUp } from "./catch_up/mod.ts";
+export * from "./catch_up/event_types.ts";
 export * from "./config/types.ts";
 export * from "./config/problem.ts";
 export * from "./config/resolve.ts";
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -6,6 +6,14 @@
  */
 import { pruneIdle } from "./admission/fair_queue.ts";
 import { updateHeaviestUse } from "./admission/overdraft.ts";
+import {
+  dropDeferred,
+  mayDecide,
+  noteLateness,
+  recordRead,
+  takeDueEvent,
+  tryDefer,
+} from "./catch_up/mod.ts";
 import { wakeAllWaiters } from "./claim/waiters.ts";
 import { applyConfig } from "./config/apply.ts";
 import { RANKS } from "./config/types.ts";
@@ -31,6 +39,7 @@
 import { applyParts, pruneSuspects } from "./quarantine/mod.ts";
 import { GATEWAY_HANDLERS } from "./gateway/handlers.ts";
 import { sweepGateway } from "./gateway/gateway.ts";
+import { serveWaiting } from "./gateway/send.ts";
 import { updateVmList } from "./health/leaving.ts";
 import {
   disconnectPeer,
@@ -73,6 +82,14 @@
   ...GATEWAY_HANDLERS,
   parts_read: (state, { readings }) => applyParts(state, readings),
   tick: noEffects,
+  *sockets_read(state) {
+    yield* recordRead(state);
+    yield* serveQueues(state);
+  },
+  *deferred_due(state) {
+    const event = takeDueEvent(state);
+    if (event !== undefined) yield* runHandler(state, event);
+  },
   request_arrived: handleArrival,
   caller_gone: handleDisconnect,
   attempt_accepted: handleFirstByte,
@@ -150,12 +167,27 @@
 }
 
 function* handle(state: State, event: Event): Effects {
+  noteLateness(state, event);
+  yield* dropDeferred(state, event);
+  if (!tryDefer(state, event)) yield* runHandler(state, event);
+  if (mayDecide(state)) yield* runTimers(state);
+}
+
+function* runHandler(state: State, event: Event): Effects {
   const handler = HANDLERS[event.kind] as (
     state: State,
     event: Event,
   ) => Effects;
   yield* handler(state, event);
-  yield* runTimers(state);
+}
+
+/** Serves all queues, which wait while the sockets are not read. */
+function* serveQueues(state: State): Effects {
+  const { gateway } = state;
+  for (const key of gateway?.waitingRequests.keys() ?? []) {
+    yield* serveWaiting(state, gateway!, key);
+  }
+  for (const pool of state.pools.values()) yield* dispatchPool(state, pool);
 }
 
 /**
--- a/packages/core/src/request/arrive.ts
+++ b/packages/core/src/request/arrive.ts
@@ -37,6 +37,12 @@
 const UNIT_COST_WEIGHT = 0.01;
 const LOG_RETRY_AFTER_MS = 5_000;
 
+const TOO_LATE: Refusal = {
+  code: "deadline_passed",
+  message: "The deadline passed before the request could be queued",
+  verdict: "not_run",
+};
+
 /** Returns the cost of a request with the given output, in output-token equivalents. */
 export function costOfOutput(
   request: Pick<Request, "promptTokens">,
@@ -62,12 +68,12 @@
   event: EventOf<"request_arrived">,
 ): Request {
   const policy = rankPolicy(state, event.rank);
-  const deadlineAt = state.now +
+  const deadlineAt = event.at +
     Math.min(event.deadlineMs ?? policy.deadlineMs, policy.deadlineMs);
   const output = predictedOutput(pool, event);
   const isModel = pool.deployment.kind === "model";
   const startBy = isModel
-    ? state.now + policy.firstTokenMs - PREFILL_RESERVE_MS
+    ? event.at + policy.firstTokenMs - PREFILL_RESERVE_MS
     : deadlineAt;
   return {
     request: event.request,
@@ -86,7 +92,7 @@
     digest: event.digest,
     adapter: event.adapter,
     phase: "claiming",
-    arrivedAt: state.now,
+    arrivedAt: event.at,
     deadlineAt,
     startBy,
     predictedCost: isModel ? costOfOutput(event, output) : SERVICE_REQUEST_COST,
@@ -184,6 +190,9 @@
   schedule(state.timers, request.deadlineAt, {
     timer: { kind: "request_expiry", request: request.request },
   });
+  if (state.now >= request.deadlineAt) {
+    return yield* refuseRequest(state, request, { refusal: TOO_LATE });
+  }
   yield* tryHeldPart(state, request);
   if (isHeldBack(state, request)) return yield* refuseHeld(state, request);
   const limitRefusal = chargeLimits(state, request);
--- a/packages/core/src/request/dispatch.ts
+++ b/packages/core/src/request/dispatch.ts
@@ -8,6 +8,7 @@
 import { isLowUsage } from "../admission/overdraft.ts";
 import { enqueue, removeWaiting } from "../admission/fair_queue.ts";
 import { weightOf } from "../admission/weights.ts";
+import { mayDecide } from "../catch_up/mod.ts";
 import { updateAttemptAverage } from "../capacity/load_estimate.ts";
 import { refreshTarget } from "../capacity/targets.ts";
 import { poolBackoffLeft } from "../health/backoff.ts";
@@ -92,7 +93,7 @@
 
 /** Starts all waiting requests of a pool that can start now. */
 export function* dispatchPool(state: State, pool: Pool): Effects {
-  if (!state.ready) return;
+  if (!state.ready || !mayDecide(state)) return;
   while (true) {
     const request = pool.resumptions[0] ?? pickNext(state, pool);
     if (request === undefined) return;
--- a/packages/core/src/state/create_state.ts
+++ b/packages/core/src/state/create_state.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { createCatchUp } from "../catch_up/mod.ts";
 import { createFairNode } from "../admission/fair_queue.ts";
 import { createBatchModel } from "../capacity/batch_model.ts";
 import type { Deployment } from "../config/types.ts";
@@ -64,6 +65,7 @@
     node,
     now,
     lateMs: 0,
+    catchUp: createCatchUp(),
     random: createRandom(seed),
     timers,
     phase: "serving",
--- a/packages/core/src/state/types.ts
+++ b/packages/core/src/state/types.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { CatchUp } from "../catch_up/types.ts";
 import type { FairNode } from "../admission/fair_queue.ts";
 import type { BatchModel } from "../capacity/batch_model.ts";
 import type { ShareInterval } from "../capacity/share.ts";
@@ -183,6 +184,7 @@
   now: number;
   /** Time by which the event loop was late when it handled the last event, ms. */
   lateMs: number;
+  catchUp: CatchUp;
   random: Random;
   timers: TimerQueue;
   phase: NodePhase;
--- a/packages/daemon/src/backend/cache_feed.ts
+++ b/packages/daemon/src/backend/cache_feed.ts
@@ -5,6 +5,7 @@
  */
 import type { CacheChange, EventBody, State } from "@primroseshed/core";
 import { type Agent, request } from "undici";
+import { patientSignal } from "../driver/patient_timer.ts";
 
 /** Options of {@link createCacheFeed}. */
 export interface CacheFeedOptions {
@@ -40,7 +41,7 @@
     try {
       const response = await request(`${address}/cache_events?from=${from}`, {
         dispatcher: agent,
-        signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
+        signal: patientSignal(REQUEST_TIMEOUT_MS),
       });
       if (response.statusCode !== 200) return void await response.body.dump();
       const { sequence, changes } = await response.body.json() as CachePage;
--- a/packages/daemon/src/backend/orders.ts
+++ b/packages/daemon/src/backend/orders.ts
@@ -5,6 +5,7 @@
  */
 import type { Effect, LogEventName } from "@primroseshed/core";
 import { type Agent, request } from "undici";
+import { patientSignal } from "../driver/patient_timer.ts";
 import { monotonicNow } from "../driver/driver.ts";
 
 /** The effect that sends an order to an engine. */
@@ -32,7 +33,7 @@
         dispatcher: agent,
         headers: { "content-type": "application/json" },
         body: JSON.stringify({ fence, ...order }),
-        signal: AbortSignal.timeout(Math.min(ORDER_TIMEOUT_MS, leftMs)),
+        signal: patientSignal(Math.min(ORDER_TIMEOUT_MS, leftMs)),
       });
       await response.body.dump();
       if (response.statusCode >= 300) {
--- a/packages/daemon/src/backend/path_probe.ts
+++ b/packages/daemon/src/backend/path_probe.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { startPatientTimer } from "../driver/patient_timer.ts";
 import type { Connect } from "./transport.ts";
 
 /**
@@ -19,11 +20,11 @@
     const options = { hostname, port, protocol: "http:" };
     let socket: ReturnType<Connect> | undefined;
     const end = (isReachable: boolean) => {
-      clearTimeout(timer);
+      timer.clear();
       socket?.destroy();
       resolve(isReachable);
     };
-    const timer = setTimeout(() => end(false), timeoutMs);
+    const timer = startPatientTimer(timeoutMs, () => end(false));
     try {
       socket = connect(options, (...[error]) => end(error === null));
     } catch {
--- a/packages/daemon/src/backend/status_poll.ts
+++ b/packages/daemon/src/backend/status_poll.ts
@@ -10,6 +10,7 @@
   WatchedMember,
 } from "@primroseshed/core";
 import { type Agent, request } from "undici";
+import { patientSignal } from "../driver/patient_timer.ts";
 import { decodeStatus } from "./fleet_decoder.ts";
 import { outcomeOfError } from "./transport.ts";
 
@@ -52,7 +53,7 @@
     if (pending.has(address)) return;
     pending.add(address);
     try {
-      const signal = AbortSignal.timeout(timeoutMs);
+      const signal = patientSignal(timeoutMs);
       const response = await request(`${address}/status`, {
         dispatcher: agent,
         signal,
--- a/packages/daemon/src/backend/transport.ts
+++ b/packages/daemon/src/backend/transport.ts
@@ -6,6 +6,10 @@
 import type { Outcome } from "@primroseshed/core";
 import type { Socket } from "node:net";
 import { Agent, buildConnector, type Dispatcher, errors } from "undici";
+import {
+  type PatientTimer,
+  startPatientTimer,
+} from "../driver/patient_timer.ts";
 import { decodeHeaders, type HeaderMap } from "../http/header_bytes.ts";
 
 /** Outcomes by the codes of errors that arise only before a connection exists. */
@@ -112,7 +116,7 @@
 ): buildConnector.connector {
   return (options, callback) => {
     const connecting = connect(options, (...result) => {
-      clearTimeout(timer);
+      timer.clear();
       const [, socket] = result;
       if (socket) onConnect?.(`${options.hostname}:${options.port}`);
       socket?.prependListener("error", () => recordSocketEvent("error"));
@@ -120,9 +124,9 @@
       callback(...result);
     });
     // The connector's own timeout is up to a second late.
-    const timer = setTimeout(
-      () => connecting.destroy(new errors.ConnectTimeoutError()),
+    const timer = startPatientTimer(
       connectTimeoutMs,
+      () => connecting.destroy(new errors.ConnectTimeoutError()),
     );
   };
 }
@@ -163,17 +167,26 @@
   let isPaused = false;
   let hasResponse = false;
   let framed = false;
+  let headersTimer: PatientTimer | undefined;
+  const headersTimeoutMs = request.headersTimeout ?? 0;
 
   // Only handlers of this form get headers as bytes; the client decodes them as UTF-8 for those of the other one.
-  agent.dispatch(request, {
+  agent.dispatch({ ...request, headersTimeout: 0 }, {
     onConnect(abortRequest) {
       abort = abortRequest;
       if (isOver) return abort(new Error("cancelled"));
+      if (headersTimeoutMs > 0) {
+        headersTimer = startPatientTimer(
+          headersTimeoutMs,
+          () => abortRequest(new errors.HeadersTimeoutError()),
+        );
+      }
       events.onSend?.();
     },
     onHeaders(status, rawHeaders, resumeResponse) {
       resume = resumeResponse;
       if (status < 200 || isOver) return true;
+      headersTimer?.clear();
       hasResponse = true;
       const headers = decodeHeaders(rawHeaders);
       framed = isFramed(headers);
@@ -193,6 +206,7 @@
       events.onEnd(decodeHeaders((rawTrailers ?? []) as unknown as Buffer[]));
     },
     onError(error) {
+      headersTimer?.clear();
       if (isOver) return;
       isOver = true;
       events.onFailure(
@@ -203,6 +217,7 @@
 
   return {
     cancel() {
+      headersTimer?.clear();
       if (isOver) return;
       isOver = true;
       abort?.(new Error("cancelled"));
--- a/packages/daemon/src/driver/driver.ts
+++ b/packages/daemon/src/driver/driver.ts
@@ -8,6 +8,8 @@
 import {
   type Effect,
   type EventBody,
+  hasDueEvent,
+  isCatchingUp,
   nextTimerAt,
   reduce,
   type State,
@@ -59,6 +61,9 @@
 const MIN_SLEEP_MS = 1;
 const MAX_SLEEP_MS = 1_000;
 
+/** Longest time for which events that were held back are handled before the sockets are read again, ms. */
+const MAX_SLICE_MS = 50;
+
 /** A larger drift between wall clock and monotonic clock indicates a suspension or a step of the wall clock, ms. */
 const MAX_DRIFT_MS = 200;
 
@@ -83,14 +88,19 @@
   let timer: NodeJS.Timeout | undefined;
   let wakeAt = Infinity;
   let lastTick = { at: monotonicNow(), cpuMs: cpuTime() };
+  let reportedWakeAt: number | undefined;
   let eventsSinceTick = 0;
+  let nextRead: NodeJS.Immediate | undefined;
 
   /** Returns how long ago the timer that is due was due, ms. */
   function lateness(now: number): number {
     return Math.max(0, now - wakeAt);
   }
 
+  /** Reports the delay of the timer that is due, once. */
   function reportDelay(): void {
+    if (reportedWakeAt === wakeAt) return;
+    reportedWakeAt = wakeAt;
     const tick = { at: monotonicNow(), cpuMs: cpuTime() };
     onDelay?.({
       lateMs: lateness(tick.at),
@@ -123,13 +133,14 @@
     const driftMs = offset - clockOffset;
     if (Math.abs(driftMs) < MAX_DRIFT_MS) return;
     clockOffset = offset;
-    step({ kind: "clock_jumped", driftMs });
+    // A suspension may stop the monotonic clock, and then no timer is late.
+    step({ kind: "clock_jumped", driftMs }, { suspendedMs: driftMs });
   }
 
-  function step(event: EventBody): void {
+  function step(event: EventBody, { suspendedMs = 0 } = {}): void {
     try {
       const at = monotonicNow();
-      const lateMs = lateness(at);
+      const lateMs = Math.max(lateness(at), suspendedMs);
       for (const effect of reduce(state, { ...event, at, lateMs })) {
         runEffect(effect);
       }
@@ -140,9 +151,13 @@
 
   function scheduleTick(): void {
     const next = nextTimerAt(state) ?? Infinity;
-    if (stopped || (next >= wakeAt && timer !== undefined)) return;
+    const isArmed = timer !== undefined && next >= wakeAt;
+    // While catching up, timers run after each read.
+    if (stopped || (isArmed && nextRead === undefined)) return;
     clearTimeout(timer);
+    timer = undefined;
     wakeAt = next;
+    if (nextRead !== undefined) return;
     const pauseMs = Math.min(
       MAX_SLEEP_MS,
       Math.max(MIN_SLEEP_MS, next - monotonicNow()),
@@ -167,12 +182,28 @@
       next = queue.shift()
     ) step(next);
     isDispatching = false;
+    if (isCatchingUp(state)) nextRead ??= setImmediate(catchUp);
     scheduleTick();
   }
 
+  /**
+   * Called once the event loop has read all sockets: lets the reducer decide on what waited for that, for a short time,
+   * so that what the sockets said stays recent.
+   */
+  function catchUp(): void {
+    nextRead = undefined;
+    reportDelay();
+    dispatch({ kind: "sockets_read" });
+    const until = monotonicNow() + MAX_SLICE_MS;
+    while (!stopped && hasDueEvent(state) && monotonicNow() < until) {
+      dispatch({ kind: "deferred_due" });
+    }
+  }
+
   function stop(): void {
     stopped = true;
     clearTimeout(timer);
+    clearImmediate(nextRead);
   }
 
   scheduleTick();
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -12,6 +12,7 @@
 } from "node:http";
 import type { CallerLimits, EventBody, LogEventName } from "@primroseshed/core";
 import polka from "polka";
+import { onConnectionEnd } from "../http/connection_end.ts";
 import type { Agents } from "../backend/transport.ts";
 import { createCallerConnections } from "../http/caller_connections.ts";
 import { CutOffError, readBody } from "../http/body.ts";
@@ -104,10 +105,12 @@
       log,
     });
     relays.set(name, relay);
-    response.once("close", () => {
-      dispatch({ kind: "routed_request_closed", request: name });
-      relays.delete(name);
-    });
+    onConnectionEnd(
+      request,
+      response,
+      () => dispatch({ kind: "routed_request_closed", request: name }),
+    );
+    response.once("close", () => relays.delete(name));
     dispatch({
       kind: "routed_request_arrived",
       request: name,
--- a/packages/daemon/src/gateway/follower_listener.ts
+++ b/packages/daemon/src/gateway/follower_listener.ts
@@ -108,7 +108,7 @@
     }
   }
 
-  const timer = setInterval(() => {
+  function checkFollowers(): void {
     const now = monotonicNow();
     for (const { socket, lastPollAt } of connections.values()) {
       if (now - lastPollAt > FOLLOWER_TIMEOUT_MS) socket.terminate();
@@ -119,7 +119,13 @@
       unreadBytes: unread,
       followers: connections.size,
     });
-  }, CHECK_INTERVAL_MS);
+  }
+
+  // A poll may have arrived that a late event loop has not read yet.
+  const timer = setInterval(
+    () => setImmediate(checkFollowers),
+    CHECK_INTERVAL_MS,
+  );
 
   function unreadBytes(): number {
     let sum = 0;
--- a/packages/daemon/src/gateway/forward_listener.ts
+++ b/packages/daemon/src/gateway/forward_listener.ts
@@ -19,6 +19,7 @@
   type Attempt,
   startAttempt,
 } from "../backend/transport.ts";
+import { onConnectionEnd } from "../http/connection_end.ts";
 import { readBody } from "../http/body.ts";
 import { findUnwritable } from "../http/header_bytes.ts";
 import { fingerprintOf } from "../http/fingerprint.ts";
@@ -132,7 +133,7 @@
     const host = request.headers.host ?? "";
     const path = request.url ?? "/";
     open.set(name, { order, request, response, body });
-    response.once("close", () => {
+    onConnectionEnd(request, response, () => {
       open.get(name)?.attempt?.cancel();
       open.delete(name);
       dispatch({ kind: "forward_ended", request: name });
--- a/packages/daemon/src/gateway/upstream_client.ts
+++ b/packages/daemon/src/gateway/upstream_client.ts
@@ -13,6 +13,7 @@
   type UpstreamMessage,
 } from "@primroseshed/core";
 import { type RawData, WebSocket } from "ws";
+import { startPatientTimer } from "../driver/patient_timer.ts";
 import { monotonicNow } from "../driver/driver.ts";
 import {
   decodeUpstreamFrame,
@@ -51,7 +52,6 @@
   function follow(node: string, address: string): void {
     unfollow();
     const socket = new WebSocket(`ws://${address}`, {
-      handshakeTimeout: connectTimeoutMs,
       maxPayload: MAX_SHARING_FRAME_BYTES,
       perMessageDeflate: false,
     });
@@ -59,6 +59,10 @@
     let pollCount = 0;
     let timer: NodeJS.Timeout | undefined;
     const sentAt = new Map<number, number>();
+    const handshake = startPatientTimer(
+      connectTimeoutMs,
+      () => lose("Opening handshake has timed out"),
+    );
 
     function poll(): void {
       pollCount += 1;
@@ -136,6 +140,7 @@
     }
 
     function lose(cause: string): void {
+      handshake.clear();
       clearInterval(timer);
       socket.terminate();
       if (current !== socket) return;
@@ -144,6 +149,7 @@
     }
 
     socket.on("open", () => {
+      handshake.clear();
       if (current !== socket) return socket.terminate();
       poll();
       timer = setInterval(poll, POLL_INTERVAL_MS);
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -238,9 +238,8 @@
     share_parts: ({ records }) => partSharing.write(records),
     forget_parts: ({ parts }) => partSharing.delete(parts),
     exit({ interruptedRequests }) {
-      const { stoppingSince, settings: { graceMs } } = state.gateway!;
-      const maxWaitMs = stoppingSince + graceMs - EXIT_MARGIN_MS -
-        monotonicNow();
+      const { graceEndsAt } = state.gateway!;
+      const maxWaitMs = graceEndsAt - EXIT_MARGIN_MS - monotonicNow();
       runDetached(
         callers.close({ maxWaitMs }).then(() => shutDown(interruptedRequests)),
       );
--- a/packages/daemon/src/http/caller_app.ts
+++ b/packages/daemon/src/http/caller_app.ts
@@ -23,6 +23,7 @@
   type State,
 } from "@primroseshed/core";
 import polka from "polka";
+import { onConnectionEnd } from "./connection_end.ts";
 import type { Agents } from "../backend/transport.ts";
 import type { Settings } from "../settings/schema.ts";
 import { authenticate, indexKeys, type KeyIndex } from "./auth.ts";
@@ -91,17 +92,19 @@
 
   function registerRequest(
     arrival: Arrival,
-    response: ServerResponse,
-    exchange: Exchange,
+    { request, response, exchange }: {
+      request: IncomingMessage;
+      response: ServerResponse;
+      exchange: Exchange;
+    },
   ): void {
     const id = arrival.request;
     exchanges.set(id, exchange);
-    response.on("close", () => {
-      if (!response.writableFinished) {
-        dispatch({ kind: "caller_gone", request: id });
-      }
-      exchanges.delete(id);
+    onConnectionEnd(request, response, () => {
+      if (response.writableFinished) return;
+      dispatch({ kind: "caller_gone", request: id });
     });
+    response.on("close", () => exchanges.delete(id));
     dispatch({ kind: "request_arrived", ...arrival });
   }
 
@@ -197,8 +200,7 @@
         idempotent: true,
         ...(chat.body.adapter !== undefined && { adapter: chat.body.adapter }),
       },
-      response,
-      exchange,
+      { request, response, exchange },
     );
   }
 
@@ -264,8 +266,7 @@
           }),
         }),
       },
-      response,
-      exchange,
+      { request, response, exchange },
     );
   }
 
--- a/packages/daemon/src/http/chat_exchange.ts
+++ b/packages/daemon/src/http/chat_exchange.ts
@@ -22,6 +22,7 @@
   type Attempt,
   startAttempt,
 } from "../backend/transport.ts";
+import { monotonicNow } from "../driver/driver.ts";
 import { reportServer } from "../backend/server_report.ts";
 import { breakOff } from "./break_off.ts";
 import { createChatFormat, formatUsage, type Usage } from "./chat_format.ts";
@@ -91,12 +92,18 @@
   function pauseEngine(): void {
     if (stallTimer !== undefined || current === undefined) return;
     const { attempt, number } = current;
-    const since = Date.now();
+    const since = monotonicNow();
     attempt.pause();
-    stallTimer = setInterval(() => {
+    const checkCaller = () => {
+      if (stallTimer === undefined) return;
       dispatch({ kind: "attempt_accepted", request: id, attempt: number });
-      if (Date.now() - since > options.callerStallMs) response.destroy();
-    }, KEEP_ALIVE_INTERVAL_MS);
+      if (monotonicNow() - since > options.callerStallMs) response.destroy();
+    };
+    // The caller may have read on without the notice of a late event loop.
+    stallTimer = setInterval(
+      () => setImmediate(checkCaller),
+      KEEP_ALIVE_INTERVAL_MS,
+    );
     response.once("drain", resumeEngine);
     response.once("close", resumeEngine);
   }
--- a/packages/daemon/src/peers/connection.ts
+++ b/packages/daemon/src/peers/connection.ts
@@ -6,6 +6,8 @@
 import type { PeerMessage } from "@primroseshed/core";
 import { Packr } from "msgpackr";
 import type { RawData, WebSocket } from "ws";
+import { monotonicNow } from "../driver/driver.ts";
+import { startPatientTimer } from "../driver/patient_timer.ts";
 import {
   createHello,
   createProof,
@@ -78,19 +80,26 @@
   let peerHello: Hello | undefined;
   let isOpen = false;
   let allowance = FRAME_BURST;
-  let lastSeenAt = Date.now();
-  const handshakeTimer = setTimeout(
-    () => isOpen || socket.terminate(),
+  let lastSeenAt = monotonicNow();
+  const handshakeTimer = startPatientTimer(
     HANDSHAKE_TIMEOUT_MS,
+    () => isOpen || socket.terminate(),
   );
-  const keepAliveTimer = setInterval(() => {
+
+  function keepAlive(): void {
     allowance = Math.min(
       FRAME_BURST,
       allowance + MAX_FRAMES_PER_SECOND * PING_INTERVAL_MS / 1_000,
     );
-    if (Date.now() - lastSeenAt > SILENCE_TIMEOUT_MS) socket.terminate();
+    if (monotonicNow() - lastSeenAt > SILENCE_TIMEOUT_MS) socket.terminate();
     else if (socket.readyState === socket.OPEN) socket.ping();
-  }, PING_INTERVAL_MS);
+  }
+
+  // A frame may have arrived that a late event loop has not read yet.
+  const keepAliveTimer = setInterval(
+    () => setImmediate(keepAlive),
+    PING_INTERVAL_MS,
+  );
 
   function write(value: object): void {
     const frame = packr.pack(value);
@@ -127,7 +136,7 @@
     } as const;
     if (!proof.success || !isVerified(proof.data, input)) return drop("forged");
     isOpen = true;
-    clearTimeout(handshakeTimer);
+    handshakeTimer.clear();
     events.onOpen(hello);
   }
 
@@ -138,7 +147,7 @@
   }
 
   function handleFrame(data: RawData): void {
-    lastSeenAt = Date.now();
+    lastSeenAt = monotonicNow();
     const bytes = toBuffer(data);
     if (!isOpen && bytes.length > MAX_HANDSHAKE_BYTES) return drop("oversize");
     allowance -= 1;
@@ -161,11 +170,11 @@
   if (socket.readyState === socket.OPEN) start();
   else socket.once("open", start);
   socket.on("message", handleFrame);
-  socket.on("pong", () => lastSeenAt = Date.now());
-  socket.on("ping", () => lastSeenAt = Date.now());
+  socket.on("pong", () => lastSeenAt = monotonicNow());
+  socket.on("ping", () => lastSeenAt = monotonicNow());
   socket.on("error", () => socket.terminate());
   socket.once("close", () => {
-    clearTimeout(handshakeTimer);
+    handshakeTimer.clear();
     clearInterval(keepAliveTimer);
     events.onClose();
   });
--- a/packages/daemon/src/peers/mesh.ts
+++ b/packages/daemon/src/peers/mesh.ts
@@ -155,7 +155,6 @@
       {
         maxPayload: MAX_FRAME_BYTES,
         perMessageDeflate: false,
-        handshakeTimeout: REDIAL_MAX_MS,
         ...tls,
       },
     );
