--- a/packages/core/src/formation/health_checks.ts
+++ b/packages/core/src/formation/health_checks.ts
@@ -12,51 +12,74 @@
   DEAD_AFTER_FAILURES,
   HEALTH_CHECK_INTERVAL_MS,
   HEALTH_CHECK_MS_PER_MEMBER,
+  MAX_CHECKS_PER_ROUND_AND_CORE,
 } from "./constants.ts";
 import type { Runner } from "../gateway/fleet_types.ts";
 import type { GroupView } from "./group_view.ts";
 import type { HealthCheck, HealthStatus } from "./types.ts";
 
-/** Sends a health check to each group member whose last check is older than the interval. */
+/** A member that is due for a health check. */
+interface DueCheck {
+  runner: Runner;
+  /** The last check; undefined before the first one. */
+  last: HealthCheck | undefined;
+}
+
+/**
+ * Sends health checks to group members whose last check is older than the interval: those in doubt first, then those
+ * that were checked longest ago. Each round sends only as many as its VM carries out without being late.
+ */
 export function* checkGroupMembers(state: State, views: GroupView[]): Effects {
-  const { groupPlanner, runnerStats } = state.gateway!;
-  const count = views.reduce((sum, { members }) => sum + members.length, 0);
+  const { groupPlanner, readSharing } = state.gateway!;
+  const cores = readSharing.self?.cores ?? 1;
+  const limit = Math.ceil(MAX_CHECKS_PER_ROUND_AND_CORE * cores);
+  const due = listDueChecks(state, views).sort(byUrgency).slice(0, limit);
+  for (const { runner, last } of due) {
+    const { id, address, startedUnixMs: runnerStartedUnixMs } = runner;
+    const isSameProcess = last?.runnerStartedUnixMs === runnerStartedUnixMs;
+    groupPlanner.healthChecks.set(id, {
+      sentAt: state.now,
+      isPending: true,
+      failures: isSameProcess ? last.failures : 0,
+      runnerStartedUnixMs,
+      report: isSameProcess ? last.report : undefined,
+    });
+    yield { kind: "check_runner", runner: id, address };
+  }
+}
+
+function listDueChecks(
+  { gateway, now }: State,
+  views: GroupView[],
+): DueCheck[] {
+  const { groupPlanner, runnerStats } = gateway!;
+  const members = views.flatMap(({ members }) => members)
+    .filter((each) => each !== undefined);
   const intervalMs = Math.max(
     HEALTH_CHECK_INTERVAL_MS,
-    count * HEALTH_CHECK_MS_PER_MEMBER,
+    members.length * HEALTH_CHECK_MS_PER_MEMBER,
   );
-  for (const { members } of views) {
-    for (const runner of members) {
-      if (runner === undefined) continue;
-      const check = groupPlanner.healthChecks.get(runner.id);
-      if (check?.isPending) continue;
-      // It has just answered this daemon, and wants nothing from it.
-      const stats = runnerStats.get(runner.id);
-      if (stats !== undefined && isBackingOff(stats, state.now)) continue;
-      // A failed check is repeated soon: the group stands still if its member is dead.
-      const dueMs = isDoubtful(check, runner)
-        ? HEALTH_CHECK_INTERVAL_MS
-        : intervalMs;
-      if (check !== undefined && state.now - check.sentAt < dueMs) continue;
-      const failures = check?.runnerStartedUnixMs === runner.startedUnixMs
-        ? check.failures
-        : 0;
-      groupPlanner.healthChecks.set(runner.id, {
-        sentAt: state.now,
-        isPending: true,
-        failures,
-        runnerStartedUnixMs: runner.startedUnixMs,
-        report: check?.runnerStartedUnixMs === runner.startedUnixMs
-          ? check.report
-          : undefined,
-      });
-      yield {
-        kind: "check_runner",
-        runner: runner.id,
-        address: runner.address,
-      };
-    }
-  }
+  return members.flatMap((runner) => {
+    const last = groupPlanner.healthChecks.get(runner.id);
+    if (last?.isPending) return [];
+    // It has just answered this daemon, and wants nothing from it.
+    const stats = runnerStats.get(runner.id);
+    if (stats !== undefined && isBackingOff(stats, now)) return [];
+    // A failed check is repeated soon: the group stands still if its member is dead.
+    const dueMs = isDoubtful(last, runner)
+      ? HEALTH_CHECK_INTERVAL_MS
+      : intervalMs;
+    const isDue = last === undefined || now - last.sentAt >= dueMs;
+    return isDue ? [{ runner, last }] : [];
+  });
+}
+
+/** Orders checks by doubt, then by the age of the last one. */
+function byUrgency(left: DueCheck, right: DueCheck): number {
+  const doubt = ({ runner, last }: DueCheck) =>
+    isDoubtful(last, runner) ? 1 : 0;
+  const sentAt = ({ last }: DueCheck) => last?.sentAt ?? -1;
+  return doubt(right) - doubt(left) || sentAt(left) - sentAt(right);
 }
 
 /** Returns whether a runner failed its last check, but not often enough to be presumed dead. */
--- a/packages/core/src/formation/health_checks_test.ts
+++ b/packages/core/src/formation/health_checks_test.ts
@@ -82,7 +82,52 @@
   return Infinity;
 }
 
+/** Returns the checks of each round of a new leader on a small VM, whose rounds come at the given interval. */
+function roundsOfNewLeader(intervalMs: number): string[][] {
+  const self = {
+    node: "entry-1",
+    zone: "suva-a",
+    address: "entry-1:1",
+    incarnation: "i1",
+    cores: 0.324,
+  };
+  const harness = createHarness({ self });
+  const views = createViews(108);
+  return Array.from({ length: 40 }, () => {
+    const checks = effectsOf(
+      [...checkGroupMembers(harness.state, views)],
+      "check_runner",
+    );
+    for (const { runner } of checks) {
+      harness.feed({
+        kind: "runner_checked",
+        runner,
+        status: "alive",
+        report: undefined,
+      });
+    }
+    harness.advance(intervalMs);
+    return checks.map(({ runner }) => runner);
+  });
+}
+
 describe("health checks", () => {
+  // Guards against GONE: a new leader checked all 216 members in one turn, which took half a second of a small VM.
+  it("of a new leader come in rounds that a small VM carries out in time", () => {
+    const rounds = roundsOfNewLeader(100);
+    for (const round of rounds) expect(round.length).to.be.at.most(26);
+    expect(new Set(rounds.slice(0, 9).flat()).size).to.equal(216);
+  });
+
+  it("reach all members in turn where rounds come late", () => {
+    const checks = roundsOfNewLeader(300).flat();
+    const counts = new Map<string, number>();
+    for (const id of checks) counts.set(id, (counts.get(id) ?? 0) + 1);
+    expect(counts.size).to.equal(216);
+    const values = [...counts.values()];
+    expect(Math.max(...values) - Math.min(...values)).to.be.at.most(1);
+  });
+
   it("find a crash among 760 members with the first check, a silent one soon after it", () => {
     expect(detectionMs("refused")).to.equal(0);
     expect(detectionMs("silent")).to.be.at.most(400);
