--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -28,6 +28,11 @@
   settings_invalid: event(1006, "error", "settings are not valid"),
   not_ready: event(1007, "warn", "daemon not ready"),
   loop_late: event(1008, "warn", "event loop was late"),
+  response_given_up: event(
+    1126,
+    "warn",
+    "response given up, since all responses together hold too many bytes",
+  ),
   caught_up: event(1009, "info", "caught up after a late turn"),
   deferred_dropped: event(
     1125,
--- a/packages/daemon/src/backend/cache_feed.ts
+++ b/packages/daemon/src/backend/cache_feed.ts
@@ -5,6 +5,7 @@
  */
 import type { CacheChange, EventBody, State } from "@primroseshed/core";
 import { type Agent, request } from "undici";
+import { readLimitedJson } from "./limited_body.ts";
 import { patientSignal } from "../driver/patient_timer.ts";
 
 /** Options of {@link createCacheFeed}. */
@@ -20,6 +21,8 @@
   changes: CacheChange[];
 }
 
+/** Largest page of cache events, bytes. */
+const MAX_PAGE_BYTES = 1024 * 1024;
 const REQUEST_TIMEOUT_MS = 1_000;
 
 /** Feed of cache events. */
@@ -44,7 +47,10 @@
         signal: patientSignal(REQUEST_TIMEOUT_MS),
       });
       if (response.statusCode !== 200) return void await response.body.dump();
-      const { sequence, changes } = await response.body.json() as CachePage;
+      const { sequence, changes } = await readLimitedJson<CachePage>(
+        response.body,
+        { maxBytes: MAX_PAGE_BYTES },
+      );
       dispatch({ kind: "cache_changed", target, sequence, changes });
     } catch {
       // Cache events are only hints; those that were missed are read at the next interval.
--- a/packages/daemon/src/backend/status_poll.ts
+++ b/packages/daemon/src/backend/status_poll.ts
@@ -12,6 +12,7 @@
 import { type Agent, request } from "undici";
 import { patientSignal } from "../driver/patient_timer.ts";
 import { decodeStatus } from "./fleet_decoder.ts";
+import { BODY_TOO_LONG, readLimited } from "./limited_body.ts";
 import { outcomeOfError } from "./transport.ts";
 
 /** Options of {@link createStatusPoll}. */
@@ -31,6 +32,16 @@
   stop(): void;
 }
 
+/** Largest status, bytes. */
+const MAX_STATUS_BYTES = 64 * 1024;
+const HEADERS_TOO_LONG = "UND_ERR_HEADERS_OVERFLOW";
+
+/** Returns true where the error shows that the VM answers, with more than can be read. */
+function isAnswer(error: unknown): boolean {
+  const { name, code } = error as { name?: string; code?: string };
+  return name === BODY_TOO_LONG || code === HEADERS_TOO_LONG;
+}
+
 /** Starts to poll each VM once per interval, spread evenly over it. */
 export function createStatusPoll(
   { agent, state, everyMs, timeoutMs, dispatch, log }: StatusPollOptions,
@@ -39,16 +50,19 @@
   const pending = new Set<string>();
 
   /** Reports a status; one that cannot be read says only that the VM answers, and changes nothing. */
-  function reportStatus(address: string, value: unknown): void {
+  function reportStatus(address: string, bytes: Buffer): void {
     try {
-      const status = decodeStatus(value);
+      const status = decodeStatus(JSON.parse(bytes.toString("utf8")));
       dispatch({ kind: "member_reported", address, status });
     } catch (error) {
-      const problem = (error as Error).message;
-      log("entry_unreadable", { topic: "status", key: address, problem });
+      reportProblem(address, error as Error);
     }
   }
 
+  function reportProblem(address: string, { message: problem }: Error): void {
+    log("entry_unreadable", { topic: "status", key: address, problem });
+  }
+
   async function poll({ vm, address }: WatchedMember): Promise<void> {
     if (pending.has(address)) return;
     pending.add(address);
@@ -58,9 +72,12 @@
         dispatcher: agent,
         signal,
       });
-      const status = await response.body.json();
-      reportStatus(address, status);
+      const bytes = await readLimited(response.body, {
+        maxBytes: MAX_STATUS_BYTES,
+      });
+      reportStatus(address, bytes);
     } catch (error) {
+      if (isAnswer(error)) return reportProblem(address, error as Error);
       const refused =
         outcomeOfError(error, { sent: false }) === "connect_refused";
       dispatch({
--- /dev/null
+++ b/packages/daemon/src/gateway/buffer_budget.ts
@@ -0,0 +1,78 @@
+/**
+ * Limits the bytes of responses that a daemon holds until they are complete, over all requests.
+ *
+ * A few faulty runners whose responses never end would otherwise take the memory of the process, and with it the
+ * requests of all other callers. Beyond the limit the response that holds most is given up.
+ *
+ * @module
+ */
+
+/** What one response holds. */
+export interface BufferShare {
+  /** Records the bytes that the response holds now. */
+  set(bytes: number): void;
+  /** Records that it holds nothing any more. */
+  release(): void;
+}
+
+/** Bytes that all responses may hold together. */
+export interface BufferBudget {
+  /** Adds a response; `onGivenUp` is called where it holds most when the limit is exceeded. */
+  open(onGivenUp: () => void): BufferShare;
+  /** Returns the bytes that all responses hold. */
+  total(): number;
+}
+
+interface Holder {
+  bytes: number;
+  onGivenUp(): void;
+}
+
+/**
+ * Creates the budget.
+ *
+ * @example
+ * ```ts
+ * const budget = createBufferBudget({ maxBytes: 100 });
+ * const share = budget.open(() => console.log("given up"));
+ * share.set(101); // given up
+ * ```
+ */
+export function createBufferBudget(
+  { maxBytes }: { maxBytes: number },
+): BufferBudget {
+  const holders = new Set<Holder>();
+  let total = 0;
+
+  function setBytes(holder: Holder, bytes: number): void {
+    total += bytes - holder.bytes;
+    holder.bytes = bytes;
+    if (bytes === 0) holders.delete(holder);
+    else holders.add(holder);
+  }
+
+  function giveUpLargest(): void {
+    const [first, ...others] = holders;
+    if (first === undefined) return;
+    const largest = others.reduce(
+      (left, right) => right.bytes > left.bytes ? right : left,
+      first,
+    );
+    setBytes(largest, 0);
+    largest.onGivenUp();
+  }
+
+  return {
+    open(onGivenUp) {
+      const holder: Holder = { bytes: 0, onGivenUp };
+      return {
+        set(bytes) {
+          setBytes(holder, bytes);
+          if (total > maxBytes) giveUpLargest();
+        },
+        release: () => setBytes(holder, 0),
+      };
+    },
+    total: () => total,
+  };
+}
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -18,6 +18,7 @@
 import { CutOffError, readBody } from "../http/body.ts";
 import { RequestError, sendClientError, sendError } from "../http/errors.ts";
 import type { HeaderCodec } from "./adapters.ts";
+import { createBufferBudget } from "./buffer_budget.ts";
 import { fingerprintOf } from "../http/fingerprint.ts";
 import { createRelay, type Relay } from "./relay.ts";
 
@@ -51,6 +52,8 @@
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
+/** Bytes that all responses may hold before they are complete: a part of the smallest VM's memory. */
+const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
 /** Interval at which a closing listener checks for open requests, ms. */
 const CLOSE_CHECK_MS = 20;
 /** Limit of the HTTP parser, bytes; the limits in force apply below it. */
@@ -64,6 +67,7 @@
   const { headerCodec, agents, relays, isStopping, dispatch, log } = options;
   let limits = INITIAL_LIMITS;
   const connections = createCallerConnections();
+  const buffers = createBufferBudget({ maxBytes: MAX_BUFFERED_BYTES });
   let requestCount = 0;
   let readingCount = 0;
 
@@ -101,6 +105,7 @@
       headerCodec,
       isStopping,
       connections,
+      buffers,
       dispatch,
       log,
     });
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -20,6 +20,7 @@
   ResponseHeaders,
   ResponseMetadata,
 } from "./adapters.ts";
+import type { BufferBudget, BufferShare } from "./buffer_budget.ts";
 import { createCallerAnswer } from "./caller_answer.ts";
 import { statusOfRefusal } from "./refusal_status.ts";
 import {
@@ -59,6 +60,8 @@
   /** Returns true once persistent connections should close. */
   isStopping(): boolean;
   connections: CallerConnections;
+  /** Bytes that the responses of all requests may hold. */
+  buffers: BufferBudget;
   dispatch(event: EventBody): void;
   log(event: LogEventName, fields?: Record<string, unknown>): void;
 }
@@ -80,6 +83,7 @@
   metadata: ResponseMetadata | undefined;
   chunks: Buffer[];
   size: number;
+  share: BufferShare;
   splitter: EventSplitter;
   /** True once a whole event has arrived. */
   hasEvents: boolean;
@@ -106,6 +110,7 @@
     agents,
     headerCodec,
     connections,
+    buffers,
     dispatch,
     log,
   } = options;
@@ -149,6 +154,7 @@
     const isEvents = upstream.isStream && upstream.metadata?.verdict === "ran";
     if (!isEvents) return bufferChunk(upstream, chunk);
     const complete = upstream.splitter.push(chunk);
+    upstream.share.set(upstream.splitter.partialBytes());
     if (upstream.splitter.partialBytes() > MAX_EVENT_BYTES) {
       return fail(upstream, "broken_frame");
     }
@@ -168,7 +174,17 @@
   function bufferChunk(upstream: UpstreamResponse, chunk: Buffer): void {
     upstream.chunks.push(chunk);
     upstream.size += chunk.length;
-    if (upstream.size > MAX_RESPONSE_BYTES) fail(upstream, "body_cut_off");
+    if (upstream.size > MAX_RESPONSE_BYTES) {
+      return fail(upstream, "body_cut_off");
+    }
+    upstream.share.set(upstream.size);
+  }
+
+  /** Frees what is held of a response that is not needed any more. */
+  function release(upstream: UpstreamResponse | undefined): void {
+    if (upstream === undefined) return;
+    upstream.chunks = [];
+    upstream.share.release();
   }
 
   /** Reports a failure that the runner's response shows. */
@@ -185,6 +201,7 @@
     failure: Pick<ResponseFailure, "outcome" | "side" | "refusal">,
   ): void {
     upstream.attempt?.cancel();
+    release(upstream);
     const { number: attempt } = upstream;
     dispatch({ kind: "response_failed", request: name, attempt, ...failure });
   }
@@ -281,9 +298,14 @@
         metadata: undefined,
         chunks: [],
         size: 0,
+        share: buffers.open(() => {
+          log("response_given_up", { request: name, attempt: effect.attempt });
+          fail(upstream, "body_cut_off");
+        }),
         splitter: createEventSplitter(),
         hasEvents: false,
       };
+      release(current);
       current = upstream;
       const { runner, remainingMs, team, resumeAfter } = effect;
       const urgency = effect.isStream ? effect.urgency : undefined;
@@ -337,9 +359,12 @@
       const whole = Buffer.concat(current.chunks);
       beginWhole(current, whole);
       response.write(whole);
+      release(current);
     },
     cancel(attempt) {
-      if (current?.number === attempt) current.attempt?.cancel();
+      if (current?.number !== attempt) return;
+      current.attempt?.cancel();
+      release(current);
     },
     refuse(effect) {
       if (answer.hasBegun()) return answer.breakOff();
@@ -361,10 +386,12 @@
     },
     finish() {
       if (current !== undefined && !answer.hasBegun()) beginStream(current);
+      release(current);
       response.end();
     },
     abandon() {
       current?.attempt?.cancel();
+      release(current);
       answer.breakOff();
     },
   };
--- a/packages/daemon/src/http/chat_exchange.ts
+++ b/packages/daemon/src/http/chat_exchange.ts
@@ -57,10 +57,14 @@
   attempt: Attempt;
 }
 
+/** Largest event of an engine, bytes. */
+const MAX_EVENT_BYTES = 1024 * 1024;
+
 /** Creates the exchange of one chat completion. */
 export function createChatExchange(options: ChatExchangeOptions): Exchange {
   const { id, chat, request, response, agents, dispatch, log } = options;
   const cursor: StreamCursor = { id, next: 0 };
+  const maxTokens = chat.body.max_tokens ?? Infinity;
   const format = createChatFormat({
     id,
     model: chat.body.model,
@@ -180,7 +184,9 @@
 
   function handleChunk(chunk: EngineChunk, number: number): void {
     if (current?.number !== number) return;
-    const verdict = advanceCursor(cursor, chunk);
+    const isTooMuch = cursor.next >= maxTokens && chunk.offset >= maxTokens &&
+      chunk.tokens > 0;
+    const verdict = isTooMuch ? "broken_frame" : advanceCursor(cursor, chunk);
     if (verdict === "deliver") return deliver(chunk);
     if (verdict === "drop_duplicate") return;
     const event = verdict === "foreign_answer"
@@ -207,8 +213,12 @@
     let retryAfterMs: number | undefined;
     let isDone = false;
     decoder = new TextDecoder();
+    let bytesSinceChunk = 0;
     const parser = createEngineStream({
-      onChunk: (chunk) => handleChunk(chunk, number),
+      onChunk(chunk) {
+        bytesSinceChunk = 0;
+        handleChunk(chunk, number);
+      },
       onDone: () => isDone = true,
       onBroken(cause) {
         if (current?.number !== number) return;
@@ -246,12 +256,12 @@
           dispatch({ kind: "attempt_accepted", request: id, attempt: number });
         },
         onData(chunk) {
-          if (status === 200) {
-            handleData(chunk, {
-              number,
-              feed: (part) => parser.feed(part),
-            });
-          }
+          if (status !== 200) return;
+          bytesSinceChunk += chunk.length;
+          handleData(chunk, { number, feed: (part) => parser.feed(part) });
+          if (bytesSinceChunk <= MAX_EVENT_BYTES) return;
+          log("frame_broken", { request: id, cause: "an event is too long" });
+          endAttempt(number, "broken_frame");
         },
         onEnd() {
           if (status !== 200) {
--- a/packages/daemon/src/http/service_exchange.ts
+++ b/packages/daemon/src/http/service_exchange.ts
@@ -46,6 +46,9 @@
   log(event: LogEventName, fields: Record<string, unknown>): void;
 }
 
+/** Bytes of a refusal's body that are read so that its connection can be kept. */
+const MAX_DROPPED_BYTES = 64 * 1024;
+
 /** Statuses of a gateway in front of the service; an idempotent call is retried on another backend server. */
 const RETRIED_STATUSES: ReadonlySet<number> = new Set([502, 503, 504]);
 
@@ -146,6 +149,7 @@
   function send(effect: SendEffect): void {
     const { attempt: number, address, remainingMs } = effect;
     let failure: Outcome | undefined;
+    let droppedBytes = 0;
     let status = 0;
     let contentType = "";
     storedChunks = options.storesResponse ? [] : undefined;
@@ -177,7 +181,10 @@
             }
           },
           onData(chunk) {
-            if (failure === undefined) forwardData(chunk);
+            if (failure === undefined) return forwardData(chunk);
+            droppedBytes += chunk.length;
+            // Reading on would only save the connection.
+            if (droppedBytes > MAX_DROPPED_BYTES) endAttempt(number, failure);
           },
           onEnd() {
             if (failure !== undefined) return endAttempt(number, failure);
--- a/packages/daemon/src/log_service/log_client.ts
+++ b/packages/daemon/src/log_service/log_client.ts
@@ -6,6 +6,7 @@
 import type { LogRecord, StoredRecord } from "@primroseshed/core";
 import { type Dispatcher, request } from "undici";
 import VError from "verror";
+import { readLimitedJson } from "../backend/limited_body.ts";
 
 /** Stream of the records that all daemons fold into the shared state. */
 export const CONTROL_STREAM = "control";
@@ -37,6 +38,8 @@
 }
 
 const READ_LIMIT_RECORDS = 1_000;
+/** Largest answer, bytes; a snapshot holds the whole folded state. */
+const MAX_PAGE_BYTES = 64 * 1024 * 1024;
 const REQUEST_TIMEOUT_MS = 5_000;
 
 async function readJson<T>(
@@ -52,7 +55,7 @@
       response.statusCode,
     );
   }
-  return await response.body.json() as T;
+  return await readLimitedJson<T>(response.body, { maxBytes: MAX_PAGE_BYTES });
 }
 
 /** Creates a client of the log service at `address`. */
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -45,6 +45,7 @@
   createConnection as connectPeer,
   type DropCause,
 } from "./peers/connection.ts";
+export { BODY_TOO_LONG, readLimited } from "./backend/limited_body.ts";
 export { patientSignal } from "./driver/patient_timer.ts";
 export {
   createHello,
--- a/packages/daemon/src/peers/vm_list.ts
+++ b/packages/daemon/src/peers/vm_list.ts
@@ -6,7 +6,10 @@
 import type { EventBody, LogEventName } from "@primroseshed/core";
 import { request } from "undici";
 import { decodeVmList } from "../backend/fleet_decoder.ts";
+import { readLimitedJson } from "../backend/limited_body.ts";
 
+/** Largest list of VMs, bytes. */
+const MAX_LIST_BYTES = 8 * 1024 * 1024;
 const REQUEST_TIMEOUT_MS = 2_000;
 
 /** Options of {@link createVmListPoll}. */
@@ -27,10 +30,15 @@
         headersTimeout: REQUEST_TIMEOUT_MS,
         bodyTimeout: REQUEST_TIMEOUT_MS,
       });
-      const vms = decodeVmList(await response.body.json(), {
-        onProblem: (place, problem) =>
-          log("entry_unreadable", { topic: "vms", key: place, problem }),
-      });
+      const vms = decodeVmList(
+        await readLimitedJson<unknown>(response.body, {
+          maxBytes: MAX_LIST_BYTES,
+        }),
+        {
+          onProblem: (place, problem) =>
+            log("entry_unreadable", { topic: "vms", key: place, problem }),
+        },
+      );
       dispatch({ kind: "vms_listed", vms });
     } catch {
       // The last list stays in use until the platform responds again.
--- a/packages/stand_ins/src/http/listener.ts
+++ b/packages/stand_ins/src/http/listener.ts
@@ -11,6 +11,7 @@
 } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import polka, { type Polka } from "polka";
+import { writeEndlessly } from "../network/endless.ts";
 
 /** Faults that a stand-in simulates. */
 export interface Faults {
@@ -22,6 +23,8 @@
   slowMs: number;
   /** Requests take effect, but their responses are lost. */
   loseResponses: boolean;
+  /** Requests of paths that begin so are answered with this head, and then bytes without end. */
+  endless?: { path: string; head: string } | undefined;
   /** Headers that all responses have. */
   headers?: Record<string, string>;
 }
@@ -77,6 +80,10 @@
   } = {},
 ): Promise<Listener> {
   const server: Server = createServer((request, response) => {
+    const { endless } = faults;
+    if (endless !== undefined && request.url?.startsWith(endless.path)) {
+      return writeEndlessly(request.socket, endless.head);
+    }
     for (const [name, value] of Object.entries(faults.headers ?? {})) {
       response.setHeader(name, value);
     }
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./log/log_service.ts";
 export * from "./vms/vm_service.ts";
 export * from "./network/breakable_connect.ts";
+export * from "./network/endless.ts";
 export * from "./engine/engine.ts";
 export * from "./engine/text.ts";
 export * from "./service/lending.ts";
