--- a/packages/daemon/src/driver/driver.ts
+++ b/packages/daemon/src/driver/driver.ts
@@ -25,6 +25,8 @@
   state: State;
   /** Handles an event; its effects run before this returns unless another event is being handled. */
   dispatch(event: EventBody): void;
+  /** Returns by how much the event loop is late, ms. */
+  lateMs(): number;
   /** Stops the timers. */
   stop(): void;
 }
@@ -207,5 +209,5 @@
   }
 
   scheduleTick();
-  return { state, dispatch, stop };
+  return { state, dispatch, lateMs: () => lateness(monotonicNow()), stop };
 }
--- a/packages/daemon/src/gateway/store_reads.ts
+++ b/packages/daemon/src/gateway/store_reads.ts
@@ -25,6 +25,8 @@
   adapters: Adapters;
   settings: GatewaySettingsFile["store"];
   state: State;
+  /** Returns by how much the event loop is late, ms. */
+  lateMs(): number;
   dispatch(event: EventBody): void;
   log(event: LogEventName, fields?: Record<string, unknown>): void;
 }
@@ -93,7 +95,7 @@
 
 /** Starts the reads of the store, as far as this daemon is to read it. */
 export function startStoreReads(
-  { adapters, settings, state, dispatch, log }: StoreReadsOptions,
+  { adapters, settings, state, lateMs, dispatch, log }: StoreReadsOptions,
 ): StoreReads {
   const { readSharing, routingFreshness, runnersFreshness, groupPlanner } =
     state.gateway!;
@@ -114,6 +116,7 @@
     waitMs: settings.routingWaitMs,
     isConfirmed: () => routingFreshness.confirmedAt !== undefined,
     batchDelayMs: () => 0,
+    lateMs,
     onUpdate: (update) => deliver(update, routingEvent(update)),
     log,
   }, { isEnabled });
@@ -127,6 +130,7 @@
         runners: state.gateway!.runners.size,
         isPlanner: isLeader(groupPlanner.leadership, monotonicNow()),
       }),
+    lateMs,
     onUpdate: (update) => deliver(update, runnersEvent(update)),
     log,
   }, { isEnabled });
--- a/packages/daemon/src/gateway/topic_subscription.ts
+++ b/packages/daemon/src/gateway/topic_subscription.ts
@@ -32,6 +32,8 @@
   isConfirmed(): boolean;
   /** Returns the pause after a change that batches several changes into one read, ms. */
   batchDelayMs(): number;
+  /** Returns by how much the event loop is late, ms: for so long an answer may have waited to be read. */
+  lateMs?(): number;
   onUpdate(update: TopicUpdate<T>): void;
   log(event: LogEventName, fields?: Record<string, unknown>): void;
 }
@@ -83,8 +85,16 @@
 
 /** Subscribes to a topic. */
 export function subscribeToTopic<T>(
-  { name, topic, waitMs, isConfirmed, batchDelayMs, onUpdate, log }:
-    SubscriptionOptions<T>,
+  {
+    name,
+    topic,
+    waitMs,
+    isConfirmed,
+    batchDelayMs,
+    lateMs = () => 0,
+    onUpdate,
+    log,
+  }: SubscriptionOptions<T>,
   { isEnabled: isEnabledAtFirst = true }: { isEnabled?: boolean } = {},
 ): Subscription {
   let isStopped = false;
@@ -126,7 +136,7 @@
       return 0;
     }
     const { records, next: position } = read;
-    const waitedMs = monotonicNow() - sentAt;
+    const waitedMs = monotonicNow() - sentAt - lateMs();
     const confirmedAt = records.length > 0
       ? sentAt
       : confirmedAtOf({ sentAt, waitedMs, allowedMs });
--- a/packages/daemon/src/gateway/topic_subscription_test.ts
+++ b/packages/daemon/src/gateway/topic_subscription_test.ts
@@ -35,7 +35,10 @@
 async function collectUpdates(
   topic: KeyedTopic<string>,
   ms: number,
-  { isConfirmed = () => true }: { isConfirmed?: () => boolean } = {},
+  { isConfirmed = () => true, lateMs = () => 0 }: {
+    isConfirmed?: () => boolean;
+    lateMs?: () => number;
+  } = {},
 ) {
   const updates: TopicUpdate<string>[] = [];
   const subscription = subscribeToTopic({
@@ -43,6 +46,7 @@
     topic,
     waitMs: 1_000,
     isConfirmed,
+    lateMs,
     batchDelayMs: () => 0,
     onUpdate: (update) => updates.push(update),
     log: () => undefined,
@@ -68,6 +72,23 @@
     ]);
   });
 
+  // Guards against a late daemon that takes its own delay for a wait of the store, and its data for fresher than it is.
+  it("confirms no more than the store has waited where the event loop was late", async () => {
+    const { topic } = createTopic([]);
+    const readFrom = topic.readFrom.bind(topic);
+    topic.readFrom = async (...read) => {
+      const answer = await readFrom(...read);
+      const end = performance.now() + 1_100;
+      while (performance.now() < end);
+      return answer;
+    };
+    const startedAt = performance.now();
+    const [, update] = await collectUpdates(topic, 1_500, {
+      lateMs: () => 1_100,
+    });
+    expect(update!.confirmedAt - startedAt).to.be.below(100);
+  });
+
   it("reads the whole topic again when records are gone", async () => {
     const { topic, calls } = createTopic([{ kind: "trimmed" }]);
     await collectUpdates(topic, 50);
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -334,6 +334,7 @@
     adapters,
     settings: store,
     state,
+    lateMs: () => driver.lateMs(),
     dispatch,
     log,
   });
