--- a/packages/core/src/formation/constants.ts
+++ b/packages/core/src/formation/constants.ts
@@ -22,7 +22,7 @@
  */
 export const HEALTH_CHECK_MS_PER_MEMBER = 2;
 /** Health checks that one round of planning sends for each core of its VM; more would make the event loop late. */
-export const MAX_CHECKS_PER_ROUND_AND_CORE = 80;
+export const MAX_CHECKS_PER_ROUND_AND_CORE = 40;
 /** Consecutive failed health checks after which a runner is presumed dead. */
 export const DEAD_AFTER_FAILURES = 2;
 /** Above this share of runners that are presumed dead, the planner itself is probably cut off from the network. */
