--- a/packages/core/src/catch_up/catch_up.ts
+++ b/packages/core/src/catch_up/catch_up.ts
@@ -68,16 +68,11 @@
   "forward_ended",
 ]);
 
-/** Events that follow a read of all sockets. */
-const READ_KINDS: ReadonlySet<EventKind> = new Set([
-  "sockets_read",
-  "deferred_due",
-]);
-
 /** Records by how much the event loop was late for an event, before it is handled. */
 export function noteLateness(state: State, event: Event): void {
   const { catchUp } = state;
-  catchUp.isRead = READ_KINDS.has(event.kind);
+  catchUp.isRead = event.kind === "sockets_read" ||
+    event.kind === "deferred_due";
   if ((event.lateMs ?? 0) <= MAX_LATENESS_MS) return;
   if (catchUp.lateAtRead === undefined) catchUp.since = state.now;
   catchUp.lateAtRead = catchUp.reads;
@@ -105,7 +100,7 @@
 /** Drops the events held back of a request whose caller has left. */
 export function* dropDeferred(state: State, event: Event): Effects {
   const { catchUp, now } = state;
-  if (catchUp.deferred.length === 0 || !CLOSING_KINDS.has(event.kind)) return;
+  if (!CLOSING_KINDS.has(event.kind)) return;
   const { request } = event as Event & { request: string };
   const isOf = ({ event }: { event: DeferrableEvent }) =>
     event.request === request;
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -168,17 +168,17 @@
 
 function* handle(state: State, event: Event): Effects {
   noteLateness(state, event);
-  yield* dropDeferred(state, event);
+  if (state.catchUp.deferred.length > 0) yield* dropDeferred(state, event);
   if (!tryDefer(state, event)) yield* runHandler(state, event);
   if (mayDecide(state)) yield* runTimers(state);
 }
 
-function* runHandler(state: State, event: Event): Effects {
+function runHandler(state: State, event: Event): Effects {
   const handler = HANDLERS[event.kind] as (
     state: State,
     event: Event,
   ) => Effects;
-  yield* handler(state, event);
+  return handler(state, event);
 }
 
 /** Serves all queues, which wait while the sockets are not read. */
