--- a/packages/core/src/gateway/fleet_types.ts
+++ b/packages/core/src/gateway/fleet_types.ts
@@ -36,6 +36,8 @@
   maxAttempts: number;
   /** True where callers need no key. */
   isPublic: boolean;
+  /** Regions whose runners may serve the route; undefined where any may. */
+  allowedRegions?: string[] | undefined;
 }
 
 /** One model that a pool of runners may serve. */
@@ -51,6 +53,24 @@
   loadMs: number;
 }
 
+/** Speed of a service's model engines, for a model of pace 1. */
+export interface EngineSpeed {
+  /** Time of one decode step, ms. */
+  stepMs: number;
+  /** Additional time of a step for each running request, ms. */
+  stepMsPerRequest: number;
+  /** Additional time of a step for each 1,000 tokens of context of a running request, ms. */
+  stepMsPerContextKiloToken: number;
+  /** Decode steps in one pass while requests are writing. */
+  stepsPerPass: number;
+  /** Prompt tokens that are read in a second. */
+  prefillTokensPerSecond: number;
+  /** Prompt tokens that are read in one step at most. */
+  prefillChunkTokens: number;
+  /** Mean prompt and output of a request, tokens; undefined where the configuration does not name them. */
+  usual: { promptTokens: number; outputTokens: number } | undefined;
+}
+
 /** Limits of a service's model engines. */
 export interface EngineProfile {
   /** Requests that one group runs at once. */
@@ -62,6 +82,16 @@
   loadsPerSecond: number;
   /** Weight loads that run in parallel at full speed. */
   loadsAtOnce: number;
+  /** Undefined where a daemon of an earlier version passed the configuration on. */
+  speed?: EngineSpeed | undefined;
+}
+
+/** Limit on the requests to a runner that has just started. */
+export interface ColdStart {
+  /** Time for which a runner is cold after its start, ms. */
+  durationMs: number;
+  /** Requests a second that a cold runner takes from all daemons together. */
+  requestsPerSecond: number;
 }
 
 /** One service of the configuration. */
@@ -69,6 +99,8 @@
   name: string;
   /** Limits of the model engines that work in groups; undefined for plain services. */
   engine: EngineProfile | undefined;
+  /** Undefined where runners take any rate of requests as soon as they have started. */
+  coldStart?: ColdStart | undefined;
 }
 
 /** A team with the keys of its callers. */
@@ -77,6 +109,8 @@
   keys: string[];
   /** Overrides the priority of the route. */
   priority: number | undefined;
+  /** Regions whose runners may serve the team; undefined where any may. */
+  allowedRegions?: string[] | undefined;
 }
 
 /** Limits on what callers may send. */
@@ -117,6 +151,8 @@
   startedUnixMs: number;
   /** Writes of the process to its entry when this content was first written; undefined where it does not count them. */
   writeCount?: number | undefined;
+  /** Time for which the runner was still cold when it wrote this entry, ms; undefined or 0 where it was warm. */
+  coldRemainingMs?: number | undefined;
   /** Fabric domain; undefined for plain services. */
   domain: string | undefined;
   /** Models whose weights are staged on the runner's host. */
--- a/packages/core/src/gateway/routes.ts
+++ b/packages/core/src/gateway/routes.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { nextFloat, type Random } from "../util/random.ts";
+import { capacityPoliciesOf } from "./capacity_policy.ts";
 import type {
   Route,
   RoutingDocument,
@@ -30,7 +31,8 @@
   const services = new Map<string, Service>(
     document.services.map((service) => [service.name, service]),
   );
-  return { document, byHost, services, teamByKey };
+  const capacityPolicies = capacityPoliciesOf(document);
+  return { document, byHost, services, capacityPolicies, teamByKey };
 }
 
 /**
--- a/packages/core/src/gateway/test_fixture.ts
+++ b/packages/core/src/gateway/test_fixture.ts
@@ -47,6 +47,10 @@
   retryWindowMs: 10_000,
   graceMs: 8_000,
   stallMs: 6_000,
+  coldOverage: 1.5,
+  coldSlack: 5,
+  evacuateMs: 5_000,
+  regions: {},
   firstStart: false,
   self: undefined,
 };
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -22,12 +22,20 @@
 
 export type * from "./fleet_types.ts";
 
+/**
+ * How the capacity of a service is shared: `local` where each daemon decides by what it has seen itself, `shared` where
+ * the daemons of an availability zone share their load reports and divide the capacity fairly.
+ */
+export type CapacityPolicy = "local" | "shared";
+
 /** The configuration in force, indexed for look-ups. */
 export interface RoutingTable {
   document: RoutingDocument;
   /** Routes of each host, longest prefix first. */
   byHost: Map<string, Route[]>;
   services: Map<string, Service>;
+  /** How the capacity of each service is shared, by service. */
+  capacityPolicies: Map<string, CapacityPolicy>;
   teamByKey: Map<string, Team>;
 }
 
@@ -217,6 +225,14 @@
   graceMs: number;
   /** Time for which a group that lost a member stalls before it breaks, ms. */
   stallMs: number;
+  /** Factor on a cold runner's limit within which the requests of all daemons must stay in any second. */
+  coldOverage: number;
+  /** Requests beyond that which a cold runner may get in any second. */
+  coldSlack: number;
+  /** Time after which nothing reaches the runners of an evacuated availability zone any more, ms. */
+  evacuateMs: number;
+  /** Regions by availability zone; empty where the deployment names none. */
+  regions: Readonly<Record<string, string>>;
   /** True only where the whole system starts for the first time. */
   firstStart: boolean;
   /** This daemon as its followers see it; undefined where every daemon reads the store itself. */
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -30,7 +30,10 @@
 export { isLeader } from "./formation/leadership.ts";
 export type {
   CallerLimits,
+  CapacityPolicy,
+  ColdStart,
   EngineProfile,
+  EngineSpeed,
   Gateway,
   GatewaySettings,
   Model,
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -19,6 +19,10 @@
   node: z.strictObject({
     name: z.string(),
     zone: z.string(),
+    /** Memory of the VM, MB. */
+    memoryMb: z.number().positive().default(256),
+    /** File descriptors that the process may open. */
+    maxDescriptors: z.number().int().positive().default(4_096),
     /** Processor share of the VM, cores; daemons on larger VMs read the store for the others of their zone. */
     cores: z.number().positive().default(1),
   }),
@@ -66,7 +70,15 @@
     graceS: z.number().positive(),
     stallMs: milliseconds,
     firstStart: z.boolean(),
+    /** Factor on a cold runner's limit within which the requests of all daemons must stay in any second. */
+    coldOverage: z.number().min(1).default(1),
+    /** Requests beyond that which a cold runner may get in any second. */
+    coldSlack: z.number().min(0).default(0),
+    /** Time after which nothing reaches the runners of an evacuated availability zone any more. */
+    evacuateMs: milliseconds.default(5_000),
   }),
+  /** Regions by availability zone, for routes and teams that may be served in some regions only. */
+  regions: z.record(z.string(), z.string()).default({}),
   timing: z.strictObject({
     connectTimeoutMs: milliseconds.default(300),
     orderTimeoutMs: milliseconds.default(800),
--- a/packages/daemon/src/gateway/sharing_frames.ts
+++ b/packages/daemon/src/gateway/sharing_frames.ts
@@ -39,6 +39,7 @@
   backends: z.array(z.object({ service: z.string(), weight: z.number() })),
   maxAttempts: z.number(),
   isPublic: z.boolean(),
+  allowedRegions: optional(z.array(z.string())),
 });
 
 const model = z.object({
@@ -49,25 +50,43 @@
   loadMs: z.number(),
 });
 
+const speed = z.object({
+  stepMs: count,
+  stepMsPerRequest: count,
+  stepMsPerContextKiloToken: count,
+  stepsPerPass: count,
+  prefillTokensPerSecond: count,
+  prefillChunkTokens: count,
+  usual: optional(z.object({ promptTokens: count, outputTokens: count })),
+});
+
 const engine = z.object({
   slots: z.number(),
   kvTokens: z.number(),
   models: z.array(model),
   loadsPerSecond: z.number(),
   loadsAtOnce: z.number(),
+  speed: optional(speed),
 });
 
+const coldStart = z.object({ durationMs: count, requestsPerSecond: count });
+
 const team = z.object({
   name: z.string(),
   keys: z.array(z.string()),
   priority: optional(z.number()),
+  allowedRegions: optional(z.array(z.string())),
 });
 
 const routing = z.object({
   version: z.number(),
   routes: z.array(route),
   services: z.array(
-    z.object({ name: z.string(), engine: optional(engine) }),
+    z.object({
+      name: z.string(),
+      engine: optional(engine),
+      coldStart: optional(coldStart),
+    }),
   ),
   teams: optional(z.array(team)),
   limits: z.object({
@@ -94,6 +113,7 @@
   state: z.enum(["ready", "draining"]),
   startedUnixMs: z.number(),
   writeCount: optional(count),
+  coldRemainingMs: optional(count),
   domain: optional(z.string()),
   staged: z.array(z.string()),
   model: optional(z.string()),
