--- a/packages/core/src/gateway/fleet_types.ts
+++ b/packages/core/src/gateway/fleet_types.ts
@@ -152,7 +152,7 @@
   /** Writes of the process to its entry when this content was first written; undefined where it does not count them. */
   writeCount?: number | undefined;
   /** Time for which the runner was still cold when it wrote this entry, ms; undefined or 0 where it was warm. */
-  coldRemainingMs?: number | undefined;
+  coldForMs?: number | undefined;
   /** Fabric domain; undefined for plain services. */
   domain: string | undefined;
   /** Models whose weights are staged on the runner's host. */
--- a/packages/daemon/src/gateway/sharing_frames.ts
+++ b/packages/daemon/src/gateway/sharing_frames.ts
@@ -113,7 +113,7 @@
   state: z.enum(["ready", "draining"]),
   startedUnixMs: z.number(),
   writeCount: optional(count),
-  coldRemainingMs: optional(count),
+  coldForMs: optional(count),
   domain: optional(z.string()),
   staged: z.array(z.string()),
   model: optional(z.string()),
