Hedge slow requests that may be repeated, within a share set by the deployment

A second copy goes to another runner once a request is slower than a percentile of the observed times; the first response wins and the other attempt is cancelled. Off by default.

--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { EventOf } from "../event/types.ts";
+import { countHedgeableRequest } from "../hedging/mod.ts";
 import { crashSuspectsOf } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
@@ -103,6 +104,7 @@
     return yield* refuseArrival(id, TOO_LATE, { age });
   }
   gateway.requests.set(id, request);
+  countHedgeableRequest(gateway, request);
   countRequest(
     retryBudgetOf(gateway, request.service),
     now,
@@ -144,6 +146,8 @@
     triedForwarders: new Set(),
     failedConnects: 0,
     currentAttempt: undefined,
+    parallelAttempt: undefined,
+    isHedgeDecided: false,
     attempts: 0,
     mayHaveRun: false,
     isRelaying: false,
--- a/packages/core/src/gateway/effect_types.ts
+++ b/packages/core/src/gateway/effect_types.ts
@@ -30,6 +30,8 @@
     isStream: boolean;
     /** True where the request is a trial of a quarantined part of its prompt. */
     isTrial: boolean;
+    /** True where another attempt of the request is in flight, and the first answer of the two wins. */
+    isHedge: boolean;
     /** The daemon through which it is sent; undefined where it goes to the runner directly. */
     forwarder: Forwarder | undefined;
   }
--- a/packages/core/src/gateway/finish.ts
+++ b/packages/core/src/gateway/finish.ts
@@ -31,12 +31,27 @@
   request.currentAttempt = undefined;
 }
 
+/** Ends the other attempt of a hedged request, which has lost; nothing is held against its runner. */
+export function* cancelParallelAttempt(
+  gateway: Gateway,
+  request: RoutedRequest,
+): Effects {
+  const { currentAttempt, parallelAttempt: loser } = request;
+  if (loser === undefined) return;
+  yield { kind: "cancel", request: request.id, attempt: loser.number };
+  request.currentAttempt = loser;
+  releaseAttempt(gateway, request);
+  request.currentAttempt = currentAttempt;
+  request.parallelAttempt = undefined;
+}
+
 /** Removes a request that has its final response, and gives its slot to waiting requests. */
 export function* endRequest(
   state: State,
   gateway: Gateway,
   request: RoutedRequest,
 ): Effects {
+  yield* cancelParallelAttempt(gateway, request);
   releaseAttempt(gateway, request);
   leaveQueue(gateway, request);
   gateway.requests.delete(request.id);
@@ -79,7 +94,8 @@
   request: RoutedRequest,
   refusal: Refusal,
 ): Effects {
-  const { id, currentAttempt: attempt } = request;
+  const { id, currentAttempt: attempt, parallelAttempt } = request;
+  if (parallelAttempt?.isSent) request.mayHaveRun = true;
   if (attempt !== undefined) {
     // The runner may already have begun.
     if (attempt.isSent) request.mayHaveRun = true;
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -17,6 +17,7 @@
 import { passOnLimits } from "../read_sharing/limits.ts";
 import { passOnSuspects } from "../read_sharing/suspects.ts";
 import { createReadSharing, updateSource } from "../read_sharing/upstream.ts";
+import { createHedgingState } from "../hedging/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import { probeLostPaths, pruneServicePaths } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
@@ -60,6 +61,7 @@
     requests: new Map(),
     waitingRequests: new Map(),
     retryBudgets: new Map(),
+    hedging: createHedgingState(),
     meanLoads: new Map(),
     servingCount: 0,
     workShare: createAverage(1 / MIN_RETRY_DAEMONS),
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -5,6 +5,11 @@
  */
 import { forwarderStatsOf } from "../forwarding/forwarders.ts";
 import type { EventOf } from "../event/types.ts";
+import {
+  makeCurrent,
+  recordFirstResponse,
+  settleHedge,
+} from "../hedging/mod.ts";
 import { isCut } from "../quarantine/mod.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import { proveLost } from "../service_path/mod.ts";
@@ -29,7 +34,9 @@
   { request: id, attempt }: { request: string; attempt: number },
 ): RoutedRequest | undefined {
   const request = gateway.requests.get(id);
-  return request?.currentAttempt?.number === attempt ? request : undefined;
+  if (request === undefined) return undefined;
+  makeCurrent(request, attempt);
+  return request.currentAttempt?.number === attempt ? request : undefined;
 }
 
 /** Handles a request that leaves on a connection to its runner. */
@@ -86,10 +93,16 @@
   stats.failures = 0;
   stats.streaming += 1;
   attempt.isStreaming = true;
-  if (request.isRelaying) return;
   request.mayHaveRun = true;
+  // Of two attempts, the one with the first event is relayed.
+  if (request.parallelAttempt === undefined) yield* beginRelay(request);
+}
+
+function* beginRelay(request: RoutedRequest): Effects {
+  if (request.isRelaying) return;
   request.isRelaying = true;
-  yield { kind: "relay", request: request.id, attempt: event.attempt };
+  const { id, currentAttempt } = request;
+  yield { kind: "relay", request: id, attempt: currentAttempt!.number };
 }
 
 /** Handles whole events of a stream that were relayed to the caller. */
@@ -104,9 +117,12 @@
   request.currentAttempt!.progressCount += 1;
   runnerStatsOf(gateway, request.currentAttempt!.runner).lastSeenAt = state.now;
   request.lastEvent = event.lastEvent ?? request.lastEvent;
+  yield* settleHedge(state, request);
+  yield* beginRelay(request);
   yield* reportProgress(state, request);
   if (request.hasEvents) return;
   request.hasEvents = true;
+  recordFirstResponse(state, request);
   const { priority, arrivedAt } = request;
   yield { kind: "first_event", priority, ms: state.now - arrivedAt };
 }
@@ -147,6 +163,8 @@
     });
   }
   stats.failures = 0;
+  yield* settleHedge(state, request);
+  if (!isStream(request.route)) recordFirstResponse(state, request);
   yield* reportCompletion(state, request);
   yield logEnd(state, request, { status, runner, verdict: "ran" });
   if (!request.isRelaying) {
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -7,6 +7,7 @@
 import { recordForwarderFailure } from "../forwarding/forwarders.ts";
 import type { FailureSide, ForwardRefusal } from "../forwarding/types.ts";
 import { recordSuspect } from "../read_sharing/suspects.ts";
+import { continueParallel } from "../hedging/mod.ts";
 import { findHeld } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import { isOwnFault, recordConnectionFailure } from "../service_path/mod.ts";
@@ -61,7 +62,9 @@
   yield* recordFailure(state, gateway, failure);
   if (verdict !== "not_run") request.mayHaveRun = true;
   if (isUncounted(failure)) request.countedAttempts -= 1;
-  const { next, charge } = nextStep(state, gateway, failure);
+  const { next, charge } = request.parallelAttempt === undefined
+    ? nextStep(state, gateway, failure)
+    : { next: { kind: "continue" } as const };
   yield {
     kind: "log",
     event: "attempt_failed",
@@ -86,6 +89,7 @@
     },
   };
   releaseAttempt(gateway, request);
+  if (next.kind === "continue") return continueParallel(request);
   if (next.kind === "send") {
     return yield* sendToRunner(state, gateway, {
       request,
@@ -208,6 +212,8 @@
 
 /** What follows a failed attempt. */
 type NextStep =
+  /** The other attempt of a hedged request goes on. */
+  | { kind: "continue" }
   | { kind: "send"; destination: Destination }
   /** A stream waits for a free slot. */
   | { kind: "wait" }
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -61,7 +61,7 @@
   }
 }
 
-/** Sends a request to a runner. */
+/** Sends a request to a runner; one that has an attempt in flight is hedged. */
 export function* sendToRunner(
   state: State,
   gateway: Gateway,
@@ -82,6 +82,7 @@
   request.countedAttempts += 1;
   request.triedRunners.add(id);
   request.unreachedRunners.delete(id);
+  request.parallelAttempt = request.currentAttempt;
   request.currentAttempt = {
     number: request.attempts,
     runner: id,
@@ -114,6 +115,7 @@
       loadAge: stats.load && Math.round(state.now - stats.load.at),
       configVersion: gateway.routing?.document.version,
       resumeAfter: request.isRelaying ? request.lastEvent : undefined,
+      hedges: request.parallelAttempt?.number,
     },
   };
   yield {
@@ -129,6 +131,7 @@
     isRepeatable: canRepeat(request.route),
     isStream: isStream(request.route),
     isTrial: request.isTrial,
+    isHedge: request.parallelAttempt !== undefined,
     forwarder,
   };
 }
--- a/packages/core/src/gateway/sweep.ts
+++ b/packages/core/src/gateway/sweep.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { tryHedge } from "../hedging/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import type { Outcome } from "../verdict/types.ts";
@@ -46,9 +47,12 @@
   }
   if (request.isWaiting) return yield* checkWait(state, gateway, request);
   if (request.currentAttempt === undefined) return;
+  yield* tryHedge(state, request);
   const outcome = stallOf(request, state.now);
   // A stream that only pauses goes on where it has nowhere else to go.
-  if (outcome === undefined || !canMove(state, gateway, request)) return;
+  const isReplaceable = request.parallelAttempt !== undefined ||
+    canMove(state, gateway, request);
+  if (outcome === undefined || !isReplaceable) return;
   yield {
     kind: "cancel",
     request: request.id,
--- a/packages/core/src/gateway/sweep_schedule.ts
+++ b/packages/core/src/gateway/sweep_schedule.ts
@@ -14,13 +14,17 @@
 
 /** Returns the time until the next sweep, ms: the shorter, the sooner something may be due. */
 function sweepIntervalOf({ gateway }: State): number {
-  const { requests, waitingRequests, readSharing, routing } = gateway!;
+  const { requests, waitingRequests, readSharing, routing, settings } =
+    gateway!;
   if (routing === undefined || readSharing.suspects.size > 0) {
     return SWEEP_INTERVAL_MS;
   }
   for (const waiting of waitingRequests.values()) {
     if (waiting.size > 0) return SWEEP_INTERVAL_MS;
   }
+  if (settings.hedging !== undefined && requests.size > 0) {
+    return SWEEP_INTERVAL_MS;
+  }
   // A daemon that reads the store may plan the groups.
   return requests.size > 0 || readSharing.isReading
     ? BUSY_SWEEP_INTERVAL_MS
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -9,6 +9,7 @@
 import type { KnownChains } from "../quarantine/types.ts";
 import type { StoreTimeline } from "../store_timeline/types.ts";
 import type { DaemonEntry, ReadSharing } from "../read_sharing/types.ts";
+import type { HedgingLimits, HedgingState } from "../hedging/types.ts";
 import type { ServicePath } from "../service_path/types.ts";
 import type {
   Route,
@@ -143,6 +144,10 @@
   /** Connections to runners that failed since one last succeeded. */
   failedConnects: number;
   currentAttempt: Attempt | undefined;
+  /** The other attempt of a hedged request, until one of the two has won. */
+  parallelAttempt: Attempt | undefined;
+  /** True once it was decided that the request is not hedged. */
+  isHedgeDecided: boolean;
   attempts: number;
   /** True once a runner may have run the request in any attempt. */
   mayHaveRun: boolean;
@@ -194,6 +199,7 @@
   /** Ids of the requests that wait for a free slot, by service and model. */
   waitingRequests: Map<string, Set<string>>;
   retryBudgets: Map<string, RetryBudget>;
+  hedging: HedgingState;
   /** Mean loads by kind of runner: service, model and availability zone. */
   meanLoads: Map<string, MeanLoad>;
   /** Number of known runners that can serve requests. */
@@ -231,6 +237,8 @@
   coldSlack: number;
   /** Time after which nothing reaches the runners of an evacuated availability zone any more, ms. */
   evacuateMs: number;
+  /** Undefined where requests are not hedged. */
+  hedging?: HedgingLimits | undefined;
   /** Regions by availability zone; empty where the deployment names none. */
   regions: Readonly<Record<string, string>>;
   /** True only where the whole system starts for the first time. */
--- a/packages/core/src/state/dump.ts
+++ b/packages/core/src/state/dump.ts
@@ -18,6 +18,7 @@
   "fold",
   "byHost",
   "teamByKey",
+  "observed",
 ]);
 /** Largest number of entries dumped of a map or list; a map's dump also counts the omitted ones. */
 const MAX_ENTRIES = 1_000;
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -115,7 +115,8 @@
     log,
   } = options;
   const answer = createCallerAnswer(options);
-  let current: UpstreamResponse | undefined;
+  /** Attempts in flight by number; two where the request is hedged. */
+  const upstreams = new Map<number, UpstreamResponse>();
 
   function beginStream(
     { status, relayedHeaders: headers }: UpstreamResponse,
@@ -181,10 +182,14 @@
   }
 
   /** Frees what is held of a response that is not needed any more. */
-  function release(upstream: UpstreamResponse | undefined): void {
-    if (upstream === undefined) return;
+  function release(upstream: UpstreamResponse): void {
     upstream.chunks = [];
     upstream.share.release();
+    upstreams.delete(upstream.number);
+  }
+
+  function releaseAll(): void {
+    for (const upstream of [...upstreams.values()]) release(upstream);
   }
 
   /** Reports a failure that the runner's response shows. */
@@ -305,8 +310,8 @@
         splitter: createEventSplitter(),
         hasEvents: false,
       };
-      release(current);
-      current = upstream;
+      if (!effect.isHedge) releaseAll();
+      upstreams.set(effect.attempt, upstream);
       const { runner, remainingMs, team, resumeAfter } = effect;
       const urgency = effect.isStream ? effect.urgency : undefined;
       const agent = effect.isRepeatable ? agents.reusing : agents.fresh;
@@ -354,17 +359,19 @@
       });
     },
     relay(attempt) {
-      if (current?.number !== attempt || answer.hasBegun()) return;
-      if (current.isStream && current.metadata?.verdict === "ran") return;
-      const whole = Buffer.concat(current.chunks);
-      beginWhole(current, whole);
+      const upstream = upstreams.get(attempt);
+      if (upstream === undefined || answer.hasBegun()) return;
+      if (upstream.isStream && upstream.metadata?.verdict === "ran") return;
+      const whole = Buffer.concat(upstream.chunks);
+      beginWhole(upstream, whole);
       response.write(whole);
-      release(current);
+      release(upstream);
     },
     cancel(attempt) {
-      if (current?.number !== attempt) return;
-      current.attempt?.cancel();
-      release(current);
+      const upstream = upstreams.get(attempt);
+      if (upstream === undefined) return;
+      upstream.attempt?.cancel();
+      release(upstream);
     },
     refuse(effect) {
       if (answer.hasBegun()) return answer.breakOff();
@@ -385,13 +392,14 @@
       response.end(body);
     },
     finish() {
-      if (current !== undefined && !answer.hasBegun()) beginStream(current);
-      release(current);
+      const [upstream] = upstreams.values();
+      if (upstream !== undefined && !answer.hasBegun()) beginStream(upstream);
+      releaseAll();
       response.end();
     },
     abandon() {
-      current?.attempt?.cancel();
-      release(current);
+      for (const { attempt } of upstreams.values()) attempt?.cancel();
+      releaseAll();
       answer.breakOff();
     },
   };
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -79,6 +79,13 @@
   }),
   /** Regions by availability zone, for routes and teams that may be served in some regions only. */
   regions: z.record(z.string(), z.string()).default({}),
+  /** Second copies of slow requests that may be repeated; none are sent where it is unset. */
+  hedging: z.strictObject({
+    /** Hedged requests as a share of the requests to a service. */
+    maxShare: z.number().gt(0).max(0.5),
+    /** Percentile of the observed times to the first response after which a request is hedged. */
+    percentile: z.number().min(50).max(99.9).default(95),
+  }).optional(),
   timing: z.strictObject({
     connectTimeoutMs: milliseconds.default(300),
     orderTimeoutMs: milliseconds.default(800),
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -94,7 +94,7 @@
   settings: GatewaySettingsFile,
   { adapters, logger: givenLogger, connect }: GatewayDaemonOptions,
 ): Promise<GatewayDaemon> {
-  const { node, store, timing, bounds, regions } = settings;
+  const { node, store, timing, bounds, regions, hedging } = settings;
   const incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
   const forwardKey = randomBytes(FORWARD_KEY_BYTES).toString("base64url");
   const { followers: followersAddress } = settings.listen;
@@ -112,6 +112,7 @@
       gateway: {
         ...bounds,
         regions,
+        hedging,
         retryWindowMs: bounds.retryWindowS * MS_PER_SECOND,
         graceMs: bounds.graceS * MS_PER_SECOND,
         self: followersAddress === undefined ? undefined : {
