--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -118,6 +118,16 @@
     "Orders that failed or got no response, by outcome",
     ["outcome"],
   );
+  const settledHedges = counter(
+    "primrose_hedges_settled_total",
+    "Hedged requests by whether the second copy won",
+    ["outcome"],
+  );
+  const deniedHedges = counter(
+    "primrose_hedges_denied_total",
+    "Slow requests that were not hedged, by cause",
+    ["cause"],
+  );
   const followerBytes = counter(
     "primrose_follower_bytes_total",
     "Bytes sent to the daemons that follow this one, by kind of message",
@@ -147,6 +157,9 @@
       if (charge === undefined) return;
       retries.inc({ charge: label(charge), outcome: label(outcome) });
     },
+    hedge_settled: ({ outcome }) =>
+      settledHedges.inc({ outcome: label(outcome) }),
+    hedge_denied: ({ cause }) => deniedHedges.inc({ cause: label(cause) }),
     order_sent: ({ action }) => orders.inc({ action: label(action) }),
     order_failed: ({ outcome }) =>
       failedOrders.inc({ outcome: label(outcome) }),
