Pace requests to cold runners by ownership, beside the limits that runners name

A runner that has just started takes few requests. The limit that a runner names moves to the same module as the second source of a runner's pace. A runner that has just turned warm seems fuller than it is until its share of the work has grown.

--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -176,6 +176,13 @@
     "warn",
     "daemon did not forward a request",
   ),
+  runner_cold: event(1616, "info", "runner is cold"),
+  runner_warm: event(1617, "info", "runner is warm"),
+  zone_cold: event(
+    1618,
+    "info",
+    "runners count as cold since the evacuation of their zone was lifted",
+  ),
   peer_refused: event(1603, "warn", "peer refused"),
   peer_frame_dropped: event(1604, "warn", "peer frame dropped"),
   usage_published: event(1701, "info", "usage published"),
--- a/packages/core/src/formation/types.ts
+++ b/packages/core/src/formation/types.ts
@@ -87,6 +87,8 @@
 export interface RunnerReport {
   running: number;
   queued: number;
+  /** Time for which the runner is still cold, ms; undefined or 0 where it is warm or does not say. */
+  coldForMs?: number | undefined;
 }
 
 /** Leadership of the group planner, which is granted for a limited time. */
--- a/packages/core/src/forwarding/admission.ts
+++ b/packages/core/src/forwarding/admission.ts
@@ -19,6 +19,7 @@
 } from "../gateway/runner_backoff.ts";
 import { runnerStatsOf } from "../gateway/runner_stats.ts";
 import type { Gateway, Runner } from "../gateway/types.ts";
+import { countForward, isWithinColdPace } from "../pacing/mod.ts";
 import { crashSuspectsOf } from "../quarantine/mod.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import { isPathLost, recordConnectionFailure } from "../service_path/mod.ts";
@@ -60,9 +61,9 @@
   }
   if (found.team?.name !== event.team) return "not_allowed";
   if (runner === undefined || !canServe(runner)) return "runner_gone";
-  if (!isPastBackoff(runnerStatsOf(gateway, runner.id), state.now)) {
-    return "runner_gone";
-  }
+  const stats = runnerStatsOf(gateway, runner.id);
+  if (!isPastBackoff(stats, state.now)) return "runner_gone";
+  if (!isWithinColdPace(state, { runner, stats })) return "runner_gone";
   const isAllowed = found.route.backends.some(({ service }) =>
     service === runner.service
   );
@@ -99,7 +100,9 @@
     return yield { kind: "refuse_forward", request, cause };
   }
   forwarding.inFlight.add(request);
-  noteTrial(runnerStatsOf(state.gateway!, id), state.now);
+  const stats = runnerStatsOf(state.gateway!, id);
+  noteTrial(stats, state.now);
+  countForward(state, { runner: runner!, stats });
   yield {
     kind: "log",
     event: "request_forwarded",
--- a/packages/core/src/forwarding/path.ts
+++ b/packages/core/src/forwarding/path.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { isCold } from "../cold_start/mod.ts";
 import type { RoutedRequest, RunnerStats } from "../gateway/types.ts";
 import { isPathLost } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
@@ -39,6 +40,8 @@
   const hasArrived = request.triedRunners.has(runner) &&
     !request.unreachedRunners.has(runner);
   if (hasArrived || stats.avoidForwardedUntil > state.now) return false;
+  // The forwarder would take it only as one of the runner's owners.
+  if (isCold(state, { id: runner, service: request.service })) return false;
   return state.gateway!.unreachableRunners.has(runner) ||
     isDirectHopeless(state, request);
 }
--- a/packages/core/src/gateway/choose.ts
+++ b/packages/core/src/gateway/choose.ts
@@ -8,7 +8,9 @@
  *
  * @module
  */
+import { weighOccupancy } from "../cold_start/mod.ts";
 import { canForward, type Path, pathsOf } from "../forwarding/path.ts";
+import { mayReceive } from "../pacing/mod.ts";
 import { nextFloat } from "../util/random.ts";
 import type { State } from "../state/types.ts";
 import {
@@ -18,7 +20,6 @@
   URGENT_QUEUE_REQUESTS,
 } from "./constants.ts";
 import { occupancyOf } from "./occupancy.ts";
-import { mayReceive } from "./request_limit.ts";
 import { candidatesFor } from "./runner_index.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
 import type { Gateway, RoutedRequest, Runner, RunnerStats } from "./types.ts";
@@ -106,8 +107,10 @@
   let best: Candidate | undefined;
   for (const runner of candidatesFor(gateway, request)) {
     const stats = runnerStatsOf(gateway, runner.id);
-    if (!isUsable(stats) || !mayReceive(stats, state.now)) continue;
-    const occupancy = occupancyOf(gateway, { runner, stats }, state.now);
+    if (!isUsable(stats) || !mayReceive(state, { runner, stats })) continue;
+    const occupancy = weighOccupancy(state, runner, {
+      occupancy: occupancyOf(gateway, { runner, stats }, state.now),
+    });
     const slots = slotsOf(gateway, runner);
     const usable = usableSlots(slots, request, { canUseReserved });
     // Runners of plain services shed load themselves and report it.
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -64,8 +64,6 @@
 export const URGENT_QUEUE_REQUESTS = 2;
 /** Slots kept free for more urgent requests, for each step of priority. */
 export const RESERVED_SLOTS = 1;
-/** Rate at which a runner that names a lower limit is still asked, so that the end of the limit is noticed, 1/s. */
-export const MIN_REQUESTS_PER_SECOND = 0.1;
 /** Time for which the limit of a runner whose entry is gone is kept, since the entry may come back, ms. */
 export const LIMIT_MEMORY_MS = 30_000;
 /** Runners that are remembered as leaving; the ones that said so first are forgotten beyond it. */
@@ -76,9 +74,6 @@
 export const BACKOFF_TRIAL_MS = 500;
 /** Part by which daemons and callers spread their return after a back-off. */
 export const BACKOFF_JITTER = 0.1;
-/** Smallest and largest share of a runner's limit that a daemon takes, as a multiple of an equal one. */
-export const MIN_LIMIT_SHARE_FACTOR = 0.5;
-export const MAX_LIMIT_SHARE_FACTOR = 1.25;
 /** Daemons among which the slack of the retry budget is divided where their number is not known. */
 export const MIN_RETRY_DAEMONS = 12;
 /** Share of the slack that is used; the rest covers daemons that are not known yet, and delays on the way to runners. */
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { sweepColdRunners } from "../cold_start/mod.ts";
 import { advanceNode } from "../drain/drain.ts";
 import type { EventOf } from "../event/types.ts";
 import {
@@ -13,6 +14,7 @@
 } from "../forwarding/mod.ts";
 import { createGroupPlanner } from "../formation/leadership.ts";
 import { planGroups } from "../formation/plan.ts";
+import { createPacing } from "../pacing/mod.ts";
 import { pruneSuspects } from "../quarantine/mod.ts";
 import { passOnLimits } from "../read_sharing/limits.ts";
 import { passOnSuspects } from "../read_sharing/suspects.ts";
@@ -56,6 +58,8 @@
     leavingRunners: new Map(),
     unreachableRunners: new Set(),
     servicePaths: new Map(),
+    coldRunners: new Map(),
+    pacing: createPacing(),
     forwarding: createForwarding(),
     requests: new Map(),
     waitingRequests: new Map(),
@@ -89,6 +93,7 @@
   // A sooner sweep has taken the place of this one.
   if (state.now < gateway.nextSweepAt) return;
   recordLateness(gateway, state.now - gateway.nextSweepAt);
+  yield* sweepColdRunners(state);
   yield* sweepRequests(state, gateway);
   if (state.now - gateway.workShareMeasuredAt >= WORK_SHARE_INTERVAL_MS) {
     gateway.workShareMeasuredAt = state.now;
--- a/packages/core/src/gateway/handlers.ts
+++ b/packages/core/src/gateway/handlers.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { recordColdReport } from "../cold_start/mod.ts";
 import type { EventOf } from "../event/types.ts";
 import {
   admitForward,
@@ -13,6 +14,7 @@
 import { recordHealthCheck } from "../formation/health_checks.ts";
 import { beginTerm, renewLeadership } from "../formation/leadership.ts";
 import { completeOrder } from "../formation/orders.ts";
+import { recordFleet } from "../pacing/mod.ts";
 import { confirmCrash, dismissCuts } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import {
@@ -73,10 +75,14 @@
       !isOwnFault(state.gateway!, event.runner);
     if (isProof) yield* confirmCrash(state, event.runner);
     if (event.status === "alive") dismissCuts(state, event.runner);
+    yield* recordColdReport(state, event);
     yield* recordHealthCheck(state, event);
   },
   gateway_stop_ordered: stopGateway,
-  daemons_read: applyDaemons,
+  *daemons_read(state: State, event: EventOf<"daemons_read">): Effects {
+    yield* applyDaemons(state, event);
+    recordFleet(state, event);
+  },
   upstream_began: acceptUpstream,
   upstream_answered: confirmUpstream,
   upstream_lost: loseUpstream,
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -5,6 +5,7 @@
  */
 import { forwarderStatsOf } from "../forwarding/forwarders.ts";
 import type { EventOf } from "../event/types.ts";
+import { hearLimit } from "../pacing/mod.ts";
 import { isCut } from "../quarantine/mod.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import { proveLost } from "../service_path/mod.ts";
@@ -19,7 +20,6 @@
 import { hearLeaving } from "./leaving.ts";
 import { recordLoad } from "./occupancy.ts";
 import { failAttempt } from "./retry.ts";
-import { hearLimit } from "./request_limit.ts";
 import { isStream } from "./routes.ts";
 import { endBackoff, hearBackoff } from "./runner_backoff.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { recordEntry } from "../cold_start/mod.ts";
 import type { EventOf } from "../event/types.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
@@ -143,6 +144,7 @@
     return;
   }
   indexRunner(gateway, runner);
+  yield* recordEntry(state, { known, read: runner });
   const stats = gateway.runnerStats.get(runner.id);
   if (stats !== undefined) forgetBackoff(stats, runner);
   const isRestarted = known !== undefined &&
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -5,6 +5,7 @@
  */
 import { mayDecide } from "../catch_up/mod.ts";
 import { chooseForwarder, forwarderStatsOf } from "../forwarding/forwarders.ts";
+import { countSend } from "../pacing/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import { knownChains } from "../quarantine/mod.ts";
 import type { State } from "../state/types.ts";
@@ -12,7 +13,6 @@
 import { runnerStatsOf } from "./runner_stats.ts";
 import { MAX_URGENCY } from "./constants.ts";
 import { quarantineRefusal } from "./held_requests.ts";
-import { countLimitedSend } from "./request_limit.ts";
 import { canRepeat, isStream } from "./routes.ts";
 import { noteTrial } from "./runner_backoff.ts";
 import { workKey } from "./runner_index.ts";
@@ -76,7 +76,7 @@
   }
   const stats = runnerStatsOf(gateway, id);
   stats.inFlight += 1;
-  countLimitedSend(gateway, stats, state.now);
+  countSend(state, { runner, stats });
   noteTrial(stats, state.now);
   request.attempts += 1;
   request.countedAttempts += 1;
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -4,8 +4,10 @@
  * @module
  */
 import type { Average } from "../util/ewma.ts";
+import type { ColdRunner } from "../cold_start/types.ts";
 import type { Forwarding } from "../forwarding/types.ts";
 import type { GroupPlanner } from "../formation/types.ts";
+import type { Pacing } from "../pacing/types.ts";
 import type { KnownChains } from "../quarantine/types.ts";
 import type { StoreTimeline } from "../store_timeline/types.ts";
 import type { DaemonEntry, ReadSharing } from "../read_sharing/types.ts";
@@ -69,7 +71,7 @@
   load: LoadSample | undefined;
   /** Requests a second that the runner takes from all daemons together; undefined where it names no limit. */
   requestsPerSecond: number | undefined;
-  /** Time before which a runner with a limit gets no request from this daemon, ms. */
+  /** Time before which a runner with a limit or a cold start gets no request from this daemon, ms. */
   nextSendAt: number;
   /** Back-off that the runner asked for; undefined where it has answered since. */
   backoff: Backoff | undefined;
@@ -189,6 +191,9 @@
   unreachableRunners: Set<string>;
   /** Paths to services to which a connection has failed since one last succeeded, by service. */
   servicePaths: Map<string, ServicePath>;
+  /** Runners that are cold or have just turned warm, by id. */
+  coldRunners: Map<string, ColdRunner>;
+  pacing: Pacing;
   forwarding: Forwarding;
   requests: Map<string, RoutedRequest>;
   /** Ids of the requests that wait for a free slot, by service and model. */
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -5,6 +5,7 @@
  */
 export { hasDueEvent, isCatchingUp } from "./catch_up/mod.ts";
 export * from "./catch_up/event_types.ts";
+export { isCold } from "./cold_start/mod.ts";
 export * from "./config/types.ts";
 export * from "./config/problem.ts";
 export * from "./config/resolve.ts";
--- a/packages/core/src/gateway/request_limit.ts
+++ b/packages/core/src/pacing/named_limit.ts
@@ -1,59 +1,31 @@
 /**
- * Keeps the requests to an overloaded runner within what it asks for: a rate for all daemons together, or a back-off.
- *
- * Each daemon takes a share of a rate, and spreads its requests evenly in time: unused time is not saved up, since
- * many daemons that had saved up a request each would exceed the limit at once.
+ * The pace at which this daemon sends to an overloaded runner that names a rate for all daemons together. Each daemon
+ * takes a share of the rate.
  *
  * @module
  */
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { nextFloat } from "../util/random.ts";
-import {
-  MAX_LIMIT_SHARE_FACTOR,
-  MIN_LIMIT_SHARE_FACTOR,
-  MIN_REQUESTS_PER_SECOND,
-} from "./constants.ts";
-import { isPastBackoff } from "./runner_backoff.ts";
-import type { Gateway, RunnerStats } from "./types.ts";
+import type { Gateway, RunnerStats } from "../gateway/types.ts";
+import { MIN_REQUESTS_PER_SECOND } from "./constants.ts";
+import { limitShareOf } from "./shares.ts";
 
 const MS_PER_SECOND = 1_000;
 
-/**
- * Returns this daemon's share of a limit: its share of the work, kept near an equal one so that the shares of all
- * daemons add up to little more than the limit whatever they estimate.
- */
-function limitShareOf({ readSharing, workShare }: Gateway): number {
-  const { self, daemons } = readSharing;
-  if (self === undefined || daemons === undefined) return workShare.value;
-  const equalShare = 1 / (daemons.size + 1);
-  return Math.min(
-    MAX_LIMIT_SHARE_FACTOR * equalShare,
-    Math.max(MIN_LIMIT_SHARE_FACTOR * equalShare, workShare.value),
-  );
-}
-
 /** Returns the time between two requests of this daemon to a runner with a limit, ms. */
 function intervalOf(gateway: Gateway, requestsPerSecond: number): number {
   const rate = Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond);
   return MS_PER_SECOND / (rate * limitShareOf(gateway));
 }
 
-/** Returns whether a runner takes a request of this daemon now, by what it has asked for. */
-export function mayReceive(stats: RunnerStats, now: number): boolean {
-  const { requestsPerSecond, nextSendAt } = stats;
-  const isWithinLimit = requestsPerSecond === undefined || now >= nextSendAt;
-  return isWithinLimit && isPastBackoff(stats, now);
-}
-
-/** Counts a request that is sent to a runner towards its limit. */
-export function countLimitedSend(
+/** Returns the time between two requests of this daemon to a runner, ms; 0 where the runner names no limit. */
+export function namedIntervalOf(
   gateway: Gateway,
-  stats: RunnerStats,
-  now: number,
-): void {
-  if (stats.requestsPerSecond === undefined) return;
-  stats.nextSendAt = now + intervalOf(gateway, stats.requestsPerSecond);
+  { requestsPerSecond }: RunnerStats,
+): number {
+  if (requestsPerSecond === undefined) return 0;
+  return intervalOf(gateway, requestsPerSecond);
 }
 
 /** Records the limit that a response names, or that it names none any more, to be passed on with the next sweep. */
--- a/packages/core/src/gateway/request_limit_test.ts
+++ b/packages/core/src/pacing/named_limit_test.ts
@@ -8,7 +8,7 @@
   type GatewayHarness,
   publish,
   sendRequest,
-} from "./test_fixture.ts";
+} from "../gateway/test_fixture.ts";
 
 const STEP_MS = 10;
 const PREFILL_MS = 150;
--- a/packages/core/src/read_sharing/limits.ts
+++ b/packages/core/src/read_sharing/limits.ts
@@ -9,8 +9,8 @@
  */
 import type { EventOf } from "../event/types.ts";
 import { applyLeaving } from "../gateway/leaving.ts";
-import { recordLimit } from "../gateway/request_limit.ts";
 import { runnerStatsOf } from "../gateway/runner_stats.ts";
+import { recordLimit } from "../pacing/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { passOn } from "./suspects.ts";
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -24,6 +24,7 @@
 } from "prom-client";
 import { createGaugeAdder } from "../observe/gauges.ts";
 import type { LogFields } from "../observe/logger.ts";
+import { createPacingMetrics } from "./pacing_metrics.ts";
 
 /** Metrics of one gateway. */
 export interface GatewayMetrics {
@@ -134,6 +135,7 @@
     ["priority"],
   );
   createGauges(state, { registers, now, droppedLines });
+  createPacingMetrics(state, { registers });
 
   const counters: EventCounters = {
     request_refused: ({ code }) => refusals.inc({ code: label(code) }),
