--- a/packages/core/src/pacing/constants.ts
+++ b/packages/core/src/pacing/constants.ts
@@ -12,11 +12,8 @@
 export const COLD_BOUND_SHARE = 0.5;
 /** Time by which one request may be later than the next one on its way to a runner without a further one in any second, ms. */
 export const SPACING_MARGIN_MS = 100;
-/**
- * Time for which a daemon has to be among the owners before it sends, ms. Lists of daemons are read up to 2 s late, and
- * passed on to followers after that.
- */
-export const OWNER_SETTLE_MS = 4_000;
+/** Time after which each daemon in touch with the store or a peer knows a change of the fleet, ms. */
+export const FLEET_LAG_MS = 3_000;
 /** Time for which a daemon that is registered no more is remembered, ms. */
 export const LOST_DAEMON_MEMORY_MS = 3_600_000;
 /** Rate at which a runner that names a lower limit is still asked, so that the end of the limit is noticed, 1/s. */
--- a/packages/core/src/pacing/ownership.ts
+++ b/packages/core/src/pacing/ownership.ts
@@ -12,7 +12,7 @@
 import type { Gateway, Runner } from "../gateway/types.ts";
 import type { State } from "../state/types.ts";
 import { hashText } from "../util/hash.ts";
-import { LOST_DAEMON_MEMORY_MS, OWNER_SETTLE_MS } from "./constants.ts";
+import { FLEET_LAG_MS, LOST_DAEMON_MEMORY_MS } from "./constants.ts";
 import { coldSharesOf } from "./shares.ts";
 import type { Pacing } from "./types.ts";
 
@@ -87,8 +87,8 @@
   const { pacing, readSharing, settings } = gateway!;
   const coldStart = activeColdStart(state, runner);
   if (coldStart === undefined || readSharing.self === undefined) return false;
-  // Within one cold start, owners change at most once.
-  const settleMs = Math.max(OWNER_SETTLE_MS, coldStart.durationMs);
+  // By then, the daemons that do not know of the change have heard of no cold runner for longer than one stays cold.
+  const settleMs = FLEET_LAG_MS + coldStart.durationMs;
   const { knownSince, lostAt } = pacing;
   if (knownSince === undefined || now - knownSince < settleMs) return false;
   let { owners } = coldSharesOf(coldStart, settings);
