--- a/packages/core/src/formation/domains.ts
+++ b/packages/core/src/formation/domains.ts
@@ -5,16 +5,20 @@
  */
 import type { Service } from "../gateway/types.ts";
 import type { State } from "../state/types.ts";
+import { capacityOf } from "./cold_capacity.ts";
 import { type GroupView, isPresumedDead } from "./group_view.ts";
 import type { DomainView } from "./weight_layout.ts";
 
-function createDomainView(domain: string): DomainView {
+function createDomainView(
+  domain: string,
+): Required<DomainView> {
   return {
     domain,
     unstaged: [],
     staged: new Map(),
     loading: new Map(),
     groups: new Map(),
+    coldLoss: new Map(),
   };
 }
 
@@ -24,7 +28,7 @@
   { service, views }: { service: Service; views: GroupView[] },
 ): Map<string, DomainView> {
   const { runners, groupPlanner } = state.gateway!;
-  const domains = new Map<string, DomainView>();
+  const domains = new Map<string, Required<DomainView>>();
   const viewOf = (domain: string) => {
     const view = domains.get(domain) ?? createDomainView(domain);
     domains.set(domain, view);
@@ -32,8 +36,12 @@
   };
   const increase = (counts: Map<string, number>, model: string) =>
     counts.set(model, (counts.get(model) ?? 0) + 1);
-  for (const { domain, model } of views) {
-    increase(viewOf(domain).groups, model.name);
+  for (const view of views) {
+    const { groups, coldLoss } = viewOf(view.domain);
+    const { name } = view.model;
+    increase(groups, name);
+    const loss = 1 - capacityOf(state, { service, view });
+    coldLoss.set(name, (coldLoss.get(name) ?? 0) + loss);
   }
   const planned = new Set(
     views.flatMap(({ members }) => members.map((each) => each?.id)),
--- a/packages/core/src/formation/weight_layout.ts
+++ b/packages/core/src/formation/weight_layout.ts
@@ -21,6 +21,8 @@
   loading: Map<string, number>;
   /** Number of groups by model. */
   groups: Map<string, number>;
+  /** Capacity that cold groups lack, in groups, by model. */
+  coldLoss?: Map<string, number>;
 }
 
 /** A runner and the model whose weights it is to load. */
@@ -47,7 +49,8 @@
 function countGroups(domains: readonly DomainView[], model: Model): number {
   return domains.reduce((sum, domain) => {
     const whole = domain.groups.get(model.name) ?? 0;
-    return sum + whole + countHolders(domain, model) / model.size;
+    const lost = domain.coldLoss?.get(model.name) ?? 0;
+    return sum + whole - lost + countHolders(domain, model) / model.size;
   }, 0);
 }
 
