--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -176,6 +176,13 @@
     "warn",
     "daemon did not forward a request",
   ),
+  runner_cold: event(1616, "info", "runner is cold"),
+  runner_warm: event(1617, "info", "runner is warm"),
+  zone_cold: event(
+    1618,
+    "info",
+    "runners count as cold since the evacuation of their zone was lifted",
+  ),
   request_hedged: event(1643, "info", "slow request sent a second time"),
   hedge_settled: event(1644, "info", "first response of a hedged request"),
   hedge_denied: event(1645, "info", "slow request not sent a second time"),
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -5,6 +5,7 @@
  */
 import { forwarderStatsOf } from "../forwarding/forwarders.ts";
 import type { EventOf } from "../event/types.ts";
+import { hearLimit } from "../pacing/mod.ts";
 import {
   makeCurrent,
   recordFirstResponse,
@@ -24,7 +25,6 @@
 import { hearLeaving } from "./leaving.ts";
 import { recordLoad } from "./occupancy.ts";
 import { failAttempt } from "./retry.ts";
-import { hearLimit } from "./request_limit.ts";
 import { isStream } from "./routes.ts";
 import { endBackoff, hearBackoff } from "./runner_backoff.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
