Share load reports within a zone and choose by expected time for shared services

Followers send the newest report of each runner in the field loads of the message of kind limits; the daemon that they follow passes them on. Shared services take the better of two runners of a stable subset by the expected time to the first event. Services with the policy local are chosen as before.

--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -176,6 +176,8 @@
     "warn",
     "daemon did not forward a request",
   ),
+  runner_slow: event(1631, "warn", "runner is slower than others"),
+  runner_not_slow: event(1632, "info", "runner is no longer slower"),
   peer_refused: event(1603, "warn", "peer refused"),
   peer_frame_dropped: event(1604, "warn", "peer frame dropped"),
   usage_published: event(1701, "info", "usage published"),
--- a/packages/core/src/gateway/choose.ts
+++ b/packages/core/src/gateway/choose.ts
@@ -6,8 +6,12 @@
  * between zones costs; a random fraction of one request is added to every runner, so that the choice among nearly
  * equal runners is random.
  *
+ * Services whose load reports are shared are chosen by the expected time to the first event instead (`load/choice.ts`).
+ *
  * @module
  */
+import { type Candidate, chooseByExpectedTime } from "../load/choice.ts";
+import { isShared } from "../load/runner_loads.ts";
 import { canForward, type Path, pathsOf } from "../forwarding/path.ts";
 import { nextFloat } from "../util/random.ts";
 import type { State } from "../state/types.ts";
@@ -51,11 +55,6 @@
   canUseReserved: boolean;
 }
 
-interface Candidate {
-  runner: Runner;
-  score: number;
-}
-
 /** The runner that a request is sent to, and the way there. */
 export interface Destination {
   runner: Runner;
@@ -94,22 +93,49 @@
   return undefined;
 }
 
-/** Chooses the least loaded runner with a free slot among those that are usable. */
-function chooseRunner(
+interface RunnerOptions extends ChooseOptions {
+  isUsable(stats: RunnerStats): boolean;
+}
+
+/** Yields the runners that are usable, with or without a free slot. */
+function* usableCandidates(
   state: State,
   gateway: Gateway,
   request: RoutedRequest,
-  { canUseReserved, isUsable }: ChooseOptions & {
-    isUsable(stats: RunnerStats): boolean;
-  },
-): Runner | undefined {
-  let best: Candidate | undefined;
+  { canUseReserved, isUsable }: RunnerOptions,
+): Generator<Candidate, void, void> {
   for (const runner of candidatesFor(gateway, request)) {
     const stats = runnerStatsOf(gateway, runner.id);
     if (!isUsable(stats) || !mayReceive(stats, state.now)) continue;
     const occupancy = occupancyOf(gateway, { runner, stats }, state.now);
     const slots = slotsOf(gateway, runner);
     const usable = usableSlots(slots, request, { canUseReserved });
+    yield { runner, stats, occupancy, slots, usable };
+  }
+}
+
+/** Chooses a runner among those that are usable, by the capacity policy of the service. */
+function chooseRunner(
+  state: State,
+  gateway: Gateway,
+  request: RoutedRequest,
+  options: RunnerOptions,
+): Runner | undefined {
+  const candidates = usableCandidates(state, gateway, request, options);
+  return request.model !== undefined && isShared(gateway, request)
+    ? chooseByExpectedTime(state, request, candidates)
+    : chooseLeastLoaded(state, gateway, request, candidates);
+}
+
+/** Chooses the least loaded runner with a free slot. */
+function chooseLeastLoaded(
+  state: State,
+  gateway: Gateway,
+  request: RoutedRequest,
+  candidates: Iterable<Candidate>,
+): Runner | undefined {
+  let best: { runner: Runner; score: number } | undefined;
+  for (const { runner, occupancy, usable } of candidates) {
     // Runners of plain services shed load themselves and report it.
     if (request.model !== undefined && occupancy >= usable) continue;
     const zonePenalty = runner.zone === gateway.zone ? 0 : OTHER_ZONE_PENALTY;
--- a/packages/core/src/gateway/effect_types.ts
+++ b/packages/core/src/gateway/effect_types.ts
@@ -5,6 +5,7 @@
  */
 import type { ForwardingEffect } from "../forwarding/effect_types.ts";
 import type { Forwarder } from "../forwarding/types.ts";
+import type { FirstEventTimes } from "../load/types.ts";
 import type { RunnerOrder } from "../formation/types.ts";
 import type { TimelineEffect } from "../store_timeline/effect_types.ts";
 import type { ReadSharingEffect } from "../read_sharing/effect_types.ts";
@@ -36,7 +37,13 @@
   /** Relays the response of an attempt to the caller. */
   | { kind: "relay"; request: string; attempt: number }
   /** Reports that a stream's first event was relayed `ms` after the request arrived. */
-  | { kind: "first_event"; priority: number; ms: number }
+  | {
+    kind: "first_event";
+    priority: number;
+    ms: number;
+    /** Undefined for services whose load is not shared. */
+    attemptTimes: FirstEventTimes | undefined;
+  }
   | { kind: "begin_term" }
   | {
     kind: "order_runner";
--- a/packages/core/src/gateway/finish.ts
+++ b/packages/core/src/gateway/finish.ts
@@ -6,6 +6,7 @@
 import type { EventOf } from "../event/types.ts";
 import { forwarderStatsOf } from "../forwarding/forwarders.ts";
 import { isStranded } from "../forwarding/stranded.ts";
+import { recordInFlight } from "../load/runner_loads.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
@@ -15,11 +16,16 @@
 import type { Gateway, RoutedRequest } from "./types.ts";
 
 /** Ends the current attempt and releases its runner's slot. */
-export function releaseAttempt(gateway: Gateway, request: RoutedRequest): void {
+export function releaseAttempt(
+  state: State,
+  gateway: Gateway,
+  request: RoutedRequest,
+): void {
   const { currentAttempt: attempt } = request;
   if (attempt === undefined) return;
   const stats = runnerStatsOf(gateway, attempt.runner);
   stats.inFlight -= 1;
+  recordInFlight(state, attempt.runner, -1);
   if (attempt.forwarder !== undefined) {
     forwarderStatsOf(gateway, attempt.forwarder).inFlight -= 1;
   }
@@ -37,7 +43,7 @@
   gateway: Gateway,
   request: RoutedRequest,
 ): Effects {
-  releaseAttempt(gateway, request);
+  releaseAttempt(state, gateway, request);
   leaveQueue(gateway, request);
   gateway.requests.delete(request.id);
   yield* serveWaiting(state, gateway, workKey(request));
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -14,6 +14,7 @@
 import { createGroupPlanner } from "../formation/leadership.ts";
 import { planGroups } from "../formation/plan.ts";
 import { pruneSuspects } from "../quarantine/mod.ts";
+import { createLoadSharing } from "../load/runner_loads.ts";
 import { passOnLimits } from "../read_sharing/limits.ts";
 import { passOnSuspects } from "../read_sharing/suspects.ts";
 import { createReadSharing, updateSource } from "../read_sharing/upstream.ts";
@@ -61,6 +62,7 @@
     waitingRequests: new Map(),
     retryBudgets: new Map(),
     meanLoads: new Map(),
+    loadSharing: createLoadSharing(now),
     servingCount: 0,
     workShare: createAverage(1 / MIN_RETRY_DAEMONS),
     workShareMeasuredAt: now,
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -5,6 +5,8 @@
  */
 import { forwarderStatsOf } from "../forwarding/forwarders.ts";
 import type { EventOf } from "../event/types.ts";
+import { observeFirstEvent } from "../load/attempts.ts";
+import { recordReport } from "../load/reports.ts";
 import { isCut } from "../quarantine/mod.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import { proveLost } from "../service_path/mod.ts";
@@ -80,7 +82,10 @@
       localInFlight: stats.inFlight,
     };
     const runner = gateway.runners.get(attempt.runner);
-    if (runner !== undefined) recordLoad(gateway, runner, stats.load);
+    if (runner !== undefined) {
+      recordLoad(gateway, runner, stats.load);
+      recordReport(state, runner, stats.load);
+    }
   }
   if (!isStream(request.route) || event.verdict !== "ran") return;
   stats.failures = 0;
@@ -105,10 +110,12 @@
   runnerStatsOf(gateway, request.currentAttempt!.runner).lastSeenAt = state.now;
   request.lastEvent = event.lastEvent ?? request.lastEvent;
   yield* reportProgress(state, request);
+  const attemptTimes = yield* observeFirstEvent(state, request);
   if (request.hasEvents) return;
   request.hasEvents = true;
   const { priority, arrivedAt } = request;
-  yield { kind: "first_event", priority, ms: state.now - arrivedAt };
+  const ms = state.now - arrivedAt;
+  yield { kind: "first_event", priority, ms, attemptTimes };
 }
 
 /** Handles a caller that reads more slowly than its runner sends, which is no stall of the runner. */
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -85,7 +85,7 @@
       ...describeBudget(state, gateway, request),
     },
   };
-  releaseAttempt(gateway, request);
+  releaseAttempt(state, gateway, request);
   if (next.kind === "send") {
     return yield* sendToRunner(state, gateway, {
       request,
@@ -258,8 +258,7 @@
 ): RetryCharge {
   if (neverArrived(failure)) return "free";
   const budget = retryBudgetOf(gateway, failure.request.service);
-  const isTaken = takeRetry(budget, now, retryLimitsOf(gateway));
-  return isTaken ? "charged" : "denied";
+  return takeRetry(budget, now, retryLimitsOf(gateway)) ? "charged" : "denied";
 }
 
 /** Returns what the budget holds for a log line. */
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -5,6 +5,7 @@
  */
 import { mayDecide } from "../catch_up/mod.ts";
 import { chooseForwarder, forwarderStatsOf } from "../forwarding/forwarders.ts";
+import { recordSharedSend } from "../load/attempts.ts";
 import type { Effects } from "../reduce_types.ts";
 import { knownChains } from "../quarantine/mod.ts";
 import type { State } from "../state/types.ts";
@@ -74,6 +75,7 @@
   if (forwarder !== undefined) {
     forwarderStatsOf(gateway, forwarder.node).inFlight += 1;
   }
+  const expectedFirstEventMs = recordSharedSend(state, request, runner);
   const stats = runnerStatsOf(gateway, id);
   stats.inFlight += 1;
   countLimitedSend(gateway, stats, state.now);
@@ -90,6 +92,7 @@
     sentAt: state.now,
     lastByteAt: state.now,
     isSent: false,
+    expectedFirstEventMs,
     hasHeaders: false,
     isStreaming: false,
     progressCount: 0,
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -9,6 +9,7 @@
 import type { KnownChains } from "../quarantine/types.ts";
 import type { StoreTimeline } from "../store_timeline/types.ts";
 import type { DaemonEntry, ReadSharing } from "../read_sharing/types.ts";
+import type { LoadSharing } from "../load/types.ts";
 import type { ServicePath } from "../service_path/types.ts";
 import type {
   Route,
@@ -43,7 +44,7 @@
 export interface LoadSample {
   running: number;
   waiting: number;
-  /** Time at which the report arrived, ms. */
+  /** Time at which the report arrived here, or at the daemon that passed it on, ms. */
   at: number;
   /** Requests of this daemon at that runner when it reported. */
   localInFlight: number;
@@ -98,6 +99,8 @@
   lastByteAt: number;
   /** True once the request was handed to a connection; before, it cannot have run. */
   isSent: boolean;
+  /** Time to the first event that was expected at the send, ms; undefined for services whose load is not shared. */
+  expectedFirstEventMs: number | undefined;
   /** True once the response headers have arrived. */
   hasHeaders: boolean;
   /** True once a stream has begun. */
@@ -196,6 +199,7 @@
   retryBudgets: Map<string, RetryBudget>;
   /** Mean loads by kind of runner: service, model and availability zone. */
   meanLoads: Map<string, MeanLoad>;
+  loadSharing: LoadSharing;
   /** Number of known runners that can serve requests. */
   servingCount: number;
   /** This daemon's share of the requests at all runners, 0 to 1. */
--- /dev/null
+++ b/packages/core/src/load/choice.ts
@@ -0,0 +1,178 @@
+/**
+ * Chooses a runner by the expected time to the first event, for services whose load reports are shared.
+ *
+ * The better of two candidates drawn at random is taken: reports are some 100 ms old, and daemons that all took the
+ * least loaded group by the same reports would overload it together. Candidates are drawn from the daemon's subset of
+ * its own zone; another runner is taken where it is better by more than it costs.
+ *
+ * @module
+ */
+import type { RoutedRequest, Runner, RunnerStats } from "../gateway/types.ts";
+import type { State } from "../state/types.ts";
+import { nextIndex } from "../util/random.ts";
+import {
+  MAX_QUEUE_SHARE,
+  MIN_SUBSET_SIZE,
+  NEW_CONNECTION_COST_MS,
+  OTHER_ZONE_COST_MS,
+} from "./constants.ts";
+import { expectedFirstEventMs } from "./expected_time.ts";
+import { runnerLoadOf } from "./runner_loads.ts";
+import { isSlow, slownessAt } from "./slowness.ts";
+import { byPlace, type SubsetPlace, subsetSize } from "./subset.ts";
+
+/** A runner that a request may be sent to, with its load. */
+export interface Candidate {
+  runner: Runner;
+  stats: RunnerStats;
+  /** Requests estimated there, running and waiting. */
+  occupancy: number;
+  slots: number;
+  /** Occupancy up to which a request of this priority is sent there. */
+  usable: number;
+}
+
+type RankedCandidate = Candidate & SubsetPlace;
+
+interface Choice {
+  runner: Runner;
+  expectedMs: number;
+}
+
+/** Returns the expected time from the send of a request to its first event at a runner, ms. */
+export function expectedMsOf(
+  state: State,
+  request: RoutedRequest,
+  { runner, occupancy, slots }: Pick<
+    Candidate,
+    "runner" | "occupancy" | "slots"
+  >,
+): number {
+  const { zone, routing } = state.gateway!;
+  const engine = routing?.services.get(request.service)?.engine;
+  const model = engine?.models.find(({ name }) => name === request.model);
+  const { slowness } = runnerLoadOf(state, runner.id);
+  return expectedFirstEventMs({
+    speed: engine?.speed,
+    pace: model?.pace ?? 1,
+    slots,
+    occupancy,
+    promptTokens: request.promptTokens,
+    isOtherZone: runner.zone !== zone,
+    slowness: slownessAt(slowness, state.now),
+  });
+}
+
+/** Chooses the runner of a request among those that are usable; undefined where it would wait too long at all. */
+export function chooseByExpectedTime(
+  state: State,
+  request: RoutedRequest,
+  candidates: Iterable<Candidate>,
+): Runner | undefined {
+  const open: RankedCandidate[] = [];
+  const full: RankedCandidate[] = [];
+  for (const candidate of candidates) {
+    const { affinity, slowness } = runnerLoadOf(state, candidate.runner.id);
+    const place = { affinity, isSlow: isSlow(slowness, state.now) };
+    const list = candidate.occupancy < candidate.usable ? open : full;
+    list.push({ ...candidate, ...place });
+  }
+  const choice = chooseOpen(state, request, open) ??
+    chooseFull(state, request, full);
+  return choice?.runner;
+}
+
+/** Chooses among the runners with room: in the own zone, unless another one is better by more than it costs. */
+function chooseOpen(
+  state: State,
+  request: RoutedRequest,
+  open: readonly RankedCandidate[],
+): Choice | undefined {
+  const { zone } = state.gateway!;
+  const local = open.filter(({ runner }) => runner.zone === zone);
+  const remote = open.filter(({ runner }) => runner.zone !== zone);
+  const near = chooseNear(state, request, local);
+  const far = chooseOfTwo(
+    state,
+    request,
+    remote.sort(byPlace).slice(0, MIN_SUBSET_SIZE),
+  );
+  return betterBy(OTHER_ZONE_COST_MS, near, far);
+}
+
+/** Chooses from the subset of the own zone, unless a runner beyond it is better by more than a connection costs. */
+function chooseNear(
+  state: State,
+  request: RoutedRequest,
+  local: RankedCandidate[],
+): Choice | undefined {
+  local.sort(byPlace);
+  const size = subsetSize(state, request);
+  const inside = chooseOfTwo(state, request, local.slice(0, size));
+  const outside = drawOne(state, request, local.slice(size));
+  return betterBy(NEW_CONNECTION_COST_MS, inside, outside);
+}
+
+/** Chooses a full runner where a wait there still meets the objective, for requests that may use every slot. */
+function chooseFull(
+  state: State,
+  request: RoutedRequest,
+  full: readonly RankedCandidate[],
+): Choice | undefined {
+  const timeLeftMs = request.arrivedAt + request.route.targetLatencyMs -
+    state.now;
+  const inTime = full.filter((candidate) => {
+    const { occupancy, slots, usable } = candidate;
+    if (usable < slots || occupancy >= slots * (1 + MAX_QUEUE_SHARE)) {
+      return false;
+    }
+    return expectedMsOf(state, request, candidate) <= timeLeftMs;
+  });
+  return chooseOfTwo(state, request, inTime);
+}
+
+/** Returns the better of two candidates drawn at random. */
+function chooseOfTwo(
+  state: State,
+  request: RoutedRequest,
+  candidates: readonly RankedCandidate[],
+): Choice | undefined {
+  if (candidates.length < 2) return drawOne(state, request, candidates);
+  const first = nextIndex(state.random, candidates.length);
+  const step = 1 + nextIndex(state.random, candidates.length - 1);
+  const second = (first + step) % candidates.length;
+  return betterBy(
+    0,
+    choiceOf(state, request, candidates[first]!),
+    choiceOf(state, request, candidates[second]!),
+  );
+}
+
+function drawOne(
+  state: State,
+  request: RoutedRequest,
+  candidates: readonly RankedCandidate[],
+): Choice | undefined {
+  if (candidates.length === 0) return undefined;
+  const index = nextIndex(state.random, candidates.length);
+  return choiceOf(state, request, candidates[index]!);
+}
+
+function choiceOf(
+  state: State,
+  request: RoutedRequest,
+  candidate: Candidate,
+): Choice {
+  const expectedMs = expectedMsOf(state, request, candidate);
+  return { runner: candidate.runner, expectedMs };
+}
+
+/** Returns the preferred choice, or the other one where that is sooner by more than `costMs`. */
+function betterBy(
+  costMs: number,
+  preferred: Choice | undefined,
+  other: Choice | undefined,
+): Choice | undefined {
+  if (preferred === undefined || other === undefined) return preferred ?? other;
+  return other.expectedMs + costMs < preferred.expectedMs ? other : preferred;
+}
--- /dev/null
+++ b/packages/core/src/load/constants.ts
@@ -0,0 +1,53 @@
+/**
+ * Constants of shared load reports and of the choice by expected time.
+ *
+ * @module
+ */
+
+/** Time for which load reports are collected before they are passed on, ms; sweeps make it 150 to 200 ms. */
+export const LOAD_BATCH_MS = 150;
+/** Load reports in one message at most; the newest ones are sent. */
+export const MAX_LOADS_PER_MESSAGE = 64;
+/** Runners of which a report may wait to be passed on; the oldest report is dropped beyond it. */
+export const MAX_PENDING_LOADS = 256;
+/** Reports older than this are neither passed on nor used, ms. */
+export const MAX_REPORT_AGE_MS = 2_000;
+/**
+ * A report that another daemon passes on replaces a known one only if it is newer by more than this, ms. Its age leaves
+ * out the time on the way, so a report that comes back to its sender seems a little newer than it is.
+ */
+export const REPORT_RESOLUTION_MS = 5;
+
+/** Time to another availability zone and back, ms. */
+export const OTHER_ZONE_ROUND_TRIP_MS = 2.8;
+/** Time by which a runner of another zone must be better beyond the network's, since bytes between zones are paid for, ms. */
+export const OTHER_ZONE_COST_MS = 5;
+/** Time by which a runner outside the subset must be better, since it takes a new connection, ms. */
+export const NEW_CONNECTION_COST_MS = 10;
+/** Share of the slots that may wait at a runner beyond them, where a wait there still meets the objective. */
+export const MAX_QUEUE_SHARE = 0.25;
+
+/** Time after which a kept connection to a runner should be used again, ms; runners close it soon after. */
+export const CONNECTION_REUSE_MS = 4_000;
+/** Smallest subset of a model's groups, so that there is a choice of two. */
+export const MIN_SUBSET_SIZE = 2;
+/** Time constant of the request rate that sizes the subset, ms. */
+export const REQUEST_RATE_WINDOW_MS = 10_000;
+
+/** Weight of an own observation in the slowness of a runner. */
+export const OWN_SLOWNESS_WEIGHT = 0.3;
+/** Weight of an observation of another daemon, whose own network may be at fault. */
+export const HEARD_SLOWNESS_WEIGHT = 0.15;
+/** Smallest and largest ratio that one observation may contribute. */
+export const MIN_SLOWNESS_SAMPLE = 0.25;
+export const MAX_SLOWNESS_SAMPLE = 4;
+/** Time constant with which the slowness of a runner returns to 1 without new observations, ms. */
+export const SLOWNESS_FADE_MS = 10_000;
+/** Time added to the observed and the expected time, so that a few milliseconds of scheduling don't count as slowness, ms. */
+export const SLOWNESS_OFFSET_MS = 20;
+/** Weight of the newest ratio in a service's mean, against which its runners are compared. */
+export const BASELINE_WEIGHT = 0.05;
+/** Slowness from which on a runner is left out of the subset. */
+export const SLOW_FACTOR = 1.6;
+/** Slowness below which a slow runner is no longer left out. */
+export const RECOVERED_FACTOR = 1.3;
--- /dev/null
+++ b/packages/core/src/load/runner_loads.ts
@@ -0,0 +1,96 @@
+/**
+ * Keeps what the choice by expected time has to know of each runner.
+ *
+ * @module
+ */
+import { capacityPolicyOf } from "../gateway/capacity_policy.ts";
+import type { Gateway, Runner, RunnerStats } from "../gateway/types.ts";
+import type { State } from "../state/types.ts";
+import { hashFraction } from "../util/hash.ts";
+import { tupleKey } from "../util/tuple_key.ts";
+import { MAX_REPORT_AGE_MS } from "./constants.ts";
+import type { LoadSharing, RunnerLoad } from "./types.ts";
+
+/** Creates the state of load sharing. */
+export function createLoadSharing(now: number): LoadSharing {
+  return {
+    pending: new Map(),
+    nextPassAt: now,
+    runnerLoads: new Map(),
+    sendRates: new Map(),
+    baselines: new Map(),
+  };
+}
+
+/** Returns whether the daemons of a zone share the load reports of a runner. */
+export function isShared(
+  gateway: Gateway,
+  { service }: Pick<Runner, "service">,
+): boolean {
+  return capacityPolicyOf(gateway, service) === "shared";
+}
+
+/** Returns what is kept of a runner, created where it was not used yet. */
+export function runnerLoadOf(state: State, runner: string): RunnerLoad {
+  const { loadSharing, readSharing } = state.gateway!;
+  let load = loadSharing.runnerLoads.get(runner);
+  if (load === undefined) {
+    const node = readSharing.self?.node ?? state.node.name;
+    load = {
+      affinity: hashFraction(tupleKey(node, runner)),
+      inFlightChanges: [],
+      slowness: { ratio: 1, at: state.now, isSlow: false, lastOwn: undefined },
+    };
+    loadSharing.runnerLoads.set(runner, load);
+  }
+  return load;
+}
+
+/** Records that a request of this daemon begins (1) or ends (-1) at a runner. */
+export function recordInFlight(
+  state: State,
+  id: string,
+  change: 1 | -1,
+): void {
+  const gateway = state.gateway!;
+  const runner = gateway.runners.get(id);
+  if (runner === undefined || !isShared(gateway, runner)) return;
+  const { inFlightChanges } = runnerLoadOf(state, id);
+  while (
+    inFlightChanges.length > 0 &&
+    inFlightChanges[0]!.at < state.now - MAX_REPORT_AGE_MS
+  ) inFlightChanges.shift();
+  inFlightChanges.push({ at: state.now, change });
+}
+
+/**
+ * Returns the requests of this daemon that were at a runner at an earlier time.
+ *
+ * A report that another daemon heard counts those; without their number at its time they would count twice, or as
+ * requests of others.
+ */
+export function inFlightAt(
+  state: State,
+  { runner, inFlight }: RunnerStats,
+  at: number,
+): number {
+  const changes = state.gateway!.loadSharing.runnerLoads.get(runner)
+    ?.inFlightChanges ?? [];
+  let count = inFlight;
+  for (let index = changes.length - 1; index >= 0; index--) {
+    const change = changes[index]!;
+    if (change.at <= at) break;
+    count -= change.change;
+  }
+  return Math.max(0, count);
+}
+
+/** Drops what is kept of runners that are gone. */
+export function pruneRunnerLoads(
+  { loadSharing, runners, runnerStats }: Gateway,
+): void {
+  for (const id of loadSharing.runnerLoads.keys()) {
+    if (runners.has(id) || runnerStats.has(id)) continue;
+    loadSharing.runnerLoads.delete(id);
+  }
+}
--- /dev/null
+++ b/packages/core/src/load/subset.ts
@@ -0,0 +1,47 @@
+/**
+ * Keeps a daemon to a stable subset of the groups of a model, so that its connections are used again before they are
+ * closed.
+ *
+ * Each daemon ranks the groups by a rendezvous hash over its own name: the subsets of all daemons cover the groups
+ * about evenly, and one group that comes or goes changes the subset by one.
+ *
+ * @module
+ */
+import { workKey, type WorkKind } from "../gateway/runner_index.ts";
+import type { State } from "../state/types.ts";
+import { addAmount, createRate, decayRate } from "../util/ewma.ts";
+import {
+  CONNECTION_REUSE_MS,
+  MIN_SUBSET_SIZE,
+  REQUEST_RATE_WINDOW_MS,
+} from "./constants.ts";
+
+/** Counts a request of a kind of work that this daemon sends. */
+export function countSend({ gateway, now }: State, kind: WorkKind): void {
+  const { sendRates } = gateway!.loadSharing;
+  const key = workKey(kind);
+  const rate = sendRates.get(key) ?? createRate(now);
+  sendRates.set(key, rate);
+  addAmount(rate, 1, { now, windowMs: REQUEST_RATE_WINDOW_MS });
+}
+
+/** Returns the number of groups at which this daemon's request rate uses a connection again within {@link CONNECTION_REUSE_MS}. */
+export function subsetSize({ gateway, now }: State, kind: WorkKind): number {
+  const rate = gateway!.loadSharing.sendRates.get(workKey(kind));
+  if (rate === undefined) return MIN_SUBSET_SIZE;
+  const perMs = decayRate(rate, { now, windowMs: REQUEST_RATE_WINDOW_MS });
+  return Math.max(MIN_SUBSET_SIZE, Math.round(perMs * CONNECTION_REUSE_MS));
+}
+
+/** Place of a runner in the order in which a daemon uses the groups of a model. */
+export interface SubsetPlace {
+  /** Slow runners come last. */
+  isSlow: boolean;
+  affinity: number;
+}
+
+/** Orders runners as a daemon uses them: slow ones last, then by rendezvous hash. */
+export function byPlace(left: SubsetPlace, right: SubsetPlace): number {
+  return Number(left.isSlow) - Number(right.isSlow) ||
+    right.affinity - left.affinity;
+}
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -56,6 +56,8 @@
 export { isCutOff } from "./health/own_path.ts";
 export { isAddress } from "./util/address.ts";
 export { isLeaving } from "./gateway/leaving.ts";
+export type { FirstEventTimes } from "./load/types.ts";
+export { reportAgeMs, slowRunnerCount } from "./load/figures.ts";
 export { isBackingOff } from "./gateway/runner_backoff.ts";
 export { isPathLost } from "./service_path/mod.ts";
 export * from "./vm/types.ts";
--- a/packages/core/src/read_sharing/event_types.ts
+++ b/packages/core/src/read_sharing/event_types.ts
@@ -5,6 +5,7 @@
  */
 import type { LogPosition } from "../store_timeline/position.ts";
 import type { LeavingRunner } from "../gateway/fleet_types.ts";
+import type { LoadReport } from "../load/types.ts";
 import type { DaemonEntry, RunnerLimit } from "./types.ts";
 
 /** Every event of read sharing, without the time at which it happened. */
@@ -48,4 +49,5 @@
     kind: "limits_reported";
     limits: RunnerLimit[];
     leaving?: LeavingRunner[] | undefined;
+    loads?: LoadReport[] | undefined;
   };
--- a/packages/core/src/read_sharing/limits.ts
+++ b/packages/core/src/read_sharing/limits.ts
@@ -1,6 +1,6 @@
 /**
  * Shares between the daemons of an availability zone what runners have said of themselves: limits that they have named
- * or dropped, and that they leave.
+ * or dropped, that they leave, and their load.
  *
  * Each daemon of a large fleet asks a runner with a limit only rarely, and would hold back its requests for long after
  * the limit has ended.
@@ -11,11 +11,12 @@
 import { applyLeaving } from "../gateway/leaving.ts";
 import { recordLimit } from "../gateway/request_limit.ts";
 import { runnerStatsOf } from "../gateway/runner_stats.ts";
+import { applyReports, takeDueReports } from "../load/reports.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { passOn } from "./suspects.ts";
 
-/** Handles limits that another daemon has heard of, and runners that have told it that they leave. */
+/** Handles limits and loads that another daemon has heard of, and runners that have told it that they leave. */
 export function* applyLimits(
   state: State,
   event: EventOf<"limits_reported">,
@@ -23,6 +24,7 @@
   const gateway = state.gateway!;
   const { limits } = event;
   yield* applyLeaving(state, event);
+  yield* applyReports(state, event.loads ?? []);
   const { limitChanges, isReading } = gateway.readSharing;
   for (const { runner, requestsPerSecond } of limits) {
     if (!gateway.runners.has(runner)) continue;
@@ -33,15 +35,22 @@
   }
 }
 
-/** Passes on the limits that changed since the last sweep, and the runners that have said since then that they leave. */
+/** Passes on what runners have said since the last sweep: limits that changed, that they leave, and their load. */
 export function* passOnLimits(state: State): Effects {
   const { limitChanges, newlyLeaving } = state.gateway!.readSharing;
-  if (limitChanges.size + newlyLeaving.length === 0) return;
+  const loads = takeDueReports(state);
+  const count = limitChanges.size + newlyLeaving.length + loads.length;
+  if (count === 0) return;
   const limits = [...limitChanges].map(([runner, requestsPerSecond]) => ({
     runner,
     requestsPerSecond,
   }));
   limitChanges.clear();
   const leaving = newlyLeaving.splice(0);
-  yield* passOn(state, { kind: "limits", limits, leaving });
+  yield* passOn(state, {
+    kind: "limits",
+    limits,
+    leaving,
+    ...(loads.length > 0 && { loads }),
+  });
 }
--- a/packages/core/src/read_sharing/test_fleet.ts
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -53,6 +53,7 @@
 /** Creates a fleet whose daemons start together. */
 export function createFleet(
   zones: Readonly<Record<string, number>>,
+  { stepMs = STEP_MS }: { stepMs?: number } = {},
 ): SimulatedFleet {
   const store = {
     document: createDocument(),
@@ -93,8 +94,8 @@
         feed(to, { kind: "suspects_reported", runners: message.runners });
       }
       if (message.kind === "limits") {
-        const { limits, leaving } = message;
-        feed(to, { kind: "limits_reported", limits, leaving });
+        const { limits, leaving, loads } = message;
+        feed(to, { kind: "limits_reported", limits, leaving, loads });
       }
     }
     if (effect.kind !== "send_to_followers") return;
@@ -141,8 +142,8 @@
       : [];
     if (readings.length > 0) feed(to, { kind: "parts_read", readings });
     if (message.kind === "limits") {
-      const { limits, leaving } = message;
-      feed(to, { kind: "limits_reported", limits, leaving });
+      const { limits, leaving, loads } = message;
+      feed(to, { kind: "limits_reported", limits, leaving, loads });
     }
     if (message.kind === "runners") {
       feed(to, {
@@ -204,9 +205,9 @@
   }
 
   function step(): void {
-    now += STEP_MS;
+    now += stepMs;
     const living = daemons.filter(({ isUp }) => isUp);
-    for (const each of living) deliver(each, each.harness.advance(STEP_MS));
+    for (const each of living) deliver(each, each.harness.advance(stepMs));
     for (const each of living) {
       const { isReading } = each.harness.state.gateway!.readSharing;
       if (isReading && now % READ_INTERVAL_MS === 0) readStore(each);
--- a/packages/core/src/read_sharing/types.ts
+++ b/packages/core/src/read_sharing/types.ts
@@ -9,6 +9,7 @@
   RoutingDocument,
   Runner,
 } from "../gateway/fleet_types.ts";
+import type { LoadReport } from "../load/types.ts";
 import type { LogPosition } from "../store_timeline/position.ts";
 
 /** A daemon as it registered itself in the store. */
@@ -118,6 +119,8 @@
   limits: RunnerLimit[];
   /** Daemons of an earlier version neither send nor read it. */
   leaving?: LeavingRunner[] | undefined;
+  /** Load that runners have reported; daemons of an earlier version neither send nor read it. */
+  loads?: LoadReport[] | undefined;
 }
 
 /** Message from a daemon to its followers. */
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -5,6 +5,7 @@
  */
 import {
   ageOf,
+  type Effect,
   isBackingOff,
   isGatewayReady,
   isHeld,
@@ -24,14 +25,17 @@
 } from "prom-client";
 import { createGaugeAdder } from "../observe/gauges.ts";
 import type { LogFields } from "../observe/logger.ts";
+import { createLoadMetrics } from "./load_metrics.ts";
+
+type FirstEvent = Extract<Effect, { kind: "first_event" }>;
 
 /** Metrics of one gateway. */
 export interface GatewayMetrics {
   registry: Registry;
   /** Counts a decision by its log event. */
   count(event: LogEventName, fields: LogFields): void;
-  /** Records the time from a request's arrival to its first event, ms. */
-  observeFirstEvent(ms: number, options: { priority: number }): void;
+  /** Records the time from a request's arrival to its first event, and that from its send against the expected one. */
+  observeFirstEvent(event: FirstEvent): void;
   /** Counts bytes that were handed to the connections of followers. */
   countFollowerBytes(kind: string, bytes: number): void;
 }
@@ -134,6 +138,7 @@
     ["priority"],
   );
   createGauges(state, { registers, now, droppedLines });
+  const loadMetrics = createLoadMetrics(state, { registers, now });
 
   const counters: EventCounters = {
     request_refused: ({ code }) => refusals.inc({ code: label(code) }),
@@ -159,8 +164,10 @@
       counters[event]?.(fields);
     },
     countFollowerBytes: (kind, bytes) => followerBytes.inc({ kind }, bytes),
-    observeFirstEvent: (ms, { priority }) =>
-      firstEvent.observe({ priority }, ms / MS_PER_SECOND),
+    observeFirstEvent({ priority, ms, attemptTimes }) {
+      firstEvent.observe({ priority }, ms / MS_PER_SECOND);
+      loadMetrics.observe(attemptTimes);
+    },
   };
 }
 
--- a/packages/daemon/src/gateway/sharing_frames.ts
+++ b/packages/daemon/src/gateway/sharing_frames.ts
@@ -152,6 +152,13 @@
   leaving: optional(
     z.array(z.object({ id: z.string(), startedUnixMs: z.number() })),
   ),
+  loads: optional(z.array(z.object({
+    runner: z.string(),
+    running: count,
+    waiting: count,
+    ageMs: count,
+    slowness: optional(count),
+  }))),
 });
 
 const upstreamMessage = z.discriminatedUnion("kind", [
--- a/packages/daemon/src/gateway/upstream_client.ts
+++ b/packages/daemon/src/gateway/upstream_client.ts
@@ -104,8 +104,8 @@
       parts: ({ readings }) => passParts(readings),
       suspects: ({ runners }) =>
         dispatch({ kind: "suspects_reported", runners }),
-      limits: ({ limits, leaving }) =>
-        dispatch({ kind: "limits_reported", limits, leaving }),
+      limits: ({ limits, leaving, loads }) =>
+        dispatch({ kind: "limits_reported", limits, leaving, loads }),
       poll_answer({ poll: answered, ...answer }) {
         const pollSentAt = sentAt.get(answered);
         if (pollSentAt === undefined) return;
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -214,8 +214,7 @@
     probe_path: ({ runner, address }) => runDetached(probe(runner, address)),
     forward: (effect) => forwards.forward(effect),
     refuse_forward: (effect) => forwards.refuse(effect),
-    first_event: ({ ms, priority }) =>
-      metrics.observeFirstEvent(ms, { priority }),
+    first_event: (effect) => metrics.observeFirstEvent(effect),
     log({ event, fields }) {
       log(event, fields);
       metrics.count(event, fields);
