--- a/packages/core/src/load/constants.ts
+++ b/packages/core/src/load/constants.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-/** Time for which load reports are collected before they are passed on, ms; sweeps make it 150 to 200 ms. */
-export const LOAD_BATCH_MS = 150;
+/** Time for which load reports are collected before they are passed on, ms; sweeps make it 100 to 200 ms. */
+export const LOAD_BATCH_MS = 100;
 /** Load reports in one message at most; the newest ones are sent. */
 export const MAX_LOADS_PER_MESSAGE = 64;
 /** Runners of which a report may wait to be passed on; the oldest report is dropped beyond it. */
@@ -20,19 +20,24 @@
 
 /** Time to another availability zone and back, ms. */
 export const OTHER_ZONE_ROUND_TRIP_MS = 2.8;
-/** Time by which a runner of another zone must be better beyond the network's, since bytes between zones are paid for, ms. */
-export const OTHER_ZONE_COST_MS = 5;
-/** Time by which a runner outside the subset must be better, since it takes a new connection, ms. */
-export const NEW_CONNECTION_COST_MS = 10;
+/**
+ * Time by which a runner of another zone must be better beyond the network's, since bytes between zones are paid for,
+ * ms. It is more than the rest of a pass, which any idle group saves, and less than a wait for a slot.
+ */
+export const OTHER_ZONE_COST_MS = 30;
+/** Time by which a runner outside the subset must be better, since it takes a new connection, ms; likewise. */
+export const NEW_CONNECTION_COST_MS = 25;
 /** Share of the slots that may wait at a runner beyond them, where a wait there still meets the objective. */
 export const MAX_QUEUE_SHARE = 0.25;
 
-/** Time after which a kept connection to a runner should be used again, ms; runners close it soon after. */
+/** Time within which a kept connection to a runner should be used again, ms; runners close it soon after. */
 export const CONNECTION_REUSE_MS = 4_000;
+/** Mean gaps between requests that fit into that time; one random gap in twenty is longer than three times the mean. */
+export const GAPS_PER_REUSE = 3;
 /** Smallest subset of a model's groups, so that there is a choice of two. */
 export const MIN_SUBSET_SIZE = 2;
 /** Time constant of the request rate that sizes the subset, ms. */
-export const REQUEST_RATE_WINDOW_MS = 10_000;
+export const REQUEST_RATE_WINDOW_MS = 5_000;
 
 /** Weight of an own observation in the slowness of a runner. */
 export const OWN_SLOWNESS_WEIGHT = 0.3;
--- a/packages/core/src/load/expected_time.ts
+++ b/packages/core/src/load/expected_time.ts
@@ -29,6 +29,8 @@
 
 const TOKENS_PER_KILOTOKEN = 1_000;
 const MS_PER_SECOND = 1_000;
+/** Typical error of the estimated requests at a runner. */
+const OCCUPANCY_ERROR = 2;
 /** Mean part of a pass that is left when a request arrives. */
 const MEAN_PASS_REST = 0.5;
 
@@ -62,8 +64,7 @@
   const stepMs = stepMsOf(speed, running, usual);
   const usualReadMs = readMs(speed, usual.promptTokens);
   const holdingMs = usualReadMs + usual.outputTokens * stepMs;
-  const waiting = Math.max(0, occupancy - slots + 1);
-  const slotWaitMs = waiting * holdingMs / slots;
+  const slotWaitMs = expectedWaiting(occupancy, slots) * holdingMs / slots;
   const passRestMs = Math.min(1, running) * MEAN_PASS_REST *
     speed.stepsPerPass * stepMs;
   // The running requests that still read their prompts have half of them left in the mean.
@@ -79,6 +80,15 @@
   return tokens * MS_PER_SECOND / speed.prefillTokensPerSecond;
 }
 
+/**
+ * Returns the requests that have to end before this one gets a slot, in the mean over the error of the estimate: one
+ * that is just below the slots may be above them.
+ */
+function expectedWaiting(occupancy: number, slots: number): number {
+  const excess = occupancy - slots + 1;
+  return OCCUPANCY_ERROR * Math.log1p(Math.exp(excess / OCCUPANCY_ERROR));
+}
+
 /** Returns the time of one decode step while `running` requests write, ms. */
 function stepMsOf(
   speed: EngineSpeed,
--- a/packages/core/src/load/subset.ts
+++ b/packages/core/src/load/subset.ts
@@ -12,6 +12,7 @@
 import { addAmount, createRate, decayRate } from "../util/ewma.ts";
 import {
   CONNECTION_REUSE_MS,
+  GAPS_PER_REUSE,
   MIN_SUBSET_SIZE,
   REQUEST_RATE_WINDOW_MS,
 } from "./constants.ts";
@@ -30,7 +31,10 @@
   const rate = gateway!.loadSharing.sendRates.get(workKey(kind));
   if (rate === undefined) return MIN_SUBSET_SIZE;
   const perMs = decayRate(rate, { now, windowMs: REQUEST_RATE_WINDOW_MS });
-  return Math.max(MIN_SUBSET_SIZE, Math.round(perMs * CONNECTION_REUSE_MS));
+  return Math.max(
+    MIN_SUBSET_SIZE,
+    Math.round(perMs * CONNECTION_REUSE_MS / GAPS_PER_REUSE),
+  );
 }
 
 /** Place of a runner in the order in which a daemon uses the groups of a model. */
--- a/packages/core/src/read_sharing/test_fleet.ts
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Effect } from "../effect/types.ts";
+import type { EventBody } from "../event/types.ts";
 import type { RoutingDocument, Runner } from "../gateway/types.ts";
 import {
   createDocument,
@@ -12,7 +13,7 @@
   type GatewayHarness,
 } from "../gateway/test_fixture.ts";
 import type { LogPosition } from "../store_timeline/position.ts";
-import type { DaemonEntry } from "./types.ts";
+import type { DaemonEntry, RunnerReports } from "./types.ts";
 
 /** A simulated daemon. */
 export interface SimulatedDaemon {
@@ -21,6 +22,8 @@
   isUp: boolean;
   /** True while the store rejects the calls of this daemon. */
   isCutFromStore: boolean;
+  /** True where it neither sends nor reads load reports, as the earlier build. */
+  isEarlierBuild: boolean;
   upstream: { node: string; isOpen: boolean } | undefined;
   /** Time from which on its connections deliver nothing, ms; it does not know. */
   silentSince: number;
@@ -94,8 +97,7 @@
         feed(to, { kind: "suspects_reported", runners: message.runners });
       }
       if (message.kind === "limits") {
-        const { limits, leaving, loads } = message;
-        feed(to, { kind: "limits_reported", limits, leaving, loads });
+        feed(to, limitsEventOf(message, [from, to]));
       }
     }
     if (effect.kind !== "send_to_followers") return;
@@ -142,8 +144,7 @@
       : [];
     if (readings.length > 0) feed(to, { kind: "parts_read", readings });
     if (message.kind === "limits") {
-      const { limits, leaving, loads } = message;
-      feed(to, { kind: "limits_reported", limits, leaving, loads });
+      feed(to, limitsEventOf(message, [daemon(node), to]));
     }
     if (message.kind === "runners") {
       feed(to, {
@@ -246,6 +247,17 @@
   };
 }
 
+function limitsEventOf(
+  { limits, leaving, loads }: RunnerReports,
+  daemons: readonly SimulatedDaemon[],
+): Extract<EventBody, { kind: "limits_reported" }> {
+  const isIgnored = daemons.some(({ isEarlierBuild }) => isEarlierBuild);
+  const kind = "limits_reported";
+  return isIgnored
+    ? { kind, limits, leaving }
+    : { kind, limits, leaving, loads };
+}
+
 function createDaemon(zone: string, index: number): SimulatedDaemon {
   const node = `${zone}-${index}`;
   const entry = {
@@ -260,6 +272,7 @@
     harness: createHarness({ self: entry }),
     isUp: true,
     isCutFromStore: false,
+    isEarlierBuild: false,
     upstream: undefined,
     silentSince: Infinity,
     reads: 0,
