--- a/packages/core/src/load/choice.ts
+++ b/packages/core/src/load/choice.ts
@@ -19,7 +19,7 @@
 import { expectedFirstEventMs } from "./expected_time.ts";
 import { runnerLoadOf } from "./runner_loads.ts";
 import { isSlow, slownessAt } from "./slowness.ts";
-import { byPlace, type SubsetPlace, subsetSize } from "./subset.ts";
+import { insertByPlace, type SubsetPlace, subsetSize } from "./subset.ts";
 
 /** A runner that a request may be sent to, with its load. */
 export interface Candidate {
@@ -63,54 +63,72 @@
   });
 }
 
+/** Runners with room, as a daemon uses them, and full ones. */
+interface RankedCandidates {
+  /** The subset of the own zone. */
+  subset: RankedCandidate[];
+  /** The other ones of the own zone. */
+  beyond: RankedCandidate[];
+  /** The first ones of the other zones. */
+  remote: RankedCandidate[];
+  full: RankedCandidate[];
+}
+
 /** Chooses the runner of a request among those that are usable; undefined where it would wait too long at all. */
 export function chooseByExpectedTime(
   state: State,
   request: RoutedRequest,
   candidates: Iterable<Candidate>,
 ): Runner | undefined {
-  const open: RankedCandidate[] = [];
-  const full: RankedCandidate[] = [];
-  for (const candidate of candidates) {
-    const { affinity, slowness } = runnerLoadOf(state, candidate.runner.id);
-    const place = { affinity, isSlow: isSlow(slowness, state.now) };
-    const list = candidate.occupancy < candidate.usable ? open : full;
-    list.push({ ...candidate, ...place });
-  }
-  const choice = chooseOpen(state, request, open) ??
-    chooseFull(state, request, full);
+  const ranked = rankCandidates(state, request, candidates);
+  const inside = chooseOfTwo(state, request, ranked.subset);
+  const outside = drawOne(state, request, ranked.beyond);
+  const near = betterBy(NEW_CONNECTION_COST_MS, inside, outside);
+  const far = chooseOfTwo(state, request, ranked.remote);
+  const choice = betterBy(OTHER_ZONE_COST_MS, near, far) ??
+    chooseFull(state, request, ranked.full);
   return choice?.runner;
 }
 
-/** Chooses among the runners with room: in the own zone, unless another one is better by more than it costs. */
-function chooseOpen(
+/** Sorts candidates in one pass, since a choice goes over dozens of them. */
+function rankCandidates(
   state: State,
   request: RoutedRequest,
-  open: readonly RankedCandidate[],
-): Choice | undefined {
+  candidates: Iterable<Candidate>,
+): RankedCandidates {
   const { zone } = state.gateway!;
-  const local = open.filter(({ runner }) => runner.zone === zone);
-  const remote = open.filter(({ runner }) => runner.zone !== zone);
-  const near = chooseNear(state, request, local);
-  const far = chooseOfTwo(
-    state,
-    request,
-    remote.sort(byPlace).slice(0, MIN_SUBSET_SIZE),
-  );
-  return betterBy(OTHER_ZONE_COST_MS, near, far);
+  const size = subsetSize(state, request);
+  const subset: RankedCandidate[] = [];
+  const beyond: RankedCandidate[] = [];
+  const remote: RankedCandidate[] = [];
+  const full: RankedCandidate[] = [];
+  for (const candidate of candidates) {
+    const ranked = rankCandidate(state, candidate);
+    if (ranked.occupancy >= ranked.usable) full.push(ranked);
+    else if (ranked.runner.zone !== zone) {
+      insertByPlace(remote, ranked, MIN_SUBSET_SIZE);
+    } else {
+      const left = insertByPlace(subset, ranked, size);
+      if (left !== undefined) beyond.push(left);
+    }
+  }
+  return { subset, beyond, remote, full };
 }
 
-/** Chooses from the subset of the own zone, unless a runner beyond it is better by more than a connection costs. */
-function chooseNear(
+function rankCandidate(
   state: State,
-  request: RoutedRequest,
-  local: RankedCandidate[],
-): Choice | undefined {
-  local.sort(byPlace);
-  const size = subsetSize(state, request);
-  const inside = chooseOfTwo(state, request, local.slice(0, size));
-  const outside = drawOne(state, request, local.slice(size));
-  return betterBy(NEW_CONNECTION_COST_MS, inside, outside);
+  { runner, stats, occupancy, slots, usable }: Candidate,
+): RankedCandidate {
+  const { affinity, slowness } = runnerLoadOf(state, runner.id);
+  return {
+    runner,
+    stats,
+    occupancy,
+    slots,
+    usable,
+    affinity,
+    isSlow: isSlow(slowness, state.now),
+  };
 }
 
 /** Chooses a full runner where a wait there still meets the objective, for requests that may use every slot. */
--- a/packages/core/src/load/subset.ts
+++ b/packages/core/src/load/subset.ts
@@ -44,8 +44,22 @@
   affinity: number;
 }
 
-/** Orders runners as a daemon uses them: slow ones last, then by rendezvous hash. */
-export function byPlace(left: SubsetPlace, right: SubsetPlace): number {
-  return Number(left.isSlow) - Number(right.isSlow) ||
-    right.affinity - left.affinity;
+/** Returns whether a runner is used before another one: slow ones come last, the others by rendezvous hash. */
+function isBefore(left: SubsetPlace, right: SubsetPlace): boolean {
+  return left.isSlow === right.isSlow
+    ? left.affinity > right.affinity
+    : right.isSlow;
+}
+
+/** Inserts a runner into the list of the first `size` ones; returns the one that has no place in it, if any. */
+export function insertByPlace<T extends SubsetPlace>(
+  list: T[],
+  place: T,
+  size: number,
+): T | undefined {
+  let index = list.length;
+  while (index > 0 && isBefore(place, list[index - 1]!)) index -= 1;
+  if (index >= size) return place;
+  list.splice(index, 0, place);
+  return list.length > size ? list.pop() : undefined;
 }
