--- a/packages/core/src/load/load_test.ts
+++ b/packages/core/src/load/load_test.ts
@@ -154,7 +154,7 @@
 
 describe("stale reports and many daemons", () => {
   // Guards against daemons that all send to the group that was least loaded some hundred milliseconds ago: with that
-  // rule half of the requests of this test queue at a group.
+  // rule most requests of this test come to a group without a free slot.
   it("make no herd on the least loaded group", () => {
     const { load } = start({ a: 40 }, { groups: 12 });
     load.run(6_000, () => 3);
