--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -178,6 +178,13 @@
   ),
   runner_slow: event(1631, "warn", "runner is slower than others"),
   runner_not_slow: event(1632, "info", "runner is no longer slower"),
+  runner_ejected: event(1633, "warn", "runner gets no requests for a while"),
+  runner_readmitted: event(1634, "info", "runner gets requests again"),
+  runner_eject_capped: event(
+    1635,
+    "warn",
+    "runner not ejected, since too many are",
+  ),
   peer_refused: event(1603, "warn", "peer refused"),
   peer_frame_dropped: event(1604, "warn", "peer frame dropped"),
   usage_published: event(1701, "info", "usage published"),
--- a/packages/core/src/gateway/choose.ts
+++ b/packages/core/src/gateway/choose.ts
@@ -23,15 +23,10 @@
 } from "./constants.ts";
 import { occupancyOf } from "./occupancy.ts";
 import { mayReceive } from "./request_limit.ts";
-import { candidatesFor } from "./runner_index.ts";
+import { candidatesFor, slotsOf } from "./runner_index.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
 import type { Gateway, RoutedRequest, Runner, RunnerStats } from "./types.ts";
 
-function slotsOf(gateway: Gateway, runner: Runner): number {
-  const engine = gateway.routing?.services.get(runner.service)?.engine;
-  return engine?.slots ?? runner.slots;
-}
-
 /** Returns the occupancy of a runner up to which a request of this priority may be sent to it. */
 function usableSlots(
   slots: number,
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -6,6 +6,7 @@
 import { BLAME_AFTER_FORWARDERS } from "../forwarding/constants.ts";
 import { recordForwarderFailure } from "../forwarding/forwarders.ts";
 import type { FailureSide, ForwardRefusal } from "../forwarding/types.ts";
+import { recordFailureEvidence } from "../load/ejection.ts";
 import { recordSuspect } from "../read_sharing/suspects.ts";
 import { findHeld } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
@@ -24,6 +25,12 @@
   RESUME_WAIT_MS,
 } from "./constants.ts";
 import { endRequest, failRequest, logEnd, releaseAttempt } from "./finish.ts";
+import {
+  BLAMELESS_OUTCOMES,
+  PATH_OUTCOMES,
+  SUSPICIOUS_OUTCOMES,
+  UNSENT_OUTCOMES,
+} from "./outcome_sets.ts";
 import { retryBudgetOf, retryLimitsOf } from "./retry_allowance.ts";
 import { hasRetry, retriesLeft, takeRetry } from "./retry_budget.ts";
 import { retryAfter } from "./runner_backoff.ts";
@@ -154,6 +161,7 @@
   const isBlamed = !isInDoubt && !(isOwnPath && isOwnFault(gateway, runner));
   if (isBlamed && SUSPICIOUS_OUTCOMES.has(outcome)) {
     recordSuspect(gateway.readSharing, runner);
+    yield* recordFailureEvidence(state, runner);
     hastenSweep(state);
   }
   stats.failures += 1;
@@ -162,35 +170,6 @@
   if (!isOwnPath) stats.avoidForwardedUntil = stats.avoidUntil;
 }
 
-/** Outcomes that tell nothing of a runner or of the path to it. */
-const BLAMELESS_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  "cancelled",
-  "request_unwritable",
-]);
-
-/** Outcomes of attempts whose request never left. */
-const UNSENT_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  "connect_refused",
-  "connect_timeout",
-  "reset_before_send",
-]);
-
-/** Outcomes that a dead or silent runner causes, which others would meet too. */
-const SUSPICIOUS_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  "connect_refused",
-  "connect_timeout",
-  "response_timeout",
-  "body_cut_off",
-]);
-
-/** Outcomes that a fault of the network between this daemon and a runner causes, among other things. */
-const PATH_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  ...UNSENT_OUTCOMES,
-  "reset_after_send",
-  "response_timeout",
-  "body_cut_off",
-]);
-
 /** Returns whether an attempt certainly did not reach its runner. */
 function neverArrived({ outcome, side }: FailedAttempt): boolean {
   return UNSENT_OUTCOMES.has(outcome) ||
--- a/packages/core/src/gateway/runner_index.ts
+++ b/packages/core/src/gateway/runner_index.ts
@@ -95,3 +95,9 @@
 ): boolean {
   return runnerIndex.has(workKey(kind));
 }
+
+/** Returns the requests that a runner runs at once. */
+export function slotsOf({ routing }: Gateway, runner: Runner): number {
+  const engine = routing?.services.get(runner.service)?.engine;
+  return engine?.slots ?? runner.slots;
+}
--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -149,6 +149,7 @@
     known.startedUnixMs !== runner.startedUnixMs;
   if (isRestarted && stats !== undefined) {
     stats.load = undefined;
+    gateway.loadSharing.runnerLoads.delete(runner.id);
     stats.requestsPerSecond = undefined;
   }
   const { membership } = runner;
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -75,7 +75,7 @@
   if (forwarder !== undefined) {
     forwarderStatsOf(gateway, forwarder.node).inFlight += 1;
   }
-  const expectedFirstEventMs = recordSharedSend(state, request, runner);
+  const expectation = recordSharedSend(state, request, runner);
   const stats = runnerStatsOf(gateway, id);
   stats.inFlight += 1;
   countLimitedSend(gateway, stats, state.now);
@@ -92,7 +92,7 @@
     sentAt: state.now,
     lastByteAt: state.now,
     isSent: false,
-    expectedFirstEventMs,
+    expectation,
     hasHeaders: false,
     isStreaming: false,
     progressCount: 0,
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -9,7 +9,7 @@
 import type { KnownChains } from "../quarantine/types.ts";
 import type { StoreTimeline } from "../store_timeline/types.ts";
 import type { DaemonEntry, ReadSharing } from "../read_sharing/types.ts";
-import type { LoadSharing } from "../load/types.ts";
+import type { FirstEventExpectation, LoadSharing } from "../load/types.ts";
 import type { ServicePath } from "../service_path/types.ts";
 import type {
   Route,
@@ -99,8 +99,8 @@
   lastByteAt: number;
   /** True once the request was handed to a connection; before, it cannot have run. */
   isSent: boolean;
-  /** Time to the first event that was expected at the send, ms; undefined for services whose load is not shared. */
-  expectedFirstEventMs: number | undefined;
+  /** What was expected at the send; undefined for services whose load is not shared. */
+  expectation: FirstEventExpectation | undefined;
   /** True once the response headers have arrived. */
   hasHeaders: boolean;
   /** True once a stream has begun. */
--- a/packages/core/src/health/ejection.ts
+++ b/packages/core/src/health/ejection.ts
@@ -10,21 +10,18 @@
 import { schedule } from "../util/timer_queue.ts";
 import { advanceTarget } from "./machine.ts";
 import { endBackoff } from "./backoff.ts";
-
-/** A target is ejected after this many consecutive failures. */
-const MAX_CONSECUTIVE_FAILURES = 3;
-/** Ratio of reported to expected step time above which a target is a straggler. */
-const STRAGGLER_FACTOR = 1.8;
-/** Ratio of reported to expected step time below which a probed target has recovered. */
-const RECOVERED_FACTOR = 1.3;
-/** Weight of the newest load report in a target's mean ratio of reported to expected step time. */
-const FACTOR_SAMPLE_WEIGHT = 0.4;
-/** Consecutive ejections lengthen an ejection up to this multiple of its configured time. */
-const MAX_BACKOFF_FACTOR = 2;
+import {
+  hasRecovered,
+  isStraggler,
+  MAX_CONSECUTIVE_FAILURES,
+  mayEject,
+  nextEjectionCount,
+  nextFactor,
+} from "./ejection_rules.ts";
 
 function canEject(state: State, pool: Pool): boolean {
   const maxShare = state.config?.config.policy.ejectionMaxShare ?? 0;
-  return pool.ejected + 1 <= Math.floor(pool.targets.size * maxShare);
+  return mayEject(pool.ejected, pool.targets.size, { maxShare });
 }
 
 /** Ejects a target unless the cap is reached. */
@@ -46,7 +43,7 @@
   }
   if (!advanceTarget(target, "eject")) return;
   if (!isCounted) pool.ejected += 1;
-  target.ejections = Math.min(MAX_BACKOFF_FACTOR, target.ejections + 1);
+  target.ejections = nextEjectionCount(target.ejections);
   const pauseMs = (state.config?.config.policy.ejectionMs ?? 0) *
     target.ejections;
   target.ejectedUntil = state.now + pauseMs;
@@ -130,21 +127,21 @@
   const expected = expectedStepMs(pool.model, report.running);
   if (expected === undefined || expected <= 0) return;
   const ratio = report.stepMs / expected;
-  target.factor += (ratio - target.factor) * FACTOR_SAMPLE_WEIGHT;
+  target.factor = nextFactor(target.factor, ratio);
   if (target.phase === "probing") {
     return yield* evaluateProbe(state, target, ratio);
   }
-  if (target.factor > STRAGGLER_FACTOR) {
+  if (isStraggler(target.factor)) {
     yield* ejectTarget(state, target, { cause: "straggler" });
   }
 }
 
 function* evaluateProbe(state: State, target: Target, ratio: number): Effects {
-  if (ratio > STRAGGLER_FACTOR) {
+  if (isStraggler(ratio)) {
     return yield* ejectTarget(state, target, { cause: "still a straggler" });
   }
   target.probes += 1;
-  if (ratio < RECOVERED_FACTOR && target.probes >= MIN_PROBE_REPORTS) {
+  if (hasRecovered(ratio) && target.probes >= MIN_PROBE_REPORTS) {
     yield* endEjection(state, target);
   }
 }
--- a/packages/core/src/load/attempts.ts
+++ b/packages/core/src/load/attempts.ts
@@ -5,38 +5,50 @@
  */
 import type { Effect } from "../effect/types.ts";
 import { occupancyOf } from "../gateway/occupancy.ts";
+import { slotsOf } from "../gateway/runner_index.ts";
 import { runnerStatsOf } from "../gateway/runner_stats.ts";
 import type { RoutedRequest, Runner } from "../gateway/types.ts";
 import type { State } from "../state/types.ts";
+import { LOADED_SHARE } from "./constants.ts";
 import { expectedMsOf } from "./choice.ts";
+import { recordRatio, recordTrial } from "./ejection.ts";
 import { recordObservation } from "./reports.ts";
 import { isShared, recordInFlight } from "./runner_loads.ts";
 import { observeSlowness } from "./slowness.ts";
 import { countSend } from "./subset.ts";
-import type { FirstEventTimes } from "./types.ts";
+import type { FirstEventExpectation, FirstEventTimes } from "./types.ts";
 
 /**
  * Records a request that is about to be sent to a runner, before it counts there.
  *
- * Returns the expected time to its first event, ms; undefined for services whose load is not shared.
+ * Returns what is expected of it; undefined for services whose load is not shared.
  */
 export function recordSharedSend(
   state: State,
   request: RoutedRequest,
   runner: Runner,
-): number | undefined {
+): FirstEventExpectation | undefined {
   const gateway = state.gateway!;
   if (!isShared(gateway, runner)) return undefined;
   countSend(state, request);
   const stats = runnerStatsOf(gateway, runner.id);
   const occupancy = occupancyOf(gateway, { runner, stats }, state.now);
-  const engine = gateway.routing?.services.get(runner.service)?.engine;
   recordInFlight(state, runner.id, 1);
-  return expectedMsOf(state, request, {
-    runner,
-    occupancy,
-    slots: engine?.slots ?? runner.slots,
-  });
+  recordTrial(state, runner.id);
+  const slots = slotsOf(gateway, runner);
+  return {
+    ms: expectedMsOf(state, request, { runner, occupancy, slots }),
+    isLoaded: occupancy >= slots * LOADED_SHARE,
+  };
+}
+
+/** Returns whether most slots of a runner were taken when it last reported. */
+function isLoadedByReport({ gateway }: State, id: string): boolean {
+  const runner = gateway!.runners.get(id);
+  const load = gateway!.runnerStats.get(id)?.load;
+  if (runner === undefined || load === undefined) return false;
+  const slots = slotsOf(gateway!, runner);
+  return load.running + load.waiting >= slots * LOADED_SHARE;
 }
 
 /**
@@ -49,12 +61,15 @@
   request: RoutedRequest,
 ): Generator<Effect, FirstEventTimes | undefined, void> {
   const attempt = request.currentAttempt!;
-  const { expectedFirstEventMs: expectedMs, forwarder, sentAt } = attempt;
+  const { expectation, forwarder, sentAt, runner } = attempt;
   const isFirst = attempt.progressCount === 1;
-  if (expectedMs === undefined || !isFirst) return undefined;
+  if (expectation === undefined || !isFirst) return undefined;
   if (forwarder !== undefined || attempt.isBlocked) return undefined;
-  const { service } = request;
-  const slowness = yield* observeSlowness(state, { service, attempt });
-  recordObservation(state, attempt.runner, slowness);
-  return { expectedMs, observedMs: state.now - sentAt };
+  if (!expectation.isLoaded && !isLoadedByReport(state, runner)) {
+    const { service } = request;
+    const ratio = yield* observeSlowness(state, { service, attempt });
+    recordObservation(state, runner, ratio);
+    yield* recordRatio(state, runner, ratio);
+  }
+  return { expectedMs: expectation.ms, observedMs: state.now - sentAt };
 }
--- a/packages/core/src/load/choice.ts
+++ b/packages/core/src/load/choice.ts
@@ -16,9 +16,11 @@
   NEW_CONNECTION_COST_MS,
   OTHER_ZONE_COST_MS,
 } from "./constants.ts";
+import { mayUse } from "./ejection.ts";
 import { expectedFirstEventMs } from "./expected_time.ts";
 import { runnerLoadOf } from "./runner_loads.ts";
 import { isSlow, slownessAt } from "./slowness.ts";
+import type { RunnerLoad } from "./types.ts";
 import { insertByPlace, type SubsetPlace, subsetSize } from "./subset.ts";
 
 /** A runner that a request may be sent to, with its load. */
@@ -103,7 +105,9 @@
   const remote: RankedCandidate[] = [];
   const full: RankedCandidate[] = [];
   for (const candidate of candidates) {
-    const ranked = rankCandidate(state, candidate);
+    const load = runnerLoadOf(state, candidate.runner.id);
+    if (!mayUse(load.ejection, state.now)) continue;
+    const ranked = rankCandidate(candidate, load, state.now);
     if (ranked.occupancy >= ranked.usable) full.push(ranked);
     else if (ranked.runner.zone !== zone) {
       insertByPlace(remote, ranked, MIN_SUBSET_SIZE);
@@ -116,10 +120,10 @@
 }
 
 function rankCandidate(
-  state: State,
   { runner, stats, occupancy, slots, usable }: Candidate,
+  { affinity, slowness }: RunnerLoad,
+  now: number,
 ): RankedCandidate {
-  const { affinity, slowness } = runnerLoadOf(state, runner.id);
   return {
     runner,
     stats,
@@ -127,7 +131,7 @@
     slots,
     usable,
     affinity,
-    isSlow: isSlow(slowness, state.now),
+    isSlow: isSlow(slowness, now),
   };
 }
 
--- a/packages/core/src/load/constants.ts
+++ b/packages/core/src/load/constants.ts
@@ -39,6 +39,11 @@
 /** Time constant of the request rate that sizes the subset, ms. */
 export const REQUEST_RATE_WINDOW_MS = 5_000;
 
+/**
+ * Share of the slots from which on a time to the first event may include a wait for a slot, since the estimate is off by
+ * a few requests. Such times say nothing of a runner's speed.
+ */
+export const LOADED_SHARE = 0.8;
 /** Weight of an own observation in the slowness of a runner. */
 export const OWN_SLOWNESS_WEIGHT = 0.3;
 /** Weight of an observation of another daemon, whose own network may be at fault. */
@@ -56,3 +61,20 @@
 export const SLOW_FACTOR = 1.6;
 /** Slowness below which a slow runner is no longer left out. */
 export const RECOVERED_FACTOR = 1.3;
+
+/** Daemons that must have evidence against a runner before it is ejected, since one's own network may be at fault. */
+export const MIN_EVIDENCE_SOURCES = 2;
+/** Time for which evidence against a runner counts, ms; most daemons use a group again within it. */
+export const EVIDENCE_MS = 4_000;
+/** Pieces of evidence in one message at most; the newest are sent. */
+export const MAX_EVIDENCE_PER_MESSAGE = 32;
+/** Daemons whose evidence against one runner is kept; the oldest is dropped beyond it. */
+export const MAX_EVIDENCE_SOURCES = 8;
+/** Largest share of the groups of a model that may be ejected at once. */
+export const MAX_EJECTED_SHARE = 0.25;
+/** Time for which a runner is ejected, ms; twice as long from the second time on. */
+export const EJECTION_MS = 5_000;
+/** Part by which daemons spread the ends of their ejections, so that their trial requests do not come together. */
+export const EJECTION_JITTER = 0.5;
+/** Time for which a trial request goes alone, where it has no first event, ms. */
+export const TRIAL_MS = 1_000;
--- a/packages/core/src/load/runner_loads.ts
+++ b/packages/core/src/load/runner_loads.ts
@@ -15,6 +15,7 @@
 export function createLoadSharing(now: number): LoadSharing {
   return {
     pending: new Map(),
+    newEvidence: [],
     nextPassAt: now,
     runnerLoads: new Map(),
     sendRates: new Map(),
@@ -30,16 +31,28 @@
   return capacityPolicyOf(gateway, service) === "shared";
 }
 
+/** Returns the name by which other daemons know this one. */
+export function nodeOf({ gateway, node }: State): string {
+  return gateway!.readSharing.self?.node ?? node.name;
+}
+
 /** Returns what is kept of a runner, created where it was not used yet. */
 export function runnerLoadOf(state: State, runner: string): RunnerLoad {
-  const { loadSharing, readSharing } = state.gateway!;
+  const { loadSharing } = state.gateway!;
   let load = loadSharing.runnerLoads.get(runner);
   if (load === undefined) {
-    const node = readSharing.self?.node ?? state.node.name;
     load = {
-      affinity: hashFraction(tupleKey(node, runner)),
+      affinity: hashFraction(tupleKey(nodeOf(state), runner)),
       inFlightChanges: [],
       slowness: { ratio: 1, at: state.now, isSlow: false, lastOwn: undefined },
+      ejection: {
+        phase: "serving",
+        until: -Infinity,
+        triedAt: -Infinity,
+        count: 0,
+        factor: 1,
+        evidence: new Map(),
+      },
     };
     loadSharing.runnerLoads.set(runner, load);
   }
--- a/packages/core/src/load/slowness.ts
+++ b/packages/core/src/load/slowness.ts
@@ -51,7 +51,7 @@
 ): Generator<Effect, number, void> {
   const observedMs = state.now - attempt.sentAt;
   const ratio = (observedMs + SLOWNESS_OFFSET_MS) /
-    (attempt.expectedFirstEventMs! + SLOWNESS_OFFSET_MS);
+    (attempt.expectation!.ms + SLOWNESS_OFFSET_MS);
   const sample = relativeTo(state.gateway!.loadSharing, service, ratio);
   const rounded = Number(sample.toFixed(RATIO_DIGITS));
   runnerLoadOf(state, attempt.runner).slowness.lastOwn = rounded;
--- a/packages/core/src/load/test_load.ts
+++ b/packages/core/src/load/test_load.ts
@@ -28,6 +28,8 @@
   runner: Runner;
   /** Factor on the time to the first event. */
   slowdown: number;
+  /** True while it breaks off each answer. */
+  isFailing: boolean;
   jobs: Job[];
   /** Requests received. */
   received: number;
@@ -77,7 +79,7 @@
   const byId = new Map<string, SimulatedRunner>(
     fleet.store.runners.map((runner) => [
       runner.id,
-      { runner, slowdown: 1, jobs: [], received: 0, peak: 0 },
+      { runner, slowdown: 1, isFailing: false, jobs: [], received: 0, peak: 0 },
     ]),
   );
   const cursors = new Map<SimulatedDaemon, number>();
@@ -188,6 +190,7 @@
   }
 
   function proceed(target: SimulatedRunner, job: Job): void {
+    if (target.isFailing) return breakOff(target, job);
     const { daemon: { harness }, request, attempt } = job;
     job.nextEventAt = now + EVENT_INTERVAL_MS;
     if (!job.hasBegun) {
@@ -210,6 +213,13 @@
     });
   }
 
+  function breakOff(target: SimulatedRunner, job: Job): void {
+    const { daemon, request, attempt } = job;
+    target.jobs.splice(target.jobs.indexOf(job), 1);
+    const outcome = "body_cut_off";
+    daemon.harness.feed({ kind: "response_failed", request, attempt, outcome });
+  }
+
   function end(target: SimulatedRunner, job: Job): void {
     const { daemon, request, attempt } = job;
     target.jobs.splice(target.jobs.indexOf(job), 1);
--- a/packages/core/src/read_sharing/event_types.ts
+++ b/packages/core/src/read_sharing/event_types.ts
@@ -5,7 +5,7 @@
  */
 import type { LogPosition } from "../store_timeline/position.ts";
 import type { LeavingRunner } from "../gateway/fleet_types.ts";
-import type { LoadReport } from "../load/types.ts";
+import type { LoadReport, RunnerEvidence } from "../load/types.ts";
 import type { DaemonEntry, RunnerLimit } from "./types.ts";
 
 /** Every event of read sharing, without the time at which it happened. */
@@ -50,4 +50,5 @@
     limits: RunnerLimit[];
     leaving?: LeavingRunner[] | undefined;
     loads?: LoadReport[] | undefined;
+    evidence?: RunnerEvidence[] | undefined;
   };
--- a/packages/core/src/read_sharing/limits.ts
+++ b/packages/core/src/read_sharing/limits.ts
@@ -1,6 +1,6 @@
 /**
  * Shares between the daemons of an availability zone what runners have said of themselves: limits that they have named
- * or dropped, that they leave, and their load.
+ * or dropped, that they leave, and their load; and what was observed against them.
  *
  * Each daemon of a large fleet asks a runner with a limit only rarely, and would hold back its requests for long after
  * the limit has ended.
@@ -11,6 +11,7 @@
 import { applyLeaving } from "../gateway/leaving.ts";
 import { recordLimit } from "../gateway/request_limit.ts";
 import { runnerStatsOf } from "../gateway/runner_stats.ts";
+import { applyEvidence, takeEvidence } from "../load/ejection.ts";
 import { applyReports, takeDueReports } from "../load/reports.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
@@ -25,6 +26,7 @@
   const { limits } = event;
   yield* applyLeaving(state, event);
   yield* applyReports(state, event.loads ?? []);
+  yield* applyEvidence(state, event.evidence ?? []);
   const { limitChanges, isReading } = gateway.readSharing;
   for (const { runner, requestsPerSecond } of limits) {
     if (!gateway.runners.has(runner)) continue;
@@ -39,7 +41,9 @@
 export function* passOnLimits(state: State): Effects {
   const { limitChanges, newlyLeaving } = state.gateway!.readSharing;
   const loads = takeDueReports(state);
-  const count = limitChanges.size + newlyLeaving.length + loads.length;
+  const evidence = takeEvidence(state);
+  const count = limitChanges.size + newlyLeaving.length + loads.length +
+    evidence.length;
   if (count === 0) return;
   const limits = [...limitChanges].map(([runner, requestsPerSecond]) => ({
     runner,
@@ -52,5 +56,6 @@
     limits,
     leaving,
     ...(loads.length > 0 && { loads }),
+    ...(evidence.length > 0 && { evidence }),
   });
 }
--- a/packages/core/src/read_sharing/test_fleet.ts
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -248,14 +248,14 @@
 }
 
 function limitsEventOf(
-  { limits, leaving, loads }: RunnerReports,
+  { limits, leaving, loads, evidence }: RunnerReports,
   daemons: readonly SimulatedDaemon[],
 ): Extract<EventBody, { kind: "limits_reported" }> {
   const isIgnored = daemons.some(({ isEarlierBuild }) => isEarlierBuild);
   const kind = "limits_reported";
   return isIgnored
     ? { kind, limits, leaving }
-    : { kind, limits, leaving, loads };
+    : { kind, limits, leaving, loads, evidence };
 }
 
 function createDaemon(zone: string, index: number): SimulatedDaemon {
--- a/packages/core/src/read_sharing/types.ts
+++ b/packages/core/src/read_sharing/types.ts
@@ -9,7 +9,7 @@
   RoutingDocument,
   Runner,
 } from "../gateway/fleet_types.ts";
-import type { LoadReport } from "../load/types.ts";
+import type { LoadReport, RunnerEvidence } from "../load/types.ts";
 import type { LogPosition } from "../store_timeline/position.ts";
 
 /** A daemon as it registered itself in the store. */
@@ -121,6 +121,8 @@
   leaving?: LeavingRunner[] | undefined;
   /** Load that runners have reported; daemons of an earlier version neither send nor read it. */
   loads?: LoadReport[] | undefined;
+  /** What daemons have observed against runners; daemons of an earlier version neither send nor read it. */
+  evidence?: RunnerEvidence[] | undefined;
 }
 
 /** Message from a daemon to its followers. */
--- a/packages/daemon/src/gateway/follower_listener.ts
+++ b/packages/daemon/src/gateway/follower_listener.ts
@@ -61,8 +61,8 @@
     return { kind: "suspects_reported", runners: message.runners };
   }
   if (message.kind === "limits") {
-    const { limits, leaving, loads } = message;
-    return { kind: "limits_reported", limits, leaving, loads };
+    const { kind: _, ...reports } = message;
+    return { kind: "limits_reported", ...reports };
   }
   const { poll, runnersPosition } = message;
   return { kind: "follower_polled", follower, poll, runnersPosition };
--- a/packages/daemon/src/gateway/sharing_frames.ts
+++ b/packages/daemon/src/gateway/sharing_frames.ts
@@ -159,6 +159,9 @@
     ageMs: count,
     slowness: optional(count),
   }))),
+  evidence: optional(z.array(
+    z.object({ runner: z.string(), node: z.string(), ageMs: count }),
+  )),
 });
 
 const upstreamMessage = z.discriminatedUnion("kind", [
--- a/packages/daemon/src/gateway/sharing_frames_test.ts
+++ b/packages/daemon/src/gateway/sharing_frames_test.ts
@@ -13,10 +13,18 @@
   { runner: "g-2", running: 0, waiting: 0, ageMs: 0 },
 ];
 
+const EVIDENCE = [{ runner: "g-1", node: "entry-2", ageMs: 30 }];
+
 describe("frames of the kind limits", () => {
   // Guards against reports that are lost on the way, and against connections that a new field closes.
-  it("carry load reports to and from followers", () => {
-    const message = { ...LIMITS, limits: [], leaving: [], loads: LOADS };
+  it("carry load reports and evidence to and from followers", () => {
+    const message = {
+      ...LIMITS,
+      limits: [],
+      leaving: [],
+      loads: LOADS,
+      evidence: EVIDENCE,
+    };
     const frame = encodeFrame(message as FollowerMessage);
     expect(decodeFollowerFrame(frame)).to.deep.equal(message);
     expect(decodeUpstreamFrame(frame)).to.deep.equal(message);
--- a/packages/daemon/src/gateway/upstream_client.ts
+++ b/packages/daemon/src/gateway/upstream_client.ts
@@ -104,8 +104,8 @@
       parts: ({ readings }) => passParts(readings),
       suspects: ({ runners }) =>
         dispatch({ kind: "suspects_reported", runners }),
-      limits: ({ limits, leaving, loads }) =>
-        dispatch({ kind: "limits_reported", limits, leaving, loads }),
+      limits: ({ kind: _, ...reports }) =>
+        dispatch({ kind: "limits_reported", ...reports }),
       poll_answer({ poll: answered, ...answer }) {
         const pollSentAt = sentAt.get(answered);
         if (pollSentAt === undefined) return;
