--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -176,6 +176,15 @@
     "warn",
     "daemon did not forward a request",
   ),
+  runner_slow: event(1631, "warn", "runner is slower than others"),
+  runner_not_slow: event(1632, "info", "runner is no longer slower"),
+  runner_ejected: event(1633, "warn", "runner gets no requests for a while"),
+  runner_readmitted: event(1634, "info", "runner gets requests again"),
+  runner_eject_capped: event(
+    1635,
+    "warn",
+    "runner not ejected, since too many are",
+  ),
   runner_cold: event(1616, "info", "runner is cold"),
   runner_warm: event(1617, "info", "runner is warm"),
   zone_cold: event(
--- a/packages/core/src/gateway/finish.ts
+++ b/packages/core/src/gateway/finish.ts
@@ -6,6 +6,7 @@
 import type { EventOf } from "../event/types.ts";
 import { forwarderStatsOf } from "../forwarding/forwarders.ts";
 import { isStranded } from "../forwarding/stranded.ts";
+import { recordInFlight } from "../load/runner_loads.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
@@ -15,11 +16,16 @@
 import type { Gateway, RoutedRequest } from "./types.ts";
 
 /** Ends the current attempt and releases its runner's slot. */
-export function releaseAttempt(gateway: Gateway, request: RoutedRequest): void {
+export function releaseAttempt(
+  state: State,
+  gateway: Gateway,
+  request: RoutedRequest,
+): void {
   const { currentAttempt: attempt } = request;
   if (attempt === undefined) return;
   const stats = runnerStatsOf(gateway, attempt.runner);
   stats.inFlight -= 1;
+  recordInFlight(state, attempt.runner, -1);
   if (attempt.forwarder !== undefined) {
     forwarderStatsOf(gateway, attempt.forwarder).inFlight -= 1;
   }
@@ -33,6 +39,7 @@
 
 /** Ends the other attempt of a hedged request, which has lost; nothing is held against its runner. */
 export function* cancelParallelAttempt(
+  state: State,
   gateway: Gateway,
   request: RoutedRequest,
 ): Effects {
@@ -40,7 +47,7 @@
   if (loser === undefined) return;
   yield { kind: "cancel", request: request.id, attempt: loser.number };
   request.currentAttempt = loser;
-  releaseAttempt(gateway, request);
+  releaseAttempt(state, gateway, request);
   request.currentAttempt = currentAttempt;
   request.parallelAttempt = undefined;
 }
@@ -51,8 +58,8 @@
   gateway: Gateway,
   request: RoutedRequest,
 ): Effects {
-  yield* cancelParallelAttempt(gateway, request);
-  releaseAttempt(gateway, request);
+  yield* cancelParallelAttempt(state, gateway, request);
+  releaseAttempt(state, gateway, request);
   leaveQueue(gateway, request);
   gateway.requests.delete(request.id);
   yield* serveWaiting(state, gateway, workKey(request));
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -16,6 +16,7 @@
 import { planGroups } from "../formation/plan.ts";
 import { createPacing } from "../pacing/mod.ts";
 import { pruneSuspects } from "../quarantine/mod.ts";
+import { createLoadSharing } from "../load/runner_loads.ts";
 import { passOnLimits } from "../read_sharing/limits.ts";
 import { passOnSuspects } from "../read_sharing/suspects.ts";
 import { createReadSharing, updateSource } from "../read_sharing/upstream.ts";
@@ -67,6 +68,7 @@
     retryBudgets: new Map(),
     hedging: createHedgingState(),
     meanLoads: new Map(),
+    loadSharing: createLoadSharing(now),
     servingCount: 0,
     workShare: createAverage(1 / MIN_RETRY_DAEMONS),
     workShareMeasuredAt: now,
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -6,6 +6,7 @@
 import { BLAME_AFTER_FORWARDERS } from "../forwarding/constants.ts";
 import { recordForwarderFailure } from "../forwarding/forwarders.ts";
 import type { FailureSide, ForwardRefusal } from "../forwarding/types.ts";
+import { recordFailureEvidence } from "../load/ejection.ts";
 import { recordSuspect } from "../read_sharing/suspects.ts";
 import { continueParallel } from "../hedging/mod.ts";
 import { findHeld } from "../quarantine/mod.ts";
@@ -25,6 +26,12 @@
   RESUME_WAIT_MS,
 } from "./constants.ts";
 import { endRequest, failRequest, logEnd, releaseAttempt } from "./finish.ts";
+import {
+  BLAMELESS_OUTCOMES,
+  PATH_OUTCOMES,
+  SUSPICIOUS_OUTCOMES,
+  UNSENT_OUTCOMES,
+} from "./outcome_sets.ts";
 import { retryBudgetOf, retryLimitsOf } from "./retry_allowance.ts";
 import { hasRetry, retriesLeft, takeRetry } from "./retry_budget.ts";
 import { retryAfter } from "./runner_backoff.ts";
@@ -88,7 +95,7 @@
       ...describeBudget(state, gateway, request),
     },
   };
-  releaseAttempt(gateway, request);
+  releaseAttempt(state, gateway, request);
   if (next.kind === "continue") return continueParallel(request);
   if (next.kind === "send") {
     return yield* sendToRunner(state, gateway, {
@@ -158,6 +165,7 @@
   const isBlamed = !isInDoubt && !(isOwnPath && isOwnFault(gateway, runner));
   if (isBlamed && SUSPICIOUS_OUTCOMES.has(outcome)) {
     recordSuspect(gateway.readSharing, runner);
+    yield* recordFailureEvidence(state, runner);
     hastenSweep(state);
   }
   stats.failures += 1;
@@ -166,35 +174,6 @@
   if (!isOwnPath) stats.avoidForwardedUntil = stats.avoidUntil;
 }
 
-/** Outcomes that tell nothing of a runner or of the path to it. */
-const BLAMELESS_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  "cancelled",
-  "request_unwritable",
-]);
-
-/** Outcomes of attempts whose request never left. */
-const UNSENT_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  "connect_refused",
-  "connect_timeout",
-  "reset_before_send",
-]);
-
-/** Outcomes that a dead or silent runner causes, which others would meet too. */
-const SUSPICIOUS_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  "connect_refused",
-  "connect_timeout",
-  "response_timeout",
-  "body_cut_off",
-]);
-
-/** Outcomes that a fault of the network between this daemon and a runner causes, among other things. */
-const PATH_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  ...UNSENT_OUTCOMES,
-  "reset_after_send",
-  "response_timeout",
-  "body_cut_off",
-]);
-
 /** Returns whether an attempt certainly did not reach its runner. */
 function neverArrived({ outcome, side }: FailedAttempt): boolean {
   return UNSENT_OUTCOMES.has(outcome) ||
@@ -264,8 +243,7 @@
 ): RetryCharge {
   if (neverArrived(failure)) return "free";
   const budget = retryBudgetOf(gateway, failure.request.service);
-  const isTaken = takeRetry(budget, now, retryLimitsOf(gateway));
-  return isTaken ? "charged" : "denied";
+  return takeRetry(budget, now, retryLimitsOf(gateway)) ? "charged" : "denied";
 }
 
 /** Returns what the budget holds for a log line. */
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -5,6 +5,7 @@
  */
 import { mayDecide } from "../catch_up/mod.ts";
 import { chooseForwarder, forwarderStatsOf } from "../forwarding/forwarders.ts";
+import { recordSharedSend } from "../load/attempts.ts";
 import { countSend } from "../pacing/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import { knownChains } from "../quarantine/mod.ts";
@@ -74,6 +75,7 @@
   if (forwarder !== undefined) {
     forwarderStatsOf(gateway, forwarder.node).inFlight += 1;
   }
+  const expectation = recordSharedSend(state, request, runner);
   const stats = runnerStatsOf(gateway, id);
   stats.inFlight += 1;
   countSend(state, { runner, stats });
@@ -91,6 +93,7 @@
     sentAt: state.now,
     lastByteAt: state.now,
     isSent: false,
+    expectation,
     hasHeaders: false,
     isStreaming: false,
     progressCount: 0,
--- a/packages/core/src/hedging/parallel.ts
+++ b/packages/core/src/hedging/parallel.ts
@@ -40,5 +40,5 @@
       afterMs: Math.round(state.now - winner.sentAt),
     },
   };
-  yield* cancelParallelAttempt(state.gateway!, request);
+  yield* cancelParallelAttempt(state, state.gateway!, request);
 }
--- a/packages/daemon/src/gateway/sharing_frames.ts
+++ b/packages/daemon/src/gateway/sharing_frames.ts
@@ -152,6 +152,16 @@
   leaving: optional(
     z.array(z.object({ id: z.string(), startedUnixMs: z.number() })),
   ),
+  loads: optional(z.array(z.object({
+    runner: z.string(),
+    running: count,
+    waiting: count,
+    ageMs: count,
+    slowness: optional(count),
+  }))),
+  evidence: optional(z.array(
+    z.object({ runner: z.string(), node: z.string(), ageMs: count }),
+  )),
 });
 
 const upstreamMessage = z.discriminatedUnion("kind", [
