Keep requests away from evacuated zones and disallowed regions in the core

One predicate covers runner choice, retries, resumed streams and forwarded requests; the group planner leaves groups of an evacuated zone as they are and counts them as no capacity. A set older than the known one is ignored, and a store restored from an older copy lifts nothing until the copy has settled.

--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -176,6 +176,17 @@
     "warn",
     "daemon did not forward a request",
   ),
+  zone_evacuated: event(
+    1621,
+    "warn",
+    "availability zone evacuated, its runners get no requests",
+  ),
+  evacuation_lifted: event(1622, "info", "evacuation of a zone lifted"),
+  evacuation_retained: event(
+    1623,
+    "warn",
+    "evacuation kept that the restored store does not list",
+  ),
   peer_refused: event(1603, "warn", "peer refused"),
   peer_frame_dropped: event(1604, "warn", "peer frame dropped"),
   usage_published: event(1701, "info", "usage published"),
--- a/packages/core/src/formation/domains.ts
+++ b/packages/core/src/formation/domains.ts
@@ -4,8 +4,9 @@
  * @module
  */
 import type { Service } from "../gateway/types.ts";
+import { isEvacuated } from "../placement/evacuations.ts";
 import type { State } from "../state/types.ts";
-import { type GroupView, isPresumedDead } from "./group_view.ts";
+import { type GroupView, isInEvacuatedZone, isPresumedDead } from "./group_view.ts";
 import type { DomainView } from "./weight_layout.ts";
 
 function createDomainView(domain: string): DomainView {
@@ -18,7 +19,10 @@
   };
 }
 
-/** Counts the groups of a service in each fabric domain, and lists its free runners there by the weights they hold. */
+/**
+ * Counts the groups of a service in each fabric domain, and lists its free runners there by the weights they hold; groups
+ * and runners in evacuated availability zones are no capacity and are left out.
+ */
 export function summarizeDomains(
   state: State,
   { service, views }: { service: Service; views: GroupView[] },
@@ -32,8 +36,9 @@
   };
   const increase = (counts: Map<string, number>, model: string) =>
     counts.set(model, (counts.get(model) ?? 0) + 1);
-  for (const { domain, model } of views) {
-    increase(viewOf(domain).groups, model.name);
+  for (const view of views) {
+    if (isInEvacuatedZone(state.gateway!, view)) continue;
+    increase(viewOf(view.domain).groups, view.model.name);
   }
   const planned = new Set(
     views.flatMap(({ members }) => members.map((each) => each?.id)),
@@ -43,6 +48,7 @@
     if (runner.domain === undefined || runner.membership !== undefined) {
       continue;
     }
+    if (isEvacuated(state.gateway!, runner.zone)) continue;
     if (planned.has(runner.id) || isPresumedDead(groupPlanner, runner)) {
       continue;
     }
--- a/packages/core/src/formation/group_view.ts
+++ b/packages/core/src/formation/group_view.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Gateway, Model, Runner } from "../gateway/types.ts";
+import { isEvacuated } from "../placement/evacuations.ts";
 import { DEAD_AFTER_FAILURES } from "./constants.ts";
 import type { GroupPlanner } from "./types.ts";
 
@@ -114,6 +115,16 @@
   return views;
 }
 
+/** Returns whether any member of a group is in an evacuated availability zone; the group is then left as it is. */
+export function isInEvacuatedZone(
+  gateway: Gateway,
+  { members }: GroupView,
+): boolean {
+  return members.some((each) =>
+    each !== undefined && isEvacuated(gateway, each.zone)
+  );
+}
+
 /** Returns whether a runner reports membership in the group at its current epoch. */
 export function reportsMembership(
   { name, epoch }: GroupView,
--- a/packages/core/src/formation/plan.ts
+++ b/packages/core/src/formation/plan.ts
@@ -30,6 +30,7 @@
   deriveGroups,
   groupName,
   type GroupView,
+  isInEvacuatedZone,
   isPresumedDead,
 } from "./group_view.ts";
 import { checkGroupMembers } from "./health_checks.ts";
@@ -73,7 +74,11 @@
     models: engine.models,
   });
   yield* checkGroupMembers(state, views);
-  if (isLikelyPartitioned(state, views)) return;
+  // Members in an evacuated zone may be dead for good reason, and nothing is planned there.
+  const plannable = views.filter((view) =>
+    !isInEvacuatedZone(state.gateway!, view)
+  );
+  if (isLikelyPartitioned(state, plannable)) return;
   measureDemand(state.gateway!.groupPlanner, views);
   const domains = summarizeDomains(state, { service, views });
   const round: PlanningRound = {
@@ -82,7 +87,7 @@
     views,
     domains,
   };
-  for (const view of views) yield* reconcileGroup(state, round, view);
+  for (const view of plannable) yield* reconcileGroup(state, round, view);
   yield* formGroups(state, round);
   if (!isStabilizing(state)) yield* orderWeightLoads(state, round);
 }
--- a/packages/core/src/forwarding/admission.ts
+++ b/packages/core/src/forwarding/admission.ts
@@ -19,6 +19,9 @@
 } from "../gateway/runner_backoff.ts";
 import { runnerStatsOf } from "../gateway/runner_stats.ts";
 import type { Gateway, Runner } from "../gateway/types.ts";
+import { isEvacuated } from "../placement/evacuations.ts";
+import { mayForwardThrough, mayUse } from "../placement/may_use.ts";
+import { allowedRegionsOf } from "../placement/regions.ts";
 import { crashSuspectsOf } from "../quarantine/mod.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import { isPathLost, recordConnectionFailure } from "../service_path/mod.ts";
@@ -60,6 +63,7 @@
   }
   if (found.team?.name !== event.team) return "not_allowed";
   if (runner === undefined || !canServe(runner)) return "runner_gone";
+  if (isEvacuated(gateway, runner.zone)) return "runner_gone";
   if (!isPastBackoff(runnerStatsOf(gateway, runner.id), state.now)) {
     return "runner_gone";
   }
@@ -67,6 +71,10 @@
     service === runner.service
   );
   if (!isAllowed) return "not_allowed";
+  const placed = { allowedRegions: allowedRegionsOf(found.route, found.team) };
+  const isInRegions = mayUse(state, placed, runner) &&
+    mayForwardThrough(state, placed, gateway);
+  if (!isInRegions) return "not_allowed";
   const crashSuspects = crashSuspectsOf(event);
   const { isTrial } = event;
   if (quarantineRefusal(state, { crashSuspects, isTrial }) !== undefined) {
--- a/packages/core/src/forwarding/forwarders.ts
+++ b/packages/core/src/forwarding/forwarders.ts
@@ -5,6 +5,7 @@
  */
 import type { Gateway, RoutedRequest } from "../gateway/types.ts";
 import type { DaemonEntry } from "../read_sharing/types.ts";
+import { mayForwardThrough } from "../placement/may_use.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { createAverage } from "../util/ewma.ts";
@@ -53,6 +54,7 @@
 ): daemon is KeyedDaemon {
   if (daemon.forwardKey === undefined) return false;
   if (request.triedForwarders.has(daemon.node)) return false;
+  if (!mayForwardThrough(state, request, daemon)) return false;
   const stats = state.gateway!.forwarding.forwarders.get(daemon.node);
   return stats === undefined || stats.avoidUntil <= state.now;
 }
--- a/packages/core/src/forwarding/types.ts
+++ b/packages/core/src/forwarding/types.ts
@@ -12,9 +12,12 @@
   /** The forwarder does not know the configuration yet. */
   | "not_ready"
   | "stopping"
-  /** The forwarder's configuration does not allow the request, or its team is another one. */
+  /** The forwarder's configuration does not allow the request there or through it, or its team is another one. */
   | "not_allowed"
-  /** The forwarder knows no such runner, or the runner is leaving, serves no requests or wants none for a while. */
+  /**
+   * The forwarder knows no such runner, or the runner is leaving, serves no requests or wants none for a while, or its
+   * availability zone is evacuated.
+   */
   | "runner_gone"
   | "quarantined"
   /** The forwarder has lost its own path to the service. */
--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import type { EventOf } from "../event/types.ts";
+import { allowedRegionsOf } from "../placement/regions.ts";
+import { placementRefusal } from "../placement/refusal.ts";
 import { crashSuspectsOf } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
@@ -128,6 +130,7 @@
     model: engine === undefined ? undefined : event.model ?? "",
     team: team?.name,
     priority: team?.priority ?? route.priority,
+    allowedRegions: allowedRegionsOf(route, team),
     arrivedAt: event.at,
     expiresAt: event.at + timeoutMs,
     promptTokens: event.promptTokens,
@@ -184,6 +187,10 @@
       retryAfterMs: RETRY_AFTER_MS,
     });
   }
+  const unplaced = placementRefusal(state, request);
+  if (unplaced !== undefined) {
+    return yield* failRequest(state, gateway, request, unplaced);
+  }
   if (isHopeless(state, request)) {
     return yield* failRequest(
       state,
--- a/packages/core/src/gateway/choose.ts
+++ b/packages/core/src/gateway/choose.ts
@@ -9,6 +9,7 @@
  * @module
  */
 import { canForward, type Path, pathsOf } from "../forwarding/path.ts";
+import { mayUse } from "../placement/may_use.ts";
 import { nextFloat } from "../util/random.ts";
 import type { State } from "../state/types.ts";
 import {
@@ -105,6 +106,7 @@
 ): Runner | undefined {
   let best: Candidate | undefined;
   for (const runner of candidatesFor(gateway, request)) {
+    if (!mayUse(state, request, runner)) continue;
     const stats = runnerStatsOf(gateway, runner.id);
     if (!isUsable(stats) || !mayReceive(stats, state.now)) continue;
     const occupancy = occupancyOf(gateway, { runner, stats }, state.now);
--- a/packages/core/src/gateway/event_types.ts
+++ b/packages/core/src/gateway/event_types.ts
@@ -10,6 +10,7 @@
   OrderOutcome,
   RunnerReport,
 } from "../formation/types.ts";
+import type { PlacementEvent } from "../placement/event_types.ts";
 import type { LogPosition } from "../store_timeline/position.ts";
 import type { TimelineEvent } from "../store_timeline/event_types.ts";
 import type { ReadSharingEvent } from "../read_sharing/event_types.ts";
@@ -132,4 +133,5 @@
   }
   | { kind: "gateway_stop_ordered" }
   | ReadSharingEvent
-  | TimelineEvent;
+  | TimelineEvent
+  | PlacementEvent;
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -13,6 +13,10 @@
 } from "../forwarding/mod.ts";
 import { createGroupPlanner } from "../formation/leadership.ts";
 import { planGroups } from "../formation/plan.ts";
+import {
+  createPlacement,
+  sweepEvacuations,
+} from "../placement/mod.ts";
 import { pruneSuspects } from "../quarantine/mod.ts";
 import { passOnLimits } from "../read_sharing/limits.ts";
 import { passOnSuspects } from "../read_sharing/suspects.ts";
@@ -57,6 +61,7 @@
     unreachableRunners: new Set(),
     servicePaths: new Map(),
     forwarding: createForwarding(),
+    placement: createPlacement(),
     requests: new Map(),
     waitingRequests: new Map(),
     retryBudgets: new Map(),
@@ -99,6 +104,7 @@
   pruneForwarders(gateway);
   yield* updateSource(state);
   yield* sweepTimeline(state);
+  yield* sweepEvacuations(state);
   yield* passOnSuspects(state);
   yield* passOnLimits(state);
   yield* pruneSuspects(state);
--- a/packages/core/src/gateway/handlers.ts
+++ b/packages/core/src/gateway/handlers.ts
@@ -13,6 +13,10 @@
 import { recordHealthCheck } from "../formation/health_checks.ts";
 import { beginTerm, renewLeadership } from "../formation/leadership.ts";
 import { completeOrder } from "../formation/orders.ts";
+import {
+  applyEvacuationChanges,
+  applyEvacuations,
+} from "../placement/mod.ts";
 import { confirmCrash, dismissCuts } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import {
@@ -86,4 +90,6 @@
   limits_reported: applyLimits,
   timeline_seen: applyTimeline,
   floors_read: applyFloors,
+  evacuations_read: applyEvacuations,
+  evacuations_changed: applyEvacuationChanges,
 };
--- a/packages/core/src/gateway/runner_backoff.ts
+++ b/packages/core/src/gateway/runner_backoff.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { mayUse, type PlacedRequest } from "../placement/may_use.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { nextFloat } from "../util/random.ts";
@@ -77,12 +78,14 @@
 
 /** Returns the time until the first of the runners for a kind of work may be asked, ms; undefined where one may be now. */
 export function backoffLeft(
-  { gateway, now }: State,
-  kind: WorkKind,
+  state: State,
+  kind: WorkKind & PlacedRequest,
 ): number | undefined {
+  const { gateway, now } = state;
   let first = Infinity;
-  for (const { id } of candidatesFor(gateway!, kind)) {
-    const stats = gateway!.runnerStats.get(id);
+  for (const runner of candidatesFor(gateway!, kind)) {
+    if (!mayUse(state, kind, runner)) continue;
+    const stats = gateway!.runnerStats.get(runner.id);
     if (stats === undefined || !isBackingOff(stats, now)) return undefined;
     first = Math.min(first, stats.backoff!.until);
   }
@@ -90,14 +93,20 @@
 }
 
 /** Returns when a refused caller should come back, ms: not before a runner may be asked, and not all callers at once. */
-export function retryAfter(state: State, kind: WorkKind): number {
+export function retryAfter(
+  state: State,
+  kind: WorkKind & PlacedRequest,
+): number {
   const left = backoffLeft(state, kind);
   if (left === undefined) return RETRY_AFTER_MS;
   return Math.ceil(left * (1 + BACKOFF_JITTER * nextFloat(state.random)));
 }
 
 /** Returns the refusal of a request whose runners all want none until later. */
-export function backoffRefusal(state: State, kind: WorkKind): Refusal {
+export function backoffRefusal(
+  state: State,
+  kind: WorkKind & PlacedRequest,
+): Refusal {
   return {
     code: "overloaded",
     message: "All runners have asked for a pause; try again after it",
@@ -108,7 +117,7 @@
 /** Returns whether a request cannot be served in time, as all runners for it want none until later. */
 export function isHopeless(
   state: State,
-  request: WorkKind & { waitUntil: number },
+  request: WorkKind & PlacedRequest & { waitUntil: number },
 ): boolean {
   const left = backoffLeft(state, request);
   return left !== undefined && state.now + left > request.waitUntil;
--- a/packages/core/src/gateway/sweep.ts
+++ b/packages/core/src/gateway/sweep.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { placementRefusal } from "../placement/refusal.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import type { Outcome } from "../verdict/types.ts";
@@ -66,6 +67,11 @@
   if (refusal !== undefined) {
     return yield* failRequest(state, gateway, request, refusal);
   }
+  const unplaced = placementRefusal(state, request);
+  // A stream that waits to be resumed would be cut off; a group may open for it in time.
+  if (unplaced !== undefined && !request.isRelaying) {
+    return yield* failRequest(state, gateway, request, unplaced);
+  }
   if (isHopeless(state, request)) {
     return yield* failRequest(
       state,
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -6,6 +6,7 @@
 import type { Average } from "../util/ewma.ts";
 import type { Forwarding } from "../forwarding/types.ts";
 import type { GroupPlanner } from "../formation/types.ts";
+import type { Placement } from "../placement/types.ts";
 import type { KnownChains } from "../quarantine/types.ts";
 import type { StoreTimeline } from "../store_timeline/types.ts";
 import type { DaemonEntry, ReadSharing } from "../read_sharing/types.ts";
@@ -122,6 +123,8 @@
   model: string | undefined;
   team: string | undefined;
   priority: number;
+  /** Regions whose runners may serve it; undefined where any may. */
+  allowedRegions: readonly string[] | undefined;
   arrivedAt: number;
   /** Time by which the final response is due, ms. */
   expiresAt: number;
@@ -190,6 +193,7 @@
   /** Paths to services to which a connection has failed since one last succeeded, by service. */
   servicePaths: Map<string, ServicePath>;
   forwarding: Forwarding;
+  placement: Placement;
   requests: Map<string, RoutedRequest>;
   /** Ids of the requests that wait for a free slot, by service and model. */
   waitingRequests: Map<string, Set<string>>;
--- a/packages/core/src/read_sharing/publish.ts
+++ b/packages/core/src/read_sharing/publish.ts
@@ -9,6 +9,7 @@
 import { ageOf } from "../gateway/freshness.ts";
 import { canServe } from "../gateway/runner_index.ts";
 import type { RoutingDocument, Runner } from "../gateway/types.ts";
+import { shareEvacuations } from "../placement/evacuations.ts";
 import { listReadings } from "../quarantine/readings.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
@@ -43,6 +44,7 @@
     timeline: gateway.storeTimeline.current,
     routingAgeMs: knownAge(ageOf(gateway.routingFreshness, state.now)),
     runnersAgeMs: knownAge(ageOf(gateway.runnersFreshness, state.now)),
+    evacuations: shareEvacuations(gateway),
   });
 }
 
@@ -67,6 +69,7 @@
       ...(readSharing.self === undefined ? [] : [readSharing.self]),
     ],
     parts: listReadings(quarantine, now),
+    evacuations: shareEvacuations(gateway!),
   };
 }
 
--- a/packages/core/src/read_sharing/test_fleet.ts
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -34,6 +34,7 @@
   store: {
     document: RoutingDocument;
     runners: Runner[];
+    evacuatedZones: string[];
     position: LogPosition;
   };
   advance(ms: number): void;
@@ -57,6 +58,7 @@
   const store = {
     document: createDocument(),
     runners: [createRunner("desk-0")],
+    evacuatedZones: [] as string[],
     position: { timeline: 1, offset: 1 },
   };
   const daemons = Object.entries(zones).flatMap(([zone, count]) =>
@@ -120,6 +122,12 @@
   ): void {
     if (!to.isUp || to.upstream?.node !== node) return;
     if (now >= daemon(node).silentSince || now >= to.silentSince) return;
+    const evacuations = "evacuations" in message
+      ? message.evacuations
+      : undefined;
+    if (evacuations !== undefined) {
+      feed(to, { kind: "evacuations_read", ...evacuations });
+    }
     if (message.kind === "snapshot") {
       feed(to, { kind: "upstream_began", node });
       feed(to, {
@@ -170,7 +178,8 @@
   function readStore(by: SimulatedDaemon): void {
     by.reads += 1;
     if (by.isCutFromStore || now >= by.silentSince) return;
-    const { document, runners, position } = store;
+    const { document, runners, evacuatedZones: zones, position } = store;
+    feed(by, { kind: "evacuations_read", zones, position });
     feed(by, {
       kind: "runners_read",
       runners,
--- a/packages/core/src/read_sharing/types.ts
+++ b/packages/core/src/read_sharing/types.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Evacuations } from "../placement/types.ts";
 import type { PartReading } from "../quarantine/types.ts";
 import type {
   LeavingRunner,
@@ -129,6 +130,8 @@
     runnersPosition: LogPosition;
     daemons: DaemonEntry[];
     parts: PartReading[];
+    /** Undefined where none were read yet, or the daemon is of an earlier version. */
+    evacuations?: Evacuations | undefined;
   }
   | { kind: "routing"; document: RoutingDocument }
   | {
@@ -158,6 +161,8 @@
     routingAgeMs: number | undefined;
     /** Time since the list of runners was confirmed as current, ms; undefined where it is not. */
     runnersAgeMs: number | undefined;
+    /** Undefined where none were read yet, or the daemon is of an earlier version. */
+    evacuations?: Evacuations | undefined;
   };
 
 /** Message from a follower. */
