Read evacuations of zones with the configuration and share them with followers

One subscription reads both kinds of operators' keys; a read yields the evacuations before the configuration, so that a daemon that starts knows them before it sends anything. The product's own path takes them from policy.evacuatedZones, which primrosectl drain zone changes.

--- a/packages/cli/src/commands/config.ts
+++ b/packages/cli/src/commands/config.ts
@@ -30,7 +30,8 @@
   overlays: string[];
 }
 
-interface ConfigResponse {
+/** Configuration in force at a daemon. */
+export interface ConfigResponse {
   node: string;
   offset?: number;
   document?: ConfigDocument;
@@ -88,7 +89,8 @@
   );
 }
 
-async function readConfigInForce(
+/** Returns the configuration in force at the first daemon that responds. */
+export async function readConfigInForce(
   access: DaemonAccess,
 ): Promise<ConfigResponse> {
   return await callAny<ConfigResponse>(access, "/config");
@@ -169,8 +171,29 @@
 ): Promise<void> {
   const document = readDocument(files);
   const { log, offset: inForce = 0 } = await readConfigInForce(access);
+  await publishDocument(access, output, {
+    document,
+    log,
+    basedOn: basedOn ?? inForce,
+    author,
+    waitMs,
+  });
+}
+
+/** Publishes a document that was checked, and waits until every daemon has it in force. */
+export async function publishDocument(
+  access: DaemonAccess,
+  output: Output,
+  { document, log, basedOn: baseOffset, author, waitMs }: {
+    document: ConfigDocument;
+    /** URL of the log service. */
+    log: string;
+    basedOn: number;
+    author: string;
+    waitMs: number;
+  },
+): Promise<void> {
   const id = `primrosectl/${randomUUID()}`;
-  const baseOffset = basedOn ?? inForce;
   await appendRecord(log, {
     type: "config",
     basedOn: baseOffset,
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -27,6 +27,8 @@
   logReachable: boolean;
   requests: number;
   peers: unknown[];
+  /** Not sent by daemons of an earlier version. */
+  evacuatedZones?: string[];
   problems: string[];
 }
 
@@ -93,7 +95,26 @@
   const summary = allProblems.length === 0
     ? "Nothing is wrong."
     : `Problems:\n${allProblems.map((line) => `  ${line}`).join("\n")}`;
-  return `${formatTable(head, rows)}\n\n${summary}`;
+  return [formatTable(head, rows), ...formatEvacuations(results), summary]
+    .join("\n\n");
+}
+
+/** Returns a line with the evacuated zones, and the daemons that know of each; none where there are none. */
+function formatEvacuations(
+  results: readonly CallResult<StatusResponse>[],
+): string[] {
+  const nodes = new Map<string, string[]>();
+  for (const result of results) {
+    if (!result.ok) continue;
+    for (const zone of result.value.evacuatedZones ?? []) {
+      nodes.set(zone, [...nodes.get(zone) ?? [], result.value.node]);
+    }
+  }
+  if (nodes.size === 0) return [];
+  const zones = [...nodes].map(([zone, names]) =>
+    `  ${zone}, at ${names.join(", ")}`
+  );
+  return [`Evacuated zones:\n${zones.join("\n")}`];
 }
 
 /** Shows the status of each daemon and all problems. */
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -13,6 +13,7 @@
   validateConfig,
 } from "./commands/config.ts";
 import { compareConfigs } from "./commands/compare.ts";
+import { drainZone } from "./commands/drain_zone.ts";
 import { explain } from "./commands/explain.ts";
 import {
   drain,
@@ -22,6 +23,7 @@
 } from "./commands/status.ts";
 import { showUsage, verifyUsage } from "./commands/usage.ts";
 import type { DaemonAccess } from "./daemon_client.ts";
+import { addDrainOptions, DEFAULT_WAIT_MS } from "./drain_options.ts";
 import { CommandError, EXIT_CODES } from "./exit_codes.ts";
 import type { Output } from "./output.ts";
 
@@ -41,7 +43,6 @@
 }
 
 const DEFAULT_DAEMONS = "http://127.0.0.1:9090,http://127.0.0.2:9090";
-const DEFAULT_WAIT_MS = 16_000;
 
 function addFileOptions<T>(args: Argv<T>, { required }: { required: boolean }) {
   return args
@@ -112,15 +113,21 @@
     )
     .command(
       "drain <what> <name>",
-      "Drain a daemon or a VM",
-      (builder) =>
-        builder
-          .positional("what", {
-            choices: ["node", "vm"] as const,
-            demandOption: true,
-          })
-          .positional("name", { type: "string", demandOption: true }),
-      (argv) => drain(accessOf(argv), outputOf(argv), argv),
+      "Drain a daemon or a VM, or evacuate an availability zone",
+      (builder) => addDrainOptions(builder as Argv<CommonOptions>, env),
+      ({ what, name, undo, apply, author, waitMs, ...argv }) => {
+        const access = accessOf(argv);
+        if (what !== "zone") {
+          return drain(access, outputOf(argv), { what, name });
+        }
+        return drainZone(access, outputOf(argv), {
+          zone: name,
+          isUndo: undo,
+          isApplied: apply,
+          author,
+          waitMs,
+        });
+      },
     )
     .command(
       "explain <request>",
--- a/packages/core/src/capacity/targets.ts
+++ b/packages/core/src/capacity/targets.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { isTargetEvacuated } from "../placement/policy_zones.ts";
 import type { Pool, State, Target } from "../state/types.ts";
 import { setIncluded } from "../routing/random_set.ts";
 import { batchLimit } from "./batch_model.ts";
@@ -22,8 +23,10 @@
 /** Requests allowed at an ejected target that is probed, or at one that has had its back-off. */
 const PROBE_ALLOWANCE = 1;
 
-function acceptsWork({ now }: State, { phase, backoffUntil }: Target): boolean {
-  if (backoffUntil !== undefined && now < backoffUntil) return false;
+function acceptsWork(state: State, target: Target): boolean {
+  const { phase, backoffUntil } = target;
+  if (backoffUntil !== undefined && state.now < backoffUntil) return false;
+  if (isTargetEvacuated(state, target)) return false;
   return phase === "serving" || phase === "probing";
 }
 
--- a/packages/core/src/config/schema.ts
+++ b/packages/core/src/config/schema.ts
@@ -139,6 +139,8 @@
   stallMs: milliseconds.default(2_000),
   memberFreshMs: milliseconds.default(1_500),
   watchedTargets: z.number().int().positive().default(96),
+  /** Availability zones whose engines and backend servers get no new requests. */
+  evacuatedZones: z.array(name).default([]),
 }).prefault({});
 
 /** Schema of the fleet configuration. */
--- a/packages/core/src/formation/domains.ts
+++ b/packages/core/src/formation/domains.ts
@@ -6,7 +6,11 @@
 import type { Service } from "../gateway/types.ts";
 import { isEvacuated } from "../placement/evacuations.ts";
 import type { State } from "../state/types.ts";
-import { type GroupView, isInEvacuatedZone, isPresumedDead } from "./group_view.ts";
+import {
+  type GroupView,
+  isInEvacuatedZone,
+  isPresumedDead,
+} from "./group_view.ts";
 import type { DomainView } from "./weight_layout.ts";
 
 function createDomainView(domain: string): DomainView {
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -13,10 +13,7 @@
 } from "../forwarding/mod.ts";
 import { createGroupPlanner } from "../formation/leadership.ts";
 import { planGroups } from "../formation/plan.ts";
-import {
-  createPlacement,
-  sweepEvacuations,
-} from "../placement/mod.ts";
+import { createPlacement, sweepEvacuations } from "../placement/mod.ts";
 import { pruneSuspects } from "../quarantine/mod.ts";
 import { passOnLimits } from "../read_sharing/limits.ts";
 import { passOnSuspects } from "../read_sharing/suspects.ts";
--- a/packages/core/src/gateway/handlers.ts
+++ b/packages/core/src/gateway/handlers.ts
@@ -13,10 +13,7 @@
 import { recordHealthCheck } from "../formation/health_checks.ts";
 import { beginTerm, renewLeadership } from "../formation/leadership.ts";
 import { completeOrder } from "../formation/orders.ts";
-import {
-  applyEvacuationChanges,
-  applyEvacuations,
-} from "../placement/mod.ts";
+import { applyEvacuationChanges, applyEvacuations } from "../placement/mod.ts";
 import { confirmCrash, dismissCuts } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import {
--- a/packages/core/src/planner/context.ts
+++ b/packages/core/src/planner/context.ts
@@ -13,6 +13,10 @@
 import { appendRecord, createRecord } from "../fold/append.ts";
 import type { Fence, FoldedGroup, RecordBody } from "../fold/types.ts";
 import type { Lease } from "../lease/types.ts";
+import {
+  isGroupEvacuated,
+  isZoneEvacuated,
+} from "../placement/policy_zones.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import type { Candidate } from "./placement.ts";
@@ -51,7 +55,7 @@
     health.reportedAt >= planner.termStartedAt;
 }
 
-/** Lists the VMs that may join a group: listed and empty, neither assigned nor leaving. */
+/** Lists the VMs that may join a group: listed and empty, neither assigned nor leaving nor in an evacuated zone. */
 export function listCandidates(context: PlanningContext): Candidate[] {
   const { state, planner } = context;
   const reserved = new Set(
@@ -63,6 +67,7 @@
       role !== "engine" || state.fold.vms.has(vm) || isLeaving(state, vm) ||
       reserved.has(vm)
     ) continue;
+    if (isZoneEvacuated(state, zone)) continue;
     if (isFreshlyEmpty(context, vm)) {
       candidates.push({ vm, address, zone, domain });
     }
@@ -77,6 +82,13 @@
   );
 }
 
+/** Lists the groups of the deployment that have no member in an evacuated zone; the others are left as they are. */
+export function listPlannableGroups(context: PlanningContext): FoldedGroup[] {
+  return listGroups(context).filter((group) =>
+    !isGroupEvacuated(context.state, group)
+  );
+}
+
 function listAssignedVms(body: RecordBody): string[] {
   if (body.type === "group_form") return body.members.map(({ vm }) => vm);
   return body.type === "group_swap" ? [body.add.vm] : [];
--- a/packages/core/src/planner/orders.ts
+++ b/packages/core/src/planner/orders.ts
@@ -15,7 +15,7 @@
 import type { Effects } from "../reduce_types.ts";
 import {
   isCoolingDown,
-  listGroups,
+  listPlannableGroups,
   type PlanningContext,
   proposeChange,
 } from "./context.ts";
@@ -111,7 +111,9 @@
  */
 export function* orderWeightLoads(context: PlanningContext): Effects {
   const { state, planner } = context;
-  const groups = listGroups(context).filter(({ phase }) => phase === "formed");
+  const groups = listPlannableGroups(context).filter(({ phase }) =>
+    phase === "formed"
+  );
   const countMissing = (group: FoldedGroup) =>
     group.members.filter(({ vm }) => needsWeightLoad(context, group, vm))
       .length;
--- a/packages/core/src/planner/planner.ts
+++ b/packages/core/src/planner/planner.ts
@@ -19,7 +19,7 @@
   deleteDecidedChanges,
   hasPendingChange,
   listCandidates,
-  listGroups,
+  listPlannableGroups,
   type PlanningContext,
   proposeChange,
 } from "./context.ts";
@@ -112,7 +112,9 @@
 }
 
 function* reconcileReplicas(context: PlanningContext): Effects {
-  const groups = listGroups(context).filter(({ phase }) => phase === "formed");
+  const groups = listPlannableGroups(context).filter(({ phase }) =>
+    phase === "formed"
+  );
   const { replicas } = context.deployment;
   if (hasPendingChange(context, context.name)) return;
   if (groups.length > replicas) yield* drainSurplus(context, groups);
--- a/packages/core/src/planner/repair.ts
+++ b/packages/core/src/planner/repair.ts
@@ -12,7 +12,7 @@
   isDead,
   isLeaving,
   listCandidates,
-  listGroups,
+  listPlannableGroups,
   type PlanningContext,
   proposeChange,
 } from "./context.ts";
@@ -21,7 +21,7 @@
 /** Repairs, drains or dissolves groups that lost a member, have a leaving member or are draining. */
 export function* repairGroups(context: PlanningContext): Effects {
   const { state } = context;
-  for (const group of listGroups(context)) {
+  for (const group of listPlannableGroups(context)) {
     if (isCoolingDown(context, group.name)) continue;
     const dead = group.members.filter(({ vm }) => isDead(state, vm));
     const leaving = group.members.filter(({ vm }) =>
--- a/packages/core/src/routing/route.ts
+++ b/packages/core/src/routing/route.ts
@@ -6,6 +6,7 @@
 import { acceptsOverdraft, canOverdraw } from "../admission/overdraft.ts";
 import { estimateLoad } from "../capacity/load_estimate.ts";
 import { ownLimit } from "../capacity/targets.ts";
+import { isTargetEvacuated } from "../placement/policy_zones.ts";
 import type { Request } from "../request/types.ts";
 import type { Pool, State, Target } from "../state/types.ts";
 import { matchPrefixes } from "./prefix_index.ts";
@@ -141,6 +142,8 @@
   for (const [name, blocks] of candidatesOf(state, pool, { request, among })) {
     const target = state.targets.get(name);
     if (target === undefined || !accepts(target)) continue;
+    // A target that may hold the prefix is not drawn from those that accept work.
+    if (isTargetEvacuated(state, target)) continue;
     if (request.excluded.includes(name)) continue;
     const score = scoreTarget(state, { pool, request, target, blocks });
     if (best === undefined || score < best.score) best = { target, score };
--- a/packages/daemon/src/gateway/adapters.ts
+++ b/packages/daemon/src/gateway/adapters.ts
@@ -117,6 +117,16 @@
   ): Promise<KeyedRead<T>>;
 }
 
+/** What an operator has written into the store. */
+export type OperatorRecord =
+  | { kind: "routing"; document: RoutingDocument }
+  | {
+    kind: "evacuation";
+    zone: string;
+    /** False once the evacuation is lifted. */
+    isInForce: boolean;
+  };
+
 /** Registrations of the daemons in the store, by which they find each other. */
 export interface DaemonRegistry {
   daemons: KeyedTopic<DaemonEntry>;
@@ -170,7 +180,8 @@
 /** All external systems of a gateway. */
 export interface Adapters {
   headerCodec: HeaderCodec;
-  routing: KeyedTopic<RoutingDocument>;
+  /** Configuration and evacuations, which one subscription reads together. */
+  operatorRecords: KeyedTopic<OperatorRecord>;
   runners: KeyedTopic<Runner>;
   daemonRegistry: DaemonRegistry;
   partRegistry: PartRegistry;
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -12,6 +12,7 @@
   isLeaving,
   isPathLost,
   isStoreReader,
+  listEvacuatedZones,
   type LogEventName,
   type State,
 } from "@primroseshed/core";
@@ -240,6 +241,11 @@
         isLeaving(gateway, runner)
       ).length,
   );
+  addGauge(
+    "primrose_evacuated_zones",
+    "Availability zones whose runners get no requests, by order of an operator",
+    () => listEvacuatedZones(gateway).length,
+  );
   addGauge(
     "primrose_lost_paths",
     "Services whose runners this daemon does not reach",
--- a/packages/daemon/src/gateway/sharing_frames.ts
+++ b/packages/daemon/src/gateway/sharing_frames.ts
@@ -154,6 +154,10 @@
   ),
 });
 
+const evacuations = optional(
+  z.object({ zones: z.array(z.string()), position }),
+);
+
 const upstreamMessage = z.discriminatedUnion("kind", [
   z.object({
     kind: z.literal("snapshot"),
@@ -162,6 +166,7 @@
     runnersPosition: position,
     daemons: z.array(daemon),
     parts: partReadings,
+    evacuations,
   }),
   z.object({ kind: z.literal("routing"), document: routing }),
   z.object({
@@ -182,6 +187,7 @@
     timeline: optional(count),
     routingAgeMs: optional(count),
     runnersAgeMs: optional(count),
+    evacuations,
   }),
 ]);
 
--- a/packages/daemon/src/gateway/status.ts
+++ b/packages/daemon/src/gateway/status.ts
@@ -9,6 +9,7 @@
   isGatewayReady,
   isLeader,
   isStoreReader,
+  listEvacuatedZones,
   type Runner,
   type State,
 } from "@primroseshed/core";
@@ -33,6 +34,8 @@
   readsStore: boolean;
   /** Daemon that it takes the store's data from; null where there is none. */
   upstream: string | null;
+  /** Availability zones whose runners get no requests, by order of an operator. */
+  evacuatedZones: string[];
   peers: [];
   problems: string[];
 }
@@ -110,6 +113,7 @@
     plans: isLeader(gateway.groupPlanner.leadership, now),
     readsStore: isStoreReader(state),
     upstream: gateway.readSharing.upstream?.node ?? null,
+    evacuatedZones: listEvacuatedZones(gateway),
     peers: [],
     problems: listProblems(state, { isReady, isReachable }),
   };
--- a/packages/daemon/src/gateway/store_reads.ts
+++ b/packages/daemon/src/gateway/store_reads.ts
@@ -10,13 +10,13 @@
   type EventBody,
   isLeader,
   type LogEventName,
-  type RoutingDocument,
   type Runner,
   type State,
   type TimelineFloor,
 } from "@primroseshed/core";
 import { monotonicNow } from "../driver/driver.ts";
 import type { Adapters } from "./adapters.ts";
+import { operatorEvents } from "./operator_events.ts";
 import type { GatewaySettingsFile } from "./settings.ts";
 import { subscribeToTopic, type TopicUpdate } from "./topic_subscription.ts";
 
@@ -67,17 +67,6 @@
   };
 }
 
-function routingEvent(update: TopicUpdate<RoutingDocument>): EventBody {
-  const { records, confirmedAt } = update;
-  const documents = records.map(({ value }) => value)
-    .filter((each) => each !== undefined)
-    .sort((left, right) => left.version - right.version);
-  const document = documents.at(-1);
-  return document === undefined
-    ? { kind: "freshness_confirmed", topic: "routing", confirmedAt }
-    : { kind: "routing_read", document, confirmedAt };
-}
-
 function daemonsEvent(
   { records, isWhole }: TopicUpdate<DaemonEntry>,
 ): EventBody {
@@ -103,21 +92,24 @@
   const { isReading: isEnabled } = readSharing;
   const { firstStart } = state.gateway!.settings;
 
-  function deliver({ position }: TopicUpdate<unknown>, event: EventBody) {
+  function deliver(
+    { position }: TopicUpdate<unknown>,
+    ...events: readonly EventBody[]
+  ) {
     const { timeline } = position;
     if (timeline !== state.gateway!.storeTimeline.current) {
       dispatch({ kind: "timeline_seen", timeline });
     }
-    dispatch(event);
+    for (const event of events) dispatch(event);
   }
   const routing = subscribeToTopic({
     name: "routing",
-    topic: adapters.routing,
+    topic: adapters.operatorRecords,
     waitMs: settings.routingWaitMs,
     isConfirmed: () => routingFreshness.confirmedAt !== undefined,
     batchDelayMs: () => 0,
     lateMs,
-    onUpdate: (update) => deliver(update, routingEvent(update)),
+    onUpdate: (update) => deliver(update, ...operatorEvents(update)),
     log,
   }, { isEnabled });
   const runners = subscribeToTopic({
--- a/packages/daemon/src/gateway/upstream_client.ts
+++ b/packages/daemon/src/gateway/upstream_client.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {
+  type Evacuations,
   type EventBody,
   type FollowerMessage,
   type LogEventName,
@@ -81,9 +82,17 @@
       ) => void;
     } = {
       snapshot(
-        { routing, runners, runnersPosition: position, daemons, parts },
+        {
+          routing,
+          runners,
+          runnersPosition: position,
+          daemons,
+          parts,
+          ...rest
+        },
       ) {
         dispatch({ kind: "upstream_began", node });
+        passEvacuations(rest.evacuations);
         if (routing !== undefined) passRouting(routing);
         passRunners({ runners, removedIds: [], isWhole: true, position });
         passDaemons(daemons);
@@ -112,6 +121,7 @@
         for (const each of sentAt.keys()) {
           if (each <= answered) sentAt.delete(each);
         }
+        passEvacuations(answer.evacuations);
         dispatch({
           kind: "upstream_answered",
           node,
@@ -159,6 +169,11 @@
     socket.on("close", () => lose("closed"));
   }
 
+  function passEvacuations(evacuations: Evacuations | undefined): void {
+    if (evacuations === undefined) return;
+    dispatch({ kind: "evacuations_read", ...evacuations });
+  }
+
   function passRouting(
     document: Extract<EventBody, { kind: "routing_read" }>["document"],
   ): void {
--- a/packages/daemon/src/http/status.ts
+++ b/packages/daemon/src/http/status.ts
@@ -30,6 +30,8 @@
     waiting: Record<string, number>;
   }[];
   leases: { name: string; phase: string; fence: number | undefined }[];
+  /** Availability zones whose engines and backend servers get no requests, by the configuration. */
+  evacuatedZones: string[];
   problems: string[];
 }
 
@@ -111,6 +113,7 @@
       phase,
       fence: grant,
     })),
+    evacuatedZones: state.config?.config.policy.evacuatedZones ?? [],
     problems: listProblems(state),
   };
 }
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -150,5 +150,10 @@
     "Appended records that were not yet read back from the log",
     () => state.log.pending.size,
   );
+  addGauge(
+    "primrose_evacuated_zones",
+    "Availability zones whose engines and backend servers get no requests, by the configuration",
+    () => state.config?.config.policy.evacuatedZones.length ?? 0,
+  );
   addGauge("primrose_peers", "Peers known", () => state.peers.size);
 }
