--- a/packages/cli/src/commands/drain_zone.ts
+++ b/packages/cli/src/commands/drain_zone.ts
@@ -86,11 +86,10 @@
   { zone, isUndo, isApplied, author, waitMs }: DrainZoneOptions,
 ): Promise<void> {
   const { document, log, offset = 0 } = await readConfigInForce(access);
-  // Gateways have no such configuration; operators write their evacuations into the store.
   if (document?.base === undefined || log === undefined) {
     throw new CommandError(
       "failed",
-      "Cannot change the configuration: none of this kind is in force",
+      "Cannot change the configuration: none with a policy is in force; a gateway's zones are evacuated by keys in its store",
     );
   }
   const changed = withZone(document, { zone, isUndo });
--- a/packages/core/src/placement/evacuation_test.ts
+++ b/packages/core/src/placement/evacuation_test.ts
@@ -95,7 +95,11 @@
     evacuate(harness, ["suva-a"]);
     const effects = harness.advance(50);
     expect(effectsOf(effects, "send_to_runner")).to.deep.equal([]);
-    expect(effectsOf(effects, "refuse")).to.have.length(waiting.length);
+    const messages = effectsOf(effects, "refuse").map(({ message }) => message);
+    expect(messages).to.have.length(waiting.length);
+    for (const message of messages) {
+      expect(message).to.include("evacuated availability zones");
+    }
   });
 
   // Guards against requests that wait for runners that they may not use.
--- a/packages/core/src/placement/planner_test.ts
+++ b/packages/core/src/placement/planner_test.ts
@@ -132,7 +132,7 @@
     const document = createDocument({
       services: [{
         name: "llm",
-        engine: { ...ENGINE, models: [MODEL, other] },
+        engine: { ...ENGINE, models: [other, MODEL] },
       }],
     });
     const served = createEngines("d0", 2).map((runner, rank): Runner => ({
