--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -176,6 +176,17 @@
     "warn",
     "daemon did not forward a request",
   ),
+  zone_evacuated: event(
+    1621,
+    "warn",
+    "availability zone evacuated, its runners get no requests",
+  ),
+  evacuation_lifted: event(1622, "info", "evacuation of a zone lifted"),
+  evacuation_retained: event(
+    1623,
+    "warn",
+    "evacuation kept that the restored store does not list",
+  ),
   runner_slow: event(1631, "warn", "runner is slower than others"),
   runner_not_slow: event(1632, "info", "runner is no longer slower"),
   runner_ejected: event(1633, "warn", "runner gets no requests for a while"),
--- a/packages/core/src/formation/domains.ts
+++ b/packages/core/src/formation/domains.ts
@@ -4,9 +4,14 @@
  * @module
  */
 import type { Service } from "../gateway/types.ts";
+import { isEvacuated } from "../placement/evacuations.ts";
 import type { State } from "../state/types.ts";
 import { capacityOf } from "./cold_capacity.ts";
-import { type GroupView, isPresumedDead } from "./group_view.ts";
+import {
+  type GroupView,
+  isInEvacuatedZone,
+  isPresumedDead,
+} from "./group_view.ts";
 import type { DomainView } from "./weight_layout.ts";
 
 function createDomainView(
@@ -22,7 +27,10 @@
   };
 }
 
-/** Counts the groups of a service in each fabric domain, and lists its free runners there by the weights they hold. */
+/**
+ * Counts the groups of a service in each fabric domain, and lists its free runners there by the weights they hold; groups
+ * and runners in evacuated availability zones are no capacity and are left out.
+ */
 export function summarizeDomains(
   state: State,
   { service, views }: { service: Service; views: GroupView[] },
@@ -37,6 +45,7 @@
   const increase = (counts: Map<string, number>, model: string) =>
     counts.set(model, (counts.get(model) ?? 0) + 1);
   for (const view of views) {
+    if (isInEvacuatedZone(state.gateway!, view)) continue;
     const { groups, coldLoss } = viewOf(view.domain);
     const { name } = view.model;
     increase(groups, name);
@@ -51,6 +60,7 @@
     if (runner.domain === undefined || runner.membership !== undefined) {
       continue;
     }
+    if (isEvacuated(state.gateway!, runner.zone)) continue;
     if (planned.has(runner.id) || isPresumedDead(groupPlanner, runner)) {
       continue;
     }
--- a/packages/core/src/gateway/choose.ts
+++ b/packages/core/src/gateway/choose.ts
@@ -15,6 +15,7 @@
 import { weighOccupancy } from "../cold_start/mod.ts";
 import { canForward, type Path, pathsOf } from "../forwarding/path.ts";
 import { mayReceive } from "../pacing/mod.ts";
+import { mayUse } from "../placement/may_use.ts";
 import { nextFloat } from "../util/random.ts";
 import type { State } from "../state/types.ts";
 import {
@@ -101,6 +102,7 @@
   { canUseReserved, isUsable }: RunnerOptions,
 ): Generator<Candidate, void, void> {
   for (const runner of candidatesFor(gateway, request)) {
+    if (!mayUse(state, request, runner)) continue;
     const stats = runnerStatsOf(gateway, runner.id);
     if (!isUsable(stats) || !mayReceive(state, { runner, stats })) continue;
     const occupancy = weighOccupancy(state, runner, {
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -14,6 +14,7 @@
 } from "../forwarding/mod.ts";
 import { createGroupPlanner } from "../formation/leadership.ts";
 import { planGroups } from "../formation/plan.ts";
+import { createPlacement, sweepEvacuations } from "../placement/mod.ts";
 import { createPacing } from "../pacing/mod.ts";
 import { pruneSuspects } from "../quarantine/mod.ts";
 import { createLoadSharing } from "../load/runner_loads.ts";
@@ -63,6 +64,7 @@
     coldRunners: new Map(),
     pacing: createPacing(),
     forwarding: createForwarding(),
+    placement: createPlacement(),
     requests: new Map(),
     waitingRequests: new Map(),
     retryBudgets: new Map(),
@@ -108,6 +110,7 @@
   pruneForwarders(gateway);
   yield* updateSource(state);
   yield* sweepTimeline(state);
+  yield* sweepEvacuations(state);
   yield* passOnSuspects(state);
   yield* passOnLimits(state);
   yield* pruneSuspects(state);
--- a/packages/core/src/gateway/handlers.ts
+++ b/packages/core/src/gateway/handlers.ts
@@ -14,6 +14,7 @@
 import { recordHealthCheck } from "../formation/health_checks.ts";
 import { beginTerm, renewLeadership } from "../formation/leadership.ts";
 import { completeOrder } from "../formation/orders.ts";
+import { applyEvacuationChanges, applyEvacuations } from "../placement/mod.ts";
 import { recordFleet } from "../pacing/mod.ts";
 import { confirmCrash, dismissCuts } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
@@ -92,4 +93,6 @@
   limits_reported: applyLimits,
   timeline_seen: applyTimeline,
   floors_read: applyFloors,
+  evacuations_read: applyEvacuations,
+  evacuations_changed: applyEvacuationChanges,
 };
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -7,6 +7,7 @@
 import type { ColdRunner } from "../cold_start/types.ts";
 import type { Forwarding } from "../forwarding/types.ts";
 import type { GroupPlanner } from "../formation/types.ts";
+import type { Placement } from "../placement/types.ts";
 import type { Pacing } from "../pacing/types.ts";
 import type { KnownChains } from "../quarantine/types.ts";
 import type { StoreTimeline } from "../store_timeline/types.ts";
@@ -128,6 +129,8 @@
   model: string | undefined;
   team: string | undefined;
   priority: number;
+  /** Regions whose runners may serve it; undefined where any may. */
+  allowedRegions: readonly string[] | undefined;
   arrivedAt: number;
   /** Time by which the final response is due, ms. */
   expiresAt: number;
@@ -203,6 +206,7 @@
   coldRunners: Map<string, ColdRunner>;
   pacing: Pacing;
   forwarding: Forwarding;
+  placement: Placement;
   requests: Map<string, RoutedRequest>;
   /** Ids of the requests that wait for a free slot, by service and model. */
   waitingRequests: Map<string, Set<string>>;
