--- a/packages/core/src/read_sharing/test_fleet.ts
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -57,12 +57,16 @@
 /** Creates a fleet whose daemons start together. */
 export function createFleet(
   zones: Readonly<Record<string, number>>,
+<<<<<<< HEAD
   { stepMs = STEP_MS }: { stepMs?: number } = {},
+=======
+  { evacuatedZones = [] }: { evacuatedZones?: string[] } = {},
+>>>>>>> b-placement
 ): SimulatedFleet {
   const store = {
     document: createDocument(),
     runners: [createRunner("desk-0")],
-    evacuatedZones: [] as string[],
+    evacuatedZones,
     position: { timeline: 1, offset: 1 },
   };
   const daemons = Object.entries(zones).flatMap(([zone, count]) =>
