--- a/packages/core/src/read_sharing/test_fleet.ts
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -57,11 +57,10 @@
 /** Creates a fleet whose daemons start together. */
 export function createFleet(
   zones: Readonly<Record<string, number>>,
-<<<<<<< HEAD
-  { stepMs = STEP_MS }: { stepMs?: number } = {},
-=======
-  { evacuatedZones = [] }: { evacuatedZones?: string[] } = {},
->>>>>>> b-placement
+  { stepMs = STEP_MS, evacuatedZones = [] }: {
+    stepMs?: number;
+    evacuatedZones?: string[];
+  } = {},
 ): SimulatedFleet {
   const store = {
     document: createDocument(),
