--- a/packages/core/src/load/load_test.ts
+++ b/packages/core/src/load/load_test.ts
@@ -122,6 +122,22 @@
   });
 });
 
+describe("the loss of the daemon that passes load reports on", () => {
+  // Guards against daemons that share nothing any more after one has failed.
+  it("stops them until the others follow the next one", () => {
+    const scenario = startScenario({ a: 12 }, { groups: 4 });
+    const { fleet, load } = scenario;
+    load.run(4_000, () => 3);
+    const [reader] = fleet.readers();
+    reader!.isUp = false;
+    load.run(6_000, (daemon) => daemon.isUp ? 3 : 0);
+    const living = fleet.daemons.filter(({ isUp }) => isUp);
+    expect(meanReportAge({ ...scenario, fleet: { ...fleet, daemons: living } }))
+      .to.be.below(800);
+    expect(load.refusals).to.equal(0);
+  });
+});
+
 describe("a daemon of the earlier build, which neither sends nor reads load reports,", () => {
   /** Runs load on daemons of which some are of the earlier build; returns their mean ages of reports, ms. */
   function runMixed(isEarlier: (node: string, reader: string) => boolean) {
