Apply a set's timeline only where it is later than that of the known set

In the simulated fleet, which names no timeline, the first set counted as a timeline of its own, and readers held their first configuration back for its floor. The expectation of a poll's answer in read_sharing_test.ts names the new field evacuations; it is as strict as before.

--- a/packages/core/src/placement/handlers.ts
+++ b/packages/core/src/placement/handlers.ts
@@ -28,8 +28,11 @@
   { zones, position }: EventOf<"evacuations_read">,
 ): Effects {
   const gateway = state.gateway!;
-  // An upstream's set arrives before its answer that names the timeline.
-  yield* applyTimeline(state, position);
+  const known = gateway.placement.position;
+  // The set of an upstream arrives before its answer, which names the store's timeline.
+  if (known !== undefined && known.timeline < position.timeline) {
+    yield* applyTimeline(state, position);
+  }
   if (isOutdated(state, position)) return;
   const listed = new Set(zones);
   const retained = isRewriting(gateway.storeTimeline, state.now)
--- a/packages/core/src/placement/handlers_test.ts
+++ b/packages/core/src/placement/handlers_test.ts
@@ -135,6 +135,32 @@
     expect(new Set(known(fleet))).to.deep.equal(new Set([""]));
   });
 
+  // Guards against a follower that gets the configuration with the snapshot and the evacuations only later.
+  it("are in the snapshot and in the answer to a poll", () => {
+    const fleet = createFleet({ a: 2 }, { evacuatedZones: ["a"] });
+    fleet.advance(2_000);
+    const [reader] = fleet.readers();
+    const effects = reader!.harness.feed({
+      kind: "follower_polled",
+      follower: "new",
+      poll: 1,
+      runnersPosition: at(0, 0),
+    });
+    const messages = effectsOf(effects, "send_to_followers").map((
+      { message },
+    ) => message);
+    expect(messages.map(({ kind }) => kind)).to.deep.equal([
+      "snapshot",
+      "poll_answer",
+    ]);
+    for (const message of messages) {
+      expect(message).to.have.property("evacuations").that.deep.equals({
+        zones: ["a"],
+        position: at(1, 1),
+      });
+    }
+  });
+
   // Guards against a zone that is used again since its reader, and then its store, is gone.
   it("stay in force where the reader dies and the others lose the store", () => {
     const fleet = createFleet({ a: 3 });
@@ -151,14 +177,16 @@
 
   // Guards against a daemon that serves callers with a configuration but without the evacuations.
   it("are known to a follower when its first configuration comes into force", () => {
-    const fleet = createFleet({ a: 3, b: 2 });
-    fleet.store.evacuatedZones = ["b"];
+    const fleet = createFleet({ a: 3, b: 2 }, { evacuatedZones: ["b"] });
+    let served = 0;
     for (let ms = 0; ms < 3_000; ms += 50) {
       fleet.advance(50);
       for (const { harness } of fleet.daemons) {
         if (harness.state.gateway!.routing === undefined) continue;
+        served += 1;
         expect(evacuated(harness)).to.deep.equal(["b"]);
       }
     }
+    expect(served).to.be.above(0);
   });
 });
--- a/packages/core/src/read_sharing/read_sharing_test.ts
+++ b/packages/core/src/read_sharing/read_sharing_test.ts
@@ -269,6 +269,7 @@
         timeline: undefined,
         routingAgeMs: undefined,
         runnersAgeMs: undefined,
+        evacuations: { zones: [], position: { timeline: 1, offset: 1 } },
       },
     });
   });
--- a/packages/core/src/read_sharing/test_fleet.ts
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -54,11 +54,12 @@
 /** Creates a fleet whose daemons start together. */
 export function createFleet(
   zones: Readonly<Record<string, number>>,
+  { evacuatedZones = [] }: { evacuatedZones?: string[] } = {},
 ): SimulatedFleet {
   const store = {
     document: createDocument(),
     runners: [createRunner("desk-0")],
-    evacuatedZones: [] as string[],
+    evacuatedZones,
     position: { timeline: 1, offset: 1 },
   };
   const daemons = Object.entries(zones).flatMap(([zone, count]) =>
