--- a/packages/core/src/formation/plan.ts
+++ b/packages/core/src/formation/plan.ts
@@ -74,7 +74,7 @@
     models: engine.models,
   });
   yield* checkGroupMembers(state, views);
-  // Members in an evacuated zone may be dead for good reason, and nothing is planned there.
+  // The members in an evacuated zone may all be dead, and nothing is planned there.
   const plannable = views.filter((view) =>
     !isInEvacuatedZone(state.gateway!, view)
   );
--- a/packages/core/src/placement/handlers_test.ts
+++ b/packages/core/src/placement/handlers_test.ts
@@ -135,6 +135,19 @@
     expect(new Set(known(fleet))).to.deep.equal(new Set([""]));
   });
 
+  // Guards against a daemon that the store turns away, and that hears of the evacuation too late from a neighbor.
+  it("reach a daemon that the store turns away in the time allowed", () => {
+    const fleet = createFleet({ a: 1, b: 1 });
+    fleet.advance(3_000);
+    const cutOff = fleet.daemon("a-0");
+    cutOff.isCutFromStore = true;
+    fleet.store.evacuatedZones = ["a"];
+    fleet.store.position.offset = 5;
+    fleet.advance(cutOff.harness.state.gateway!.settings.evacuateMs);
+    expect(known(fleet)).to.deep.equal(["a", "a"]);
+    expect(cutOff.upstream).to.include({ node: "b-0" });
+  });
+
   // Guards against a follower that gets the configuration with the snapshot and the evacuations only later.
   it("are in the snapshot and in the answer to a poll", () => {
     const fleet = createFleet({ a: 2 }, { evacuatedZones: ["a"] });
