Let ten daemons own a cold runner, two requests a second each

A daemon of a large fleet sees a few requests a second, so that four owners do not fill their parts. The sum of the parts, 20 a second, stays.

--- a/packages/core/src/pacing/constants.ts
+++ b/packages/core/src/pacing/constants.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-/** Daemons that own a cold runner. */
-export const MAX_OWNERS = 4;
+/** Daemons that own a cold runner; a daemon of a large fleet sees only a few requests a second, which fewer could not fill. */
+export const MAX_OWNERS = 10;
 /** Share of the rate that a cold runner takes which its owners use together. */
 export const COLD_RATE_SHARE = 0.8;
 /** Share of the bound that the owners of one view of the fleet use together, so that two disjoint views keep it. */
--- a/packages/core/src/pacing/shares.ts
+++ b/packages/core/src/pacing/shares.ts
@@ -58,7 +58,7 @@
  *
  * @example
  * ```ts
- * coldSharesOf({ durationMs: 3_000, requestsPerSecond: 26 }, settings); // 4 owners, 5 requests each
+ * coldSharesOf({ durationMs: 3_000, requestsPerSecond: 26 }, settings); // 10 owners, 2 requests each
  * ```
  */
 export function coldSharesOf(
