--- a/packages/core/src/cold_start/zone_return_test.ts
+++ b/packages/core/src/cold_start/zone_return_test.ts
@@ -15,9 +15,9 @@
 const RATE = coldRateOf(COLD_START, SETTINGS);
 /** About 0.9 of what the heads of the other zones take. */
 const BUSY_PER_SECOND = 260;
+/** Time at which the heads have their usual share again, ms. */
+const GROWN_AT = WARM_AT + COLD_START.durationMs;
 const SEEDS = [1, 2, 3];
-/** Later the choice of any runner decides, which fills these heads as much as before they were gone. */
-const SLOW_START_ENDS_AT = WARM_AT + COLD_START.durationMs;
 
 const isReturned = ({ head }: HeadArrival) => head.startsWith("suva-a");
 
@@ -66,7 +66,7 @@
       const result = runZoneReturn({ perSecond: BUSY_PER_SECOND, seed });
       const loads = result.arrivals
         .filter((each) =>
-          isReturned(each) && each.at >= WARM_AT && each.at < SLOW_START_ENDS_AT
+          isReturned(each) && each.at >= WARM_AT && each.at < GROWN_AT
         )
         .map(({ load }) => load);
       expect(Math.max(...loads)).to.be.at.most(SLOTS);
