Make the fair queue independent of the request type

The tree took the requests of the product's own path. It now takes items through a view of their path, cost and state, so that the gateway can use the same module; request_queue.ts binds it to the requests of the product's path.

--- a/packages/core/src/admission/fair_queue.ts
+++ b/packages/core/src/admission/fair_queue.ts
@@ -1,5 +1,5 @@
 /**
- * Max-min fair queueing by cost over a tree of owner, team and caller.
+ * Max-min fair queueing by cost over a tree of names, such as owner, team and caller, or route and team.
  *
  * Start-time fair queueing: each node carries the cost it was served divided by its weight; the backlogged child that
  * was served least goes next. A child that becomes active starts level with the others, less a credit of a few
@@ -7,21 +7,28 @@
  *
  * @module
  */
-import type { Request } from "../request/types.ts";
-import { pathOf } from "../request/types.ts";
+/** What the queue needs to know of its items. */
+export interface ItemView<T> {
+  /** Returns the names from below the root to the leaf that the item waits in; the same ones throughout its wait. */
+  pathOf(item: T): readonly string[];
+  /** Returns the cost that is expected for the item; the same one throughout its wait. */
+  costOf(item: T): number;
+  /** Returns false once the item has left the queue. */
+  isWaiting(item: T): boolean;
+}
 
 /** A node of the fair-queueing tree. */
-export interface FairNode {
+export interface FairNode<T> {
   name: string;
   weight: number;
   /** Cost served divided by weight, on the scale of its siblings. */
   served: number;
   /** Virtual time: `served` of the child picked last, where newly active children start. */
   level: number;
-  children: Map<string, FairNode>;
-  /** Waiting requests of a leaf, oldest first; ended ones are skipped. */
-  items: Request[];
-  /** Waiting requests below this node. */
+  children: Map<string, FairNode<T>>;
+  /** Waiting items of a leaf, oldest first; ended ones are skipped. */
+  items: T[];
+  /** Waiting items below this node. */
   backlog: number;
   /** Waiting cost below this node. */
   cost: number;
@@ -36,7 +43,7 @@
 export type WeightOf = (path: readonly string[]) => number;
 
 /** Creates a node without children. */
-export function createFairNode(name: string, weight = 1): FairNode {
+export function createFairNode<T>(name: string, weight = 1): FairNode<T> {
   return {
     name,
     weight,
@@ -49,23 +56,27 @@
   };
 }
 
-function childOf(node: FairNode, name: string, weight: () => number): FairNode {
+function childOf<T>(
+  node: FairNode<T>,
+  name: string,
+  weight: () => number,
+): FairNode<T> {
   const existing = node.children.get(name);
   if (existing !== undefined) return existing;
-  const child = createFairNode(name, weight());
+  const child = createFairNode<T>(name, weight());
   child.served = -Infinity;
   node.children.set(name, child);
   return child;
 }
 
-function pathNodes(
-  root: FairNode,
+function pathNodes<T>(
+  root: FairNode<T>,
   names: readonly string[],
   weightOf: WeightOf,
-): FairNode[] {
+): FairNode<T>[] {
   const nodes = [root];
   names.forEach((name, depth) => {
-    const parent = nodes[depth] as FairNode;
+    const parent = nodes[depth] as FairNode<T>;
     nodes.push(
       childOf(parent, name, () => weightOf(names.slice(0, depth + 1))),
     );
@@ -74,21 +85,22 @@
 }
 
 /** Options of {@link enqueue}. */
-export interface EnqueueOptions {
+export interface EnqueueOptions<T> {
+  view: ItemView<T>;
   weightOf: WeightOf;
   /** Mean cost of a request, the unit of credit. */
   unitCost: number;
-  /** Puts the request before its caller's other work, since it was started before. */
+  /** Puts the item before the others of its leaf, since it was started before. */
   front?: boolean;
 }
 
-/** Adds a request at the back of its caller's queue, or at its front when it was started before. */
-export function enqueue(
-  root: FairNode,
-  request: Request,
-  { weightOf, unitCost, front = false }: EnqueueOptions,
+/** Adds an item at the back of its leaf, or at its front when it was started before. */
+export function enqueue<T>(
+  root: FairNode<T>,
+  item: T,
+  { view, weightOf, unitCost, front = false }: EnqueueOptions<T>,
 ): void {
-  const nodes = pathNodes(root, pathOf(request), weightOf);
+  const nodes = pathNodes(root, view.pathOf(item), weightOf);
   nodes.forEach((node, depth) => {
     const parent = nodes[depth - 1];
     if (parent !== undefined && node.backlog === 0) {
@@ -96,26 +108,35 @@
       node.served = Math.max(node.served, parent.level - credit);
     }
     node.backlog += 1;
-    node.cost += request.predictedCost;
+    node.cost += view.costOf(item);
   });
   const items = nodes.at(-1)?.items;
-  if (front) items?.unshift(request);
-  else items?.push(request);
+  if (front) items?.unshift(item);
+  else items?.push(item);
+}
+
+/** Options of functions that only need to know an item. */
+export interface ViewOptions<T> {
+  view: ItemView<T>;
 }
 
-/** Subtracts a waiting request from the backlog and cost of its path; its item is skipped when it is reached. */
-export function removeWaiting(root: FairNode, request: Request): void {
-  let node: FairNode | undefined = root;
-  for (const name of [undefined, ...pathOf(request)]) {
+/** Subtracts a waiting item from the backlog and cost of its path; it is skipped when it is reached. */
+export function removeWaiting<T>(
+  root: FairNode<T>,
+  item: T,
+  { view }: ViewOptions<T>,
+): void {
+  let node: FairNode<T> | undefined = root;
+  for (const name of [undefined, ...view.pathOf(item)]) {
     if (name !== undefined) node = node?.children.get(name);
     if (node === undefined) return;
     node.backlog -= 1;
-    node.cost -= request.predictedCost;
+    node.cost -= view.costOf(item);
   }
 }
 
-function leastServed(node: FairNode): FairNode | undefined {
-  let best: FairNode | undefined;
+function leastServed<T>(node: FairNode<T>): FairNode<T> | undefined {
+  let best: FairNode<T> | undefined;
   for (const child of node.children.values()) {
     if (
       child.backlog > 0 && (best === undefined || child.served < best.served)
@@ -124,54 +145,63 @@
   return best;
 }
 
-function descend(
-  root: FairNode,
-  choose: (node: FairNode) => FairNode | undefined,
-): FairNode | undefined {
-  let node: FairNode | undefined = root;
+function descend<T>(
+  root: FairNode<T>,
+  choose: (node: FairNode<T>) => FairNode<T> | undefined,
+): FairNode<T> | undefined {
+  let node: FairNode<T> | undefined = root;
   while (node !== undefined && node.children.size > 0) node = choose(node);
   return node;
 }
 
-function isWaiting(request: Request): boolean {
-  return request.phase === "queued";
+/** Returns the oldest item of a leaf that still waits, and drops those before it. */
+export function firstWaiting<T>(
+  { items }: FairNode<T>,
+  { view }: ViewOptions<T>,
+): T | undefined {
+  while (items.length > 0) {
+    const first = items[0] as T;
+    if (view.isWaiting(first)) return first;
+    items.shift();
+  }
+  return undefined;
 }
 
 /**
- * Returns the request that is next in fair order, without removing it.
+ * Returns the item that is next in fair order, without removing it; below one child of the root where it is named.
  *
  * @example
  * ```ts
- * const next = peekFair(root);
- * if (next) removeWaiting(root, next);
+ * const next = peekFair(root, { view });
+ * if (next) removeWaiting(root, next, { view });
  * ```
  */
-export function peekFair(
-  root: FairNode,
-  { owner }: { owner?: string } = {},
-): Request | undefined {
+export function peekFair<T>(
+  root: FairNode<T>,
+  { view, owner }: ViewOptions<T> & { owner?: string },
+): T | undefined {
   if (root.backlog === 0) return undefined;
   const start = owner === undefined ? root : root.children.get(owner);
   if (start === undefined || start.backlog === 0) return undefined;
   const leaf = descend(start, leastServed);
-  while (leaf !== undefined && leaf.items.length > 0) {
-    const first = leaf.items[0] as Request;
-    if (isWaiting(first)) return first;
-    leaf.items.shift();
-  }
-  return undefined;
+  return leaf === undefined ? undefined : firstWaiting(leaf, { view });
 }
 
 // Virtual time at which a node's waiting work would end if it were all served now.
-function endTimeOf({ served, cost, weight }: FairNode): number {
+function endTimeOf(
+  { served, cost, weight }: Pick<
+    FairNode<unknown>,
+    "served" | "cost" | "weight"
+  >,
+): number {
   return served + cost / weight;
 }
 
-function lastToFinish(
-  node: FairNode,
+function lastToFinish<T>(
+  node: FairNode<T>,
   isExempt?: (name: string) => boolean,
-): FairNode | undefined {
-  let last: FairNode | undefined;
+): FairNode<T> | undefined {
+  let last: FairNode<T> | undefined;
   for (const child of node.children.values()) {
     if (child.backlog === 0 || isExempt?.(child.name)) continue;
     if (last === undefined || endTimeOf(child) > endTimeOf(last)) last = child;
@@ -180,45 +210,53 @@
 }
 
 /** Options of {@link peekExcess}. */
-export interface ExcessOptions {
-  /** The request that made the queue too long. */
-  arrived: Request;
-  /** Whether an owner's work must not be shed. */
-  isExempt(owner: string): boolean;
+export interface ExcessOptions<T> extends ViewOptions<T> {
+  /** The item that made the queue too long. */
+  arrived: T;
+  /** Whether the work below a child of the root must not be shed. */
+  isExempt(name: string): boolean;
 }
 
 // Of two that would end at nearly the same time the arrived one is shed, so that its caller is refused at once.
-function finishesNearLast(
-  own: FairNode,
-  last: FairNode,
-  { predictedCost }: Request,
+function finishesNearLast<T>(
+  own: FairNode<T>,
+  last: FairNode<T>,
+  cost: number,
 ): boolean {
-  return endTimeOf(own) + NEAR_REQUESTS * predictedCost / own.weight >=
+  return endTimeOf(own) + NEAR_REQUESTS * cost / own.weight >=
     endTimeOf(last);
 }
 
-/** Returns the number of waiting requests of the caller of `request`. */
-export function callerBacklog(root: FairNode, request: Request): number {
-  let node: FairNode | undefined = root;
-  for (const name of pathOf(request)) node = node?.children.get(name);
+/** Returns the number of items that wait in the leaf of `item`. */
+export function leafBacklog<T>(
+  root: FairNode<T>,
+  item: T,
+  { view }: ViewOptions<T>,
+): number {
+  let node: FairNode<T> | undefined = root;
+  for (const name of view.pathOf(item)) node = node?.children.get(name);
   return node?.backlog ?? 0;
 }
 
-function lastWaiting({ items }: FairNode): Request | undefined {
+function lastWaiting<T>(
+  { items }: FairNode<T>,
+  { view }: ViewOptions<T>,
+): T | undefined {
   while (items.length > 0) {
-    const last = items.at(-1) as Request;
-    if (isWaiting(last)) return last;
+    const last = items.at(-1) as T;
+    if (view.isWaiting(last)) return last;
     items.pop();
   }
   return undefined;
 }
 
-/** Returns the waiting request that is last in fair order, which a queue over its bound sheds. */
-export function peekExcess(
-  root: FairNode,
-  { arrived, isExempt }: ExcessOptions,
-): Request | undefined {
-  const path = pathOf(arrived);
+/** Returns the waiting item that is last in fair order, which a queue over its bound sheds. */
+export function peekExcess<T>(
+  root: FairNode<T>,
+  { view, arrived, isExempt }: ExcessOptions<T>,
+): T | undefined {
+  const path = view.pathOf(arrived);
+  const cost = view.costOf(arrived);
   let node = root;
   for (let depth = 0; node.children.size > 0; depth++) {
     const last = lastToFinish(node, depth === 0 ? isExempt : undefined);
@@ -226,18 +264,21 @@
     const own = node.children.get(path[depth] ?? "");
     const canShedOwn = own !== undefined && own.backlog > 0 &&
       (depth > 0 || !isExempt(own.name));
-    node = canShedOwn && finishesNearLast(own, last, arrived) ? own : last;
+    node = canShedOwn && finishesNearLast(own, last, cost) ? own : last;
   }
-  return lastWaiting(node);
+  return lastWaiting(node, { view });
 }
 
-/** Charges served cost to a request's path; negative amounts refund an overestimate. */
-export function charge(
-  root: FairNode,
-  request: Request,
-  { amount, weightOf }: { amount: number; weightOf: WeightOf },
+/** Charges served cost to an item's path; negative amounts refund an overestimate. */
+export function charge<T>(
+  root: FairNode<T>,
+  item: T,
+  { view, amount, weightOf }: ViewOptions<T> & {
+    amount: number;
+    weightOf: WeightOf;
+  },
 ): void {
-  const nodes = pathNodes(root, pathOf(request), weightOf);
+  const nodes = pathNodes(root, view.pathOf(item), weightOf);
   nodes.forEach((node, depth) => {
     const parent = nodes[depth - 1];
     if (parent === undefined) return;
@@ -250,7 +291,7 @@
  * Removes idle nodes whose service is not ahead of their siblings'; one that is ahead is kept, so that it does not go
  * before them when it becomes active again.
  */
-export function pruneIdle(node: FairNode): void {
+export function pruneIdle<T>(node: FairNode<T>): void {
   for (const [name, child] of node.children) {
     pruneIdle(child);
     const idle = child.backlog === 0 && child.children.size === 0 &&
--- a/packages/core/src/admission/fair_queue_test.ts
+++ b/packages/core/src/admission/fair_queue_test.ts
@@ -2,14 +2,15 @@
 import fc from "fast-check";
 import { advance } from "../request/machine.ts";
 import type { Request } from "../request/types.ts";
+import { createFairNode } from "./fair_queue.ts";
 import {
   charge,
-  createFairNode,
   enqueue,
   peekExcess,
   peekFair,
   removeWaiting,
-} from "./fair_queue.ts";
+  type RequestNode,
+} from "./request_queue.ts";
 
 const weightOf = () => 1;
 let count = 0;
@@ -25,7 +26,7 @@
   } as Request;
 }
 
-function serve(root: ReturnType<typeof createFairNode>): string | undefined {
+function serve(root: RequestNode): string | undefined {
   const next = peekFair(root);
   if (next === undefined) return undefined;
   removeWaiting(root, next);
@@ -36,7 +37,7 @@
 
 describe("fair queue", () => {
   it("serves two backlogged teams by cost, not by requests", () => {
-    const root = createFairNode("");
+    const root = createFairNode<Request>("");
     for (let index = 0; index < 60; index++) {
       enqueue(root, createWaiting("large", 300), { weightOf, unitCost: 100 });
       enqueue(root, createWaiting("small", 100), { weightOf, unitCost: 100 });
@@ -47,7 +48,7 @@
   });
 
   it("serves a small caller's burst before a large caller's backlog", () => {
-    const root = createFairNode("");
+    const root = createFairNode<Request>("");
     for (let index = 0; index < 50; index++) {
       enqueue(root, createWaiting("large"), { weightOf, unitCost: 100 });
     }
@@ -63,7 +64,7 @@
   });
 
   it("sheds from the longest backlog, and the arrived request among equal ones", () => {
-    const root = createFairNode("");
+    const root = createFairNode<Request>("");
     for (let index = 0; index < 20; index++) {
       enqueue(root, createWaiting("large"), { weightOf, unitCost: 100 });
     }
@@ -78,7 +79,7 @@
   });
 
   it("never sheds the work of an exempt owner", () => {
-    const root = createFairNode("");
+    const root = createFairNode<Request>("");
     for (let index = 0; index < 20; index++) {
       enqueue(root, createWaiting("t", 100, "abay"), {
         weightOf,
@@ -100,7 +101,7 @@
     });
     fc.assert(
       fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
-        const root = createFairNode("");
+        const root = createFairNode<Request>("");
         const waiting = new Set<Request>();
         for (const { team, act } of steps) {
           if (act === "add") {
--- a/packages/core/src/admission/pick.ts
+++ b/packages/core/src/admission/pick.ts
@@ -9,7 +9,7 @@
 import type { Pool, State } from "../state/types.ts";
 import { addAmount, createRate, type Rate } from "../util/ewma.ts";
 import { CALLER_WINDOW_MS } from "./overdraft.ts";
-import { charge, peekFair } from "./fair_queue.ts";
+import { charge, peekFair } from "./request_queue.ts";
 import {
   isEntitled,
   isProtected,
--- a/packages/core/src/admission/shed.ts
+++ b/packages/core/src/admission/shed.ts
@@ -8,7 +8,7 @@
 import type { Request } from "../request/types.ts";
 import type { Pool, State } from "../state/types.ts";
 import { decayRate, type Rate } from "../util/ewma.ts";
-import { callerBacklog, peekExcess } from "./fair_queue.ts";
+import { callerBacklog, peekExcess } from "./request_queue.ts";
 import { rankPolicy, weightOf } from "./weights.ts";
 
 /** Time constant of offered arrivals, ms. */
--- a/packages/core/src/request/dispatch.ts
+++ b/packages/core/src/request/dispatch.ts
@@ -6,7 +6,7 @@
 import { findRequestToShed } from "../admission/shed.ts";
 import { chargeStart, pickNext } from "../admission/pick.ts";
 import { isLowUsage } from "../admission/overdraft.ts";
-import { enqueue, removeWaiting } from "../admission/fair_queue.ts";
+import { enqueue, removeWaiting } from "../admission/request_queue.ts";
 import { weightOf } from "../admission/weights.ts";
 import { mayDecide } from "../catch_up/mod.ts";
 import { updateAttemptAverage } from "../capacity/load_estimate.ts";
--- a/packages/core/src/request/finish.ts
+++ b/packages/core/src/request/finish.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { RefusalCode } from "../effect/types.ts";
-import { removeWaiting } from "../admission/fair_queue.ts";
+import { removeWaiting } from "../admission/request_queue.ts";
 import { retryAfterMs } from "../admission/shed.ts";
 import { releaseClaim, scopedKey } from "../claim/claim.ts";
 import type { StoredResponse } from "../fold/types.ts";
--- a/packages/core/src/request/preempt.ts
+++ b/packages/core/src/request/preempt.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { enqueue } from "../admission/fair_queue.ts";
+import { enqueue } from "../admission/request_queue.ts";
 import { rankPolicy, weightOf } from "../admission/weights.ts";
 import type { Effect } from "../effect/types.ts";
 import type { Pool, State } from "../state/types.ts";
--- a/packages/core/src/state/create_state.ts
+++ b/packages/core/src/state/create_state.ts
@@ -10,7 +10,7 @@
 import { createFoldState } from "../fold/fold_state.ts";
 import { createGateway } from "../gateway/gateway.ts";
 import type { GatewaySettings } from "../gateway/types.ts";
-import { perRank } from "../request/types.ts";
+import { perRank, type Request } from "../request/types.ts";
 import { createQuarantine } from "../quarantine/mod.ts";
 import { createPrefixIndex } from "../routing/prefix_index.ts";
 import { createRandomSet } from "../routing/random_set.ts";
@@ -117,7 +117,7 @@
   const holdMs = deployment.kind === "model"
     ? INITIAL_MODEL_HOLD_MS
     : INITIAL_SERVICE_HOLD_MS;
-  const queue = () => createFairNode("");
+  const queue = () => createFairNode<Request>("");
   const rate = () => createRate(now);
   const hold = () => createAverage(holdMs);
   const output = () => createAverage(INITIAL_OUTPUT_TOKENS);
--- a/packages/core/src/state/dump.ts
+++ b/packages/core/src/state/dump.ts
@@ -64,7 +64,7 @@
     : String(value);
 }
 
-function dumpQueue(node: FairNode): Json {
+function dumpQueue<T>(node: FairNode<T>): Json {
   return {
     name: node.name,
     weight: node.weight,
--- a/packages/core/src/state/types.ts
+++ b/packages/core/src/state/types.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { CatchUp } from "../catch_up/types.ts";
-import type { FairNode } from "../admission/fair_queue.ts";
+import type { RequestNode } from "../admission/request_queue.ts";
 import type { BatchModel } from "../capacity/batch_model.ts";
 import type { ShareInterval } from "../capacity/share.ts";
 import type { Config, Deployment, Rank } from "../config/types.ts";
@@ -94,7 +94,7 @@
 export interface Pool {
   name: string;
   deployment: Deployment;
-  queues: Record<Rank, FairNode>;
+  queues: Record<Rank, RequestNode>;
   /** Interrupted streams, which are dispatched before all other requests. */
   resumptions: Request[];
   /** Mean expected cost of a request. */
