Share insufficient capacity fairly at services of policy shared

A request that found no slot waited an eighth of its objective whatever the room, in order of priority and age, and all refused callers came back after one second. Requests for services of policy shared now wait by priority and max-min fair by cost over routes and teams, as long as the expected wait leaves time for a first event that is of use; refusals name a delay that is derived from the expected room. The urgency sent to a runner is refined by slack. Services of policy local are served as before.

--- /dev/null
+++ b/packages/core/src/admission/fair_order.ts
@@ -0,0 +1,61 @@
+/**
+ * Lists what waits in a fair queue in the order in which it is served.
+ *
+ * @module
+ */
+import { type FairNode, firstWaiting, type ViewOptions } from "./fair_queue.ts";
+
+function activeChildren<T>({ children }: FairNode<T>): FairNode<T>[] {
+  return [...children.values()]
+    .filter(({ backlog }) => backlog > 0)
+    .sort((left, right) => left.served - right.served);
+}
+
+/**
+ * Yields the first waiting item of each leaf, the leaf that was served least first.
+ *
+ * @example
+ * ```ts
+ * const [next] = headsInOrder(root, { view }); // the same item as peekFair(root, { view })
+ * ```
+ */
+export function* headsInOrder<T>(
+  node: FairNode<T>,
+  options: ViewOptions<T>,
+): Generator<T, void> {
+  if (node.backlog === 0) return;
+  if (node.children.size === 0) {
+    const first = firstWaiting(node, options);
+    if (first !== undefined) yield first;
+    return;
+  }
+  for (const child of activeChildren(node)) {
+    yield* headsInOrder(child, options);
+  }
+}
+
+/**
+ * Returns how many items are served before one that waits last in the leaf with this path, where all have equal costs.
+ *
+ * Of each sibling on its path, at most as many go before it as of its own branch.
+ */
+export function aheadInOrder<T>(
+  root: FairNode<T>,
+  path: readonly string[],
+): number {
+  const nodes = [root];
+  for (const name of path) {
+    const child = nodes.at(-1)?.children.get(name);
+    if (child === undefined) return 0;
+    nodes.push(child);
+  }
+  let ahead = Math.max(0, (nodes.at(-1)?.backlog ?? 0) - 1);
+  for (let depth = nodes.length - 2; depth >= 0; depth--) {
+    const own = nodes[depth + 1];
+    const limit = ahead + 1;
+    for (const sibling of nodes[depth]!.children.values()) {
+      if (sibling !== own) ahead += Math.min(sibling.backlog, limit);
+    }
+  }
+  return ahead;
+}
--- a/packages/core/src/admission/request_queue.ts
+++ b/packages/core/src/admission/request_queue.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { pathOf, type Request } from "../request/types.ts";
+import * as excess from "./fair_excess.ts";
 import * as fair from "./fair_queue.ts";
 
 /** A node of the fair-queueing tree of one rank. */
@@ -39,15 +40,15 @@
 
 /** Returns the number of waiting requests of the caller of `request`. */
 export function callerBacklog(root: RequestNode, request: Request): number {
-  return fair.leafBacklog(root, request, { view: REQUEST_VIEW });
+  return excess.leafBacklog(root, request, { view: REQUEST_VIEW });
 }
 
 /** Returns the waiting request that is last in fair order, which a queue over its bound sheds. */
 export function peekExcess(
   root: RequestNode,
-  options: Omit<fair.ExcessOptions<Request>, "view">,
+  options: Omit<excess.ExcessOptions<Request>, "view">,
 ): Request | undefined {
-  return fair.peekExcess(root, { ...options, view: REQUEST_VIEW });
+  return excess.peekExcess(root, { ...options, view: REQUEST_VIEW });
 }
 
 /** Charges served cost to a request's path; negative amounts refund an overestimate. */
--- /dev/null
+++ b/packages/core/src/admission/types.ts
@@ -0,0 +1,109 @@
+/**
+ * Types of admission to services whose capacity is shared: what waits, what is held, and what is known of the pace.
+ *
+ * @module
+ */
+import type { Average, Rate } from "../util/ewma.ts";
+import type { FairNode } from "./fair_queue.ts";
+
+/** A request that waits for a free slot. */
+export interface Waiter {
+  request: string;
+  /** 0 is the most urgent. */
+  priority: number;
+  /** Route and team. */
+  path: readonly [route: string, team: string];
+  /** Prompt and expected output, tokens. */
+  cost: number;
+  /** Time at which it began to wait, ms. */
+  since: number;
+  /** Wait that was expected for it, ms; undefined until that was estimated. */
+  expectedMs: number | undefined;
+  /** True where its first event can no longer be within the objective. */
+  isLate: boolean;
+  /** True once it has left the queue. */
+  isGone: boolean;
+}
+
+/** Requests of one priority. */
+export interface PriorityLevel {
+  priority: number;
+  /** Waiting requests whose first event can be within the objective, by route and team. */
+  inTime: FairNode<Waiter>;
+  /** Waiting requests that are late but still useful to their callers. */
+  late: FairNode<Waiter>;
+  /** Cost that the level may start before more urgent ones, tokens; negative where it has had more than its minimum. */
+  credit: number;
+  /** Cost that arrives, tokens per millisecond. */
+  demand: Rate;
+  /** Requests in flight from this daemon, by route and team. */
+  held: HeldTree;
+  /** Times at which a route or team last found no room, ms, by path key. */
+  unmetAt: Map<string, number>;
+}
+
+/** Cost in flight, by route and team. */
+export type HeldTree = Map<string, HeldRoute>;
+
+/** Cost in flight of one route, tokens. */
+export interface HeldRoute {
+  cost: number;
+  teams: Map<string, number>;
+}
+
+/** Requests that wait for the runners of one kind of work, and those in flight there. */
+export interface WaitingQueue {
+  /** Most urgent first. */
+  levels: PriorityLevel[];
+  waiters: Map<string, Waiter>;
+  /** Mean cost of a request, tokens. */
+  unitCost: Average;
+  /** Cost that arrives at all levels, tokens per millisecond. */
+  demand: Rate;
+  /** Mean time for which a request holds its slot, ms; undefined until one has ended. */
+  holdingMs: Average | undefined;
+  /** Mean time from a send to the first event, ms, by route. */
+  firstEventMs: Map<string, Average>;
+  /** Mean ratio of waits to their estimates. */
+  waitRatio: Average;
+  /** Time at which idle nodes were last removed, ms. */
+  prunedAt: number;
+}
+
+/** What a request in flight counts for. */
+export interface Holder {
+  queue: string;
+  priority: number;
+  path: readonly [route: string, team: string];
+  cost: number;
+}
+
+/** Requests of one route and team at all daemons of the availability zone. */
+export interface ZoneHolding {
+  route: string;
+  /** Undefined where callers need no key. */
+  team: string | undefined;
+  /** Requests in flight. */
+  requests: number;
+  /** Prompt and expected output of those, tokens. */
+  tokens: number;
+  /** Requests that wait for a free slot. */
+  waiting: number;
+}
+
+/** Counts that the daemons of an availability zone have shared, this daemon's among them. */
+export interface ZoneHoldings {
+  holdings: readonly ZoneHolding[];
+  /** Age of the oldest count when the table arrived, ms. */
+  ageMs: number;
+}
+
+/** State of admission to services whose capacity is shared. */
+export interface Admission {
+  /** By kind of work: service and model. */
+  queues: Map<string, WaitingQueue>;
+  /** Requests in flight, by id. */
+  holders: Map<string, Holder>;
+  /** Undefined until a table has arrived. */
+  zone: { table: ZoneHoldings; countedAt: number } | undefined;
+}
--- /dev/null
+++ b/packages/core/src/admission/wait_decision.ts
@@ -0,0 +1,70 @@
+/**
+ * Decides whether a request waits for a free slot: as long as its first event is likely to be of use to its caller.
+ *
+ * @module
+ */
+
+/** Silence after which callers give up a stream at the earliest, ms. */
+const MIN_PATIENCE_MS = 2_000;
+/** Silence after which callers give up a stream, in latency objectives. */
+const PATIENCE_OBJECTIVES = 4;
+/** Share of the time budget up to which a first event that misses the objective may still be waited for. */
+const LATE_BUDGET_SHARE = 0.5;
+
+/** What a caller's request allows for. */
+export interface TimeBudget {
+  arrivedAt: number;
+  /** Time by which the final response is due, ms. */
+  expiresAt: number;
+  /** Latency objective, ms. */
+  objectiveMs: number;
+  /** Least time from a send to the first event, ms. */
+  leastServiceMs: number;
+  /** Expected time from a send to the first event, or to the response where it is no stream, ms. */
+  serviceMs: number;
+  isStream: boolean;
+}
+
+/** Times until which a send is of use, ms. */
+export interface WaitWindow {
+  /** Until then the first event can be within the objective. */
+  inTimeUntil: number;
+  /** Until then it is late but still expected to be of use. */
+  lateUntil: number;
+}
+
+/** Returns the times until which sending a request is of use. */
+export function waitWindowOf(
+  { arrivedAt, expiresAt, objectiveMs, leastServiceMs, serviceMs, isStream }:
+    TimeBudget,
+): WaitWindow {
+  const patienceMs = isStream
+    ? Math.max(MIN_PATIENCE_MS, objectiveMs * PATIENCE_OBJECTIVES)
+    : Infinity;
+  const budgetMs = (expiresAt - arrivedAt) * LATE_BUDGET_SHARE;
+  const lateMs = Math.min(patienceMs, Math.max(objectiveMs, budgetMs));
+  const lateUntil = Math.min(arrivedAt + lateMs, expiresAt) - serviceMs;
+  const inTimeUntil = Math.min(arrivedAt + objectiveMs, expiresAt) -
+    leastServiceMs;
+  return { inTimeUntil, lateUntil: Math.max(inTimeUntil, lateUntil) };
+}
+
+/** Decision on a request that finds no free slot. */
+export type WaitDecision = "wait_in_time" | "wait_late" | "refuse";
+
+/**
+ * Decides on a request whose wait for a free slot is expected to take a time.
+ *
+ * @example
+ * ```ts
+ * decideWait({ inTimeUntil: 200, lateUntil: 1_900 }, { now: 0, expectedMs: 900 }); // "wait_late"
+ * ```
+ */
+export function decideWait(
+  { inTimeUntil, lateUntil }: WaitWindow,
+  { now, expectedMs }: { now: number; expectedMs: number },
+): WaitDecision {
+  const startAt = now + expectedMs;
+  if (startAt <= inTimeUntil) return "wait_in_time";
+  return startAt <= lateUntil ? "wait_late" : "refuse";
+}
--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -176,6 +176,17 @@
     "warn",
     "daemon did not forward a request",
   ),
+  request_waits: event(1626, "info", "request waits for a free slot"),
+  capacity_refused: event(
+    1627,
+    "info",
+    "request refused for want of a free slot",
+  ),
+  minimum_share_used: event(
+    1628,
+    "info",
+    "request started on the minimum share of its priority",
+  ),
   peer_refused: event(1603, "warn", "peer refused"),
   peer_frame_dropped: event(1604, "warn", "peer frame dropped"),
   usage_published: event(1701, "info", "usage published"),
--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -11,7 +11,6 @@
 import {
   MAX_WAIT_SHARE,
   MIN_REMAINING_MS,
-  RETRY_AFTER_MS,
   STOP_MARGIN_MS,
   STOP_STREAMS_MS,
 } from "./constants.ts";
@@ -19,12 +18,15 @@
 import { ageOf } from "./freshness.ts";
 import { quarantineRefusal, tryHeldPart } from "./held_requests.ts";
 import { lookUp, NOT_READY, type Refusal } from "./lookup.ts";
+import { capacityRetryAfter } from "./retry_after.ts";
 import { retryBudgetOf, retryLimitsOf } from "./retry_allowance.ts";
 import { countRequest } from "./retry_budget.ts";
 import { isStream, pickService } from "./routes.ts";
 import { hasCandidates } from "./runner_index.ts";
 import { backoffRefusal, isHopeless } from "./runner_backoff.ts";
 import { joinQueue, leaveQueue, sendToRunner } from "./send.ts";
+import { admitShared } from "./shared_admission.ts";
+import { isShared } from "./shared_queue.ts";
 import { hastenSweep } from "./sweep_schedule.ts";
 import type { Gateway, Route, RoutedRequest, Team } from "./types.ts";
 
@@ -167,9 +169,12 @@
     return yield* failRequest(state, gateway, request, {
       code: "no_capacity",
       message: "The request is larger than the memory of any runner",
-      retryAfterMs: RETRY_AFTER_MS,
+      retryAfterMs: capacityRetryAfter(state, request),
     });
   }
+  if (isShared(gateway, request) && hasCandidates(gateway, request)) {
+    return yield* admitShared(state, request);
+  }
   const destination = chooseDestination(state, gateway, request, {
     canUseReserved: request.mayHaveRun,
   });
@@ -181,7 +186,7 @@
     return yield* failRequest(state, gateway, request, {
       code: "no_capacity",
       message: "No runner serves this at the moment; try again",
-      retryAfterMs: RETRY_AFTER_MS,
+      retryAfterMs: capacityRetryAfter(state, request),
     });
   }
   if (isHopeless(state, request)) {
@@ -192,5 +197,5 @@
       backoffRefusal(state, request),
     );
   }
-  joinQueue(gateway, request);
+  joinQueue(state, request);
 }
--- a/packages/core/src/gateway/choose.ts
+++ b/packages/core/src/gateway/choose.ts
@@ -23,7 +23,8 @@
 import { runnerStatsOf } from "./runner_stats.ts";
 import type { Gateway, RoutedRequest, Runner, RunnerStats } from "./types.ts";
 
-function slotsOf(gateway: Gateway, runner: Runner): number {
+/** Returns the requests that a runner runs at once. */
+export function slotsOf(gateway: Gateway, runner: Runner): number {
   const engine = gateway.routing?.services.get(runner.service)?.engine;
   return engine?.slots ?? runner.slots;
 }
@@ -32,9 +33,10 @@
 function usableSlots(
   slots: number,
   { priority }: RoutedRequest,
-  { canUseReserved }: ChooseOptions,
+  { canUseReserved, reservedSlots }: ChooseOptions,
 ): number {
   if (canUseReserved) return slots + URGENT_QUEUE_REQUESTS;
+  if (reservedSlots !== undefined) return slots - reservedSlots;
   return priority === 0
     ? slots + URGENT_QUEUE_REQUESTS
     : slots - RESERVED_SLOTS * priority;
@@ -49,6 +51,8 @@
 export interface ChooseOptions {
   /** True where the request may use reserved slots, since a refusal would cut off a response. */
   canUseReserved: boolean;
+  /** Slots that the request leaves free, negative where it may queue at the runner; by its priority where undefined. */
+  reservedSlots?: number | undefined;
 }
 
 interface Candidate {
@@ -99,7 +103,7 @@
   state: State,
   gateway: Gateway,
   request: RoutedRequest,
-  { canUseReserved, isUsable }: ChooseOptions & {
+  { isUsable, ...options }: ChooseOptions & {
     isUsable(stats: RunnerStats): boolean;
   },
 ): Runner | undefined {
@@ -109,7 +113,7 @@
     if (!isUsable(stats) || !mayReceive(stats, state.now)) continue;
     const occupancy = occupancyOf(gateway, { runner, stats }, state.now);
     const slots = slotsOf(gateway, runner);
-    const usable = usableSlots(slots, request, { canUseReserved });
+    const usable = usableSlots(slots, request, options);
     // Runners of plain services shed load themselves and report it.
     if (request.model !== undefined && occupancy >= usable) continue;
     const zonePenalty = runner.zone === gateway.zone ? 0 : OTHER_ZONE_PENALTY;
--- a/packages/core/src/gateway/finish.ts
+++ b/packages/core/src/gateway/finish.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { EventOf } from "../event/types.ts";
+import { release } from "../admission/shares.ts";
 import { forwarderStatsOf } from "../forwarding/forwarders.ts";
 import { isStranded } from "../forwarding/stranded.ts";
 import type { Effects } from "../reduce_types.ts";
@@ -20,6 +21,7 @@
   if (attempt === undefined) return;
   const stats = runnerStatsOf(gateway, attempt.runner);
   stats.inFlight -= 1;
+  release(gateway.admission, request.id);
   if (attempt.forwarder !== undefined) {
     forwarderStatsOf(gateway, attempt.forwarder).inFlight -= 1;
   }
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { createAdmission } from "../admission/waiting_queue.ts";
 import { advanceNode } from "../drain/drain.ts";
 import type { EventOf } from "../event/types.ts";
 import {
@@ -59,6 +60,7 @@
     forwarding: createForwarding(),
     requests: new Map(),
     waitingRequests: new Map(),
+    admission: createAdmission(),
     retryBudgets: new Map(),
     meanLoads: new Map(),
     servingCount: 0,
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -22,6 +22,7 @@
 import { hearLimit } from "./request_limit.ts";
 import { isStream } from "./routes.ts";
 import { endBackoff, hearBackoff } from "./runner_backoff.ts";
+import { recordFirstEvent, recordServiceTimes } from "./service_times.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 
 function findByAttempt(
@@ -107,6 +108,7 @@
   yield* reportProgress(state, request);
   if (request.hasEvents) return;
   request.hasEvents = true;
+  recordFirstEvent(state, request);
   const { priority, arrivedAt } = request;
   yield { kind: "first_event", priority, ms: state.now - arrivedAt };
 }
@@ -147,6 +149,7 @@
     });
   }
   stats.failures = 0;
+  recordServiceTimes(state, request);
   yield* reportCompletion(state, request);
   yield logEnd(state, request, { status, runner, verdict: "ran" });
   if (!request.isRelaying) {
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -26,7 +26,7 @@
 import { endRequest, failRequest, logEnd, releaseAttempt } from "./finish.ts";
 import { retryBudgetOf, retryLimitsOf } from "./retry_allowance.ts";
 import { hasRetry, retriesLeft, takeRetry } from "./retry_budget.ts";
-import { retryAfter } from "./runner_backoff.ts";
+import { retryAfterOf } from "./retry_after.ts";
 import { canRepeat } from "./routes.ts";
 import { joinQueue, sendToRunner } from "./send.ts";
 import { hastenSweep } from "./sweep_schedule.ts";
@@ -92,7 +92,7 @@
       ...next.destination,
     });
   }
-  if (next.kind === "wait") return yield* waitToResume(state, gateway, request);
+  if (next.kind === "wait") return yield* waitToResume(state, request);
   if (isRelayable && !request.isRelaying) {
     yield logEnd(state, request, { runner, verdict, outcome });
     yield { kind: "relay", request: request.id, attempt };
@@ -102,7 +102,7 @@
   yield* failRequest(state, gateway, request, {
     code: request.mayHaveRun ? "backend_failed" : "overloaded",
     message: `The last runner failed: ${outcome}`,
-    retryAfterMs: retryAfter(state, request),
+    retryAfterMs: retryAfterOf(state, request),
   });
 }
 
@@ -297,11 +297,10 @@
 /** Queues a stream that broke off until a slot is free in which it can be resumed. */
 function* waitToResume(
   state: State,
-  gateway: Gateway,
   request: RoutedRequest,
 ): Effects {
   request.waitUntil = state.now + RESUME_WAIT_MS;
-  joinQueue(gateway, request);
+  joinQueue(state, request);
   hastenSweep(state);
   yield {
     kind: "log",
--- a/packages/core/src/gateway/routes.ts
+++ b/packages/core/src/gateway/routes.ts
@@ -5,6 +5,7 @@
  */
 import { nextFloat, type Random } from "../util/random.ts";
 import { capacityPoliciesOf } from "./capacity_policy.ts";
+import { serviceLevelsOf } from "./service_levels.ts";
 import type {
   Route,
   RoutingDocument,
@@ -32,7 +33,15 @@
     document.services.map((service) => [service.name, service]),
   );
   const capacityPolicies = capacityPoliciesOf(document);
-  return { document, byHost, services, capacityPolicies, teamByKey };
+  const serviceLevels = serviceLevelsOf(document);
+  return {
+    document,
+    byHost,
+    services,
+    capacityPolicies,
+    serviceLevels,
+    teamByKey,
+  };
 }
 
 /**
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -3,6 +3,14 @@
  *
  * @module
  */
+import { recordWait } from "../admission/expected_wait.ts";
+import { hold } from "../admission/shares.ts";
+import {
+  addWaiter,
+  queueOf,
+  recordStart,
+  removeWaiter,
+} from "../admission/waiting_queue.ts";
 import { mayDecide } from "../catch_up/mod.ts";
 import { chooseForwarder, forwarderStatsOf } from "../forwarding/forwarders.ts";
 import type { Effects } from "../reduce_types.ts";
@@ -10,17 +18,28 @@
 import type { State } from "../state/types.ts";
 import { chooseDestination, type Destination } from "./choose.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
-import { MAX_URGENCY } from "./constants.ts";
 import { quarantineRefusal } from "./held_requests.ts";
 import { countLimitedSend } from "./request_limit.ts";
+import { urgencyAtRunner } from "./runner_urgency.ts";
 import { canRepeat, isStream } from "./routes.ts";
 import { noteTrial } from "./runner_backoff.ts";
 import { workKey } from "./runner_index.ts";
+import {
+  describeWaiter,
+  findStart,
+  isShared,
+  sharedQueueOf,
+} from "./shared_queue.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 
 /** Queues a request until a slot is free. */
-export function joinQueue(gateway: Gateway, request: RoutedRequest): void {
+export function joinQueue(state: State, request: RoutedRequest): void {
+  const gateway = state.gateway!;
   request.isWaiting = true;
+  // A request that was sent before is resumed before all others, so that it is in no fair order.
+  if (request.attempts === 0 && isShared(gateway, request)) {
+    addWaiter(sharedQueueOf(state, request), describeWaiter(state, request));
+  }
   const key = workKey(request);
   const queue = gateway.waitingRequests.get(key) ?? new Set();
   queue.add(request.id);
@@ -31,7 +50,10 @@
 export function leaveQueue(gateway: Gateway, request: RoutedRequest): void {
   if (!request.isWaiting) return;
   request.isWaiting = false;
-  gateway.waitingRequests.get(workKey(request))?.delete(request.id);
+  const key = workKey(request);
+  gateway.waitingRequests.get(key)?.delete(request.id);
+  const queue = gateway.admission.queues.get(key);
+  if (queue !== undefined) removeWaiter(queue, request.id);
 }
 
 /** Orders requests by priority, the most urgent first, then by age, the oldest first. */
@@ -40,7 +62,7 @@
     left.arrivedAt - right.arrivedAt;
 }
 
-/** Sends waiting requests in order of priority and age while slots are free. */
+/** Sends the waiting requests of a kind of work while slots are free. */
 export function* serveWaiting(
   state: State,
   gateway: Gateway,
@@ -48,7 +70,22 @@
 ): Effects {
   const queue = gateway.waitingRequests.get(key);
   if (queue === undefined || queue.size === 0 || !mayDecide(state)) return;
-  const requests = [...queue].flatMap((id) => gateway.requests.get(id) ?? []);
+  const waiters = gateway.admission.queues.get(key)?.waiters;
+  const isInFairOrder = waiters !== undefined && waiters.size > 0;
+  if (waiters === undefined || queue.size > waiters.size) {
+    yield* serveByAge(state, gateway, queue);
+  }
+  if (isInFairOrder) yield* serveInFairOrder(state, gateway, key);
+}
+
+/** Sends waiting requests in order of priority and age, except those that wait in fair order. */
+function* serveByAge(
+  state: State,
+  gateway: Gateway,
+  queue: ReadonlySet<string>,
+): Effects {
+  const requests = [...queue].flatMap((id) => gateway.requests.get(id) ?? [])
+    .filter((request) => !waitsInFairOrder(gateway, request));
   requests.sort(byUrgency);
   for (const request of requests) {
     if (quarantineRefusal(state, request) !== undefined) continue;
@@ -61,6 +98,54 @@
   }
 }
 
+function waitsInFairOrder(
+  { admission }: Gateway,
+  request: RoutedRequest,
+): boolean {
+  return admission.queues.get(workKey(request))?.waiters.has(request.id) ??
+    false;
+}
+
+/** Sends waiting requests by priority and in max-min fair order over routes and teams. */
+function* serveInFairOrder(
+  state: State,
+  gateway: Gateway,
+  key: string,
+): Effects {
+  const blocked = new Set<string>();
+  const queue = queueOf(gateway.admission, key, { now: state.now });
+  let start = findStart(state, key, { blocked });
+  while (start !== undefined) {
+    const { request, waiter, destination, usesMinimum } = start;
+    recordStart(queue, waiter, { now: state.now });
+    if (waiter.expectedMs !== undefined) {
+      recordWait(queue, {
+        expectedMs: waiter.expectedMs,
+        waitedMs: state.now - waiter.since,
+        isServed: true,
+      });
+    }
+    if (usesMinimum) {
+      yield {
+        kind: "log",
+        event: "minimum_share_used",
+        fields: { request: request.id, priority: request.priority },
+      };
+    }
+    leaveQueue(gateway, request);
+    yield* sendToRunner(state, gateway, { request, ...destination });
+    start = findStart(state, key, { blocked });
+  }
+}
+
+/** Counts a request that is sent as in flight for its route and team, where the capacity of its service is shared. */
+function countHeld(state: State, request: RoutedRequest): void {
+  const { admission } = state.gateway!;
+  const { path, cost, priority } = describeWaiter(state, request);
+  const holder = { queue: workKey(request), priority, path, cost };
+  hold(admission, request.id, { holder, now: state.now });
+}
+
 /** Sends a request to a runner. */
 export function* sendToRunner(
   state: State,
@@ -76,6 +161,7 @@
   }
   const stats = runnerStatsOf(gateway, id);
   stats.inFlight += 1;
+  if (isShared(gateway, request)) countHeld(state, request);
   countLimitedSend(gateway, stats, state.now);
   noteTrial(stats, state.now);
   request.attempts += 1;
@@ -123,7 +209,7 @@
     runner: id,
     address: runner.address,
     remainingMs: Math.max(1, Math.floor(request.expiresAt - state.now)),
-    urgency: Math.min(MAX_URGENCY, request.priority),
+    urgency: urgencyAtRunner(state, request),
     team: request.team,
     resumeAfter: request.lastEvent,
     isRepeatable: canRepeat(request.route),
--- /dev/null
+++ b/packages/core/src/gateway/shared_admission.ts
@@ -0,0 +1,176 @@
+/**
+ * Admits requests to services whose capacity is shared: sends them, lets them wait, or refuses them at once.
+ *
+ * @module
+ */
+import { type ExpectedWait, recordWait } from "../admission/expected_wait.ts";
+import { recordUnmet } from "../admission/shares.ts";
+import type { Waiter } from "../admission/types.ts";
+import { decideWait } from "../admission/wait_decision.ts";
+import {
+  levelOf,
+  moveToLate,
+  recordDemand,
+} from "../admission/waiting_queue.ts";
+import type { Effects } from "../reduce_types.ts";
+import type { State } from "../state/types.ts";
+import { MIN_REMAINING_MS } from "./constants.ts";
+import { failRequest } from "./finish.ts";
+import { retryAfterOf } from "./retry_after.ts";
+import { workKey } from "./runner_index.ts";
+import { joinQueue, serveWaiting } from "./send.ts";
+import {
+  describeWaiter,
+  exceedsShare,
+  expectedWaitOf,
+  sharedQueueOf,
+  windowOf,
+} from "./shared_queue.ts";
+import type { RoutedRequest } from "./types.ts";
+
+/** Why a request finds no room. */
+type WaitCause = "no_slot" | "over_share" | "runners_paused";
+
+/** Why a request is refused for want of room. */
+type CapacityCause = "wait_too_long" | "waited_out";
+
+const SHORT_OF_ROOM = "All runners are full; try again";
+
+function causeOf(
+  state: State,
+  request: RoutedRequest,
+  { waiter, expected }: { waiter: Waiter; expected: ExpectedWait },
+): WaitCause {
+  if (expected.freedPerSecond === 0) return "runners_paused";
+  return exceedsShare(state, request, waiter) ? "over_share" : "no_slot";
+}
+
+/** Returns an estimate and its inputs for a log line. */
+function describeEstimate(expected: ExpectedWait) {
+  const { ms, freedPerSecond, ahead, holdingMs, share } = expected;
+  return {
+    expectedMs: Number.isFinite(ms) ? Math.round(ms) : undefined,
+    freedPerSecond: Number(freedPerSecond.toFixed(2)),
+    ahead,
+    holdingMs: Math.round(holdingMs),
+    share: Number(share.toFixed(3)),
+  };
+}
+
+/** Sends a new request, lets it wait where its first event will likely be of use, or refuses it at once. */
+export function* admitShared(state: State, request: RoutedRequest): Effects {
+  const gateway = state.gateway!;
+  const { now } = state;
+  const queue = sharedQueueOf(state, request);
+  recordDemand(queue, describeWaiter(state, request), { now });
+  joinQueue(state, request);
+  yield* serveWaiting(state, gateway, workKey(request));
+  const waiter = queue.waiters.get(request.id);
+  if (waiter === undefined) return;
+  const level = levelOf(queue, request.priority, { now });
+  recordUnmet(level, waiter.path, { now });
+  yield* decide(state, request, waiter);
+}
+
+/** Decides whether a request that has found no room waits on. */
+function* decide(
+  state: State,
+  request: RoutedRequest,
+  waiter: Waiter,
+): Effects {
+  const { now } = state;
+  const window = windowOf(state, request);
+  const expected = expectedWaitOf(state, request, waiter);
+  const decision = decideWait(window, { now, expectedMs: expected.ms });
+  const cause = causeOf(state, request, { waiter, expected });
+  if (decision === "wait_late" && !waiter.isLate) {
+    return yield* waitLate(state, request, waiter);
+  }
+  if (decision === "refuse") {
+    const details = { cause: "wait_too_long" as const, expected, needs: cause };
+    return yield* refuseForCapacity(state, request, details);
+  }
+  waiter.expectedMs ??= expected.ms;
+  request.waitUntil = Math.min(
+    window.lateUntil,
+    request.expiresAt - MIN_REMAINING_MS,
+  );
+  yield {
+    kind: "log",
+    event: "request_waits",
+    fields: {
+      request: request.id,
+      route: request.route.name,
+      cause,
+      isLate: waiter.isLate,
+      untilMs: Math.round(request.waitUntil - now),
+      ...describeEstimate(expected),
+    },
+  };
+}
+
+/** Decides on a request again as one that waits behind all that can still be in time. */
+function* waitLate(
+  state: State,
+  request: RoutedRequest,
+  waiter: Waiter,
+): Effects {
+  const late = moveToLate(sharedQueueOf(state, request), waiter);
+  yield* decide(state, request, late);
+}
+
+function* refuseForCapacity(
+  state: State,
+  request: RoutedRequest,
+  { cause, expected, needs }: {
+    cause: CapacityCause;
+    expected: ExpectedWait;
+    needs: WaitCause | undefined;
+  },
+): Effects {
+  const retryAfterMs = retryAfterOf(state, request);
+  yield {
+    kind: "log",
+    event: "capacity_refused",
+    fields: {
+      request: request.id,
+      route: request.route.name,
+      cause,
+      needs,
+      waitedMs: Math.round(state.now - request.arrivedAt),
+      retryAfterMs,
+      ...describeEstimate(expected),
+    },
+  };
+  yield* failRequest(state, state.gateway!, request, {
+    code: "overloaded",
+    message: SHORT_OF_ROOM,
+    retryAfterMs,
+  });
+}
+
+/** Decides on a waiting request with each sweep: once it has become late, and once waiting on is of no use. */
+export function* checkSharedWait(
+  state: State,
+  request: RoutedRequest,
+  waiter: Waiter,
+): Effects {
+  const { now } = state;
+  const queue = sharedQueueOf(state, request);
+  if (now >= request.waitUntil) {
+    recordWait(queue, {
+      expectedMs: waiter.expectedMs ?? Infinity,
+      waitedMs: now - waiter.since,
+      isServed: false,
+    });
+    const expected = expectedWaitOf(state, request, waiter);
+    const details = {
+      cause: "waited_out" as const,
+      expected,
+      needs: undefined,
+    };
+    return yield* refuseForCapacity(state, request, details);
+  }
+  const isOverdue = now > windowOf(state, request).inTimeUntil;
+  if (!waiter.isLate && isOverdue) yield* waitLate(state, request, waiter);
+}
--- a/packages/core/src/gateway/sweep.ts
+++ b/packages/core/src/gateway/sweep.ts
@@ -4,22 +4,25 @@
  *
  * @module
  */
+import { pruneQueue } from "../admission/waiting_queue.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import type { Outcome } from "../verdict/types.ts";
 import {
   FIRST_EVENT_OBJECTIVES,
   MIN_FIRST_EVENT_MS,
-  RETRY_AFTER_MS,
   SLOW_RESPONSE_OBJECTIVES,
   STREAM_STALL_MS,
 } from "./constants.ts";
 import { failRequest } from "./finish.ts";
 import { quarantineRefusal } from "./held_requests.ts";
 import { canMove, failAttempt } from "./retry.ts";
+import { capacityRetryAfter } from "./retry_after.ts";
 import { isStream } from "./routes.ts";
 import { backoffRefusal, isHopeless } from "./runner_backoff.ts";
+import { workKey } from "./runner_index.ts";
 import { serveWaiting } from "./send.ts";
+import { checkSharedWait } from "./shared_admission.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 
 /** Sends waiting requests, and checks the deadline and the progress of all requests. */
@@ -27,6 +30,9 @@
   for (const key of gateway.waitingRequests.keys()) {
     yield* serveWaiting(state, gateway, key);
   }
+  for (const queue of gateway.admission.queues.values()) {
+    pruneQueue(queue, { now: state.now });
+  }
   for (const request of [...gateway.requests.values()]) {
     yield* checkRequest(state, gateway, request);
   }
@@ -41,7 +47,7 @@
     return yield* failRequest(state, gateway, request, {
       code: "deadline_passed",
       message: "No response arrived within the time allowed",
-      retryAfterMs: RETRY_AFTER_MS,
+      retryAfterMs: capacityRetryAfter(state, request),
     });
   }
   if (request.isWaiting) return yield* checkWait(state, gateway, request);
@@ -74,11 +80,16 @@
       backoffRefusal(state, request),
     );
   }
+  const queue = gateway.admission.queues.get(workKey(request));
+  const waiter = queue?.waiters.get(request.id);
+  if (waiter !== undefined) {
+    return yield* checkSharedWait(state, request, waiter);
+  }
   if (state.now < request.waitUntil) return;
   yield* failRequest(state, gateway, request, {
     code: "overloaded",
     message: "All runners are full; try again",
-    retryAfterMs: RETRY_AFTER_MS,
+    retryAfterMs: capacityRetryAfter(state, request),
   });
 }
 
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Admission } from "../admission/types.ts";
 import type { Average } from "../util/ewma.ts";
 import type { Forwarding } from "../forwarding/types.ts";
 import type { GroupPlanner } from "../formation/types.ts";
@@ -28,6 +29,16 @@
  */
 export type CapacityPolicy = "local" | "shared";
 
+/** What the routes that lead to a service ask of it. */
+export interface ServiceLevels {
+  /** Priorities of these routes and of all teams, most urgent first, each once. */
+  priorities: readonly number[];
+  /** Longest objective, ms. */
+  maxObjectiveMs: number;
+  /** Names of the routes. */
+  routes: ReadonlySet<string>;
+}
+
 /** The configuration in force, indexed for look-ups. */
 export interface RoutingTable {
   document: RoutingDocument;
@@ -36,6 +47,8 @@
   services: Map<string, Service>;
   /** How the capacity of each service is shared, by service. */
   capacityPolicies: Map<string, CapacityPolicy>;
+  /** Priorities and objectives of each service, by service. */
+  serviceLevels: Map<string, ServiceLevels>;
   teamByKey: Map<string, Team>;
 }
 
@@ -193,6 +206,8 @@
   requests: Map<string, RoutedRequest>;
   /** Ids of the requests that wait for a free slot, by service and model. */
   waitingRequests: Map<string, Set<string>>;
+  /** What waits for, and is in flight at, the services whose capacity is shared. */
+  admission: Admission;
   retryBudgets: Map<string, RetryBudget>;
   /** Mean loads by kind of runner: service, model and availability zone. */
   meanLoads: Map<string, MeanLoad>;
