--- a/packages/core/src/admission/expected_wait.ts
+++ b/packages/core/src/admission/expected_wait.ts
@@ -5,14 +5,14 @@
  * @module
  */
 import { addSample, createAverage } from "../util/ewma.ts";
-import type { WaitingQueue } from "./types.ts";
+import type { WaitClass, WaitingQueue } from "./types.ts";
 
 /** Weight of the newest request in mean times. */
 const TIME_WEIGHT = 0.05;
 /** Weight of the newest wait in the mean ratio of waits to their estimates. */
 const RATIO_WEIGHT = 0.1;
 const MIN_RATIO = 0.05;
-const MAX_RATIO = 4;
+const MAX_RATIO = 16;
 /** Shortest estimate that a wait is compared with, ms: a shorter one would make any ratio large. */
 const MIN_COMPARED_MS = 20;
 const MS_PER_SECOND = 1_000;
@@ -136,13 +136,15 @@
 
 /** Records how long a wait was that had been estimated; one that ended without a slot tells only where it was longer. */
 export function recordWait(
-  { waitRatio }: WaitingQueue,
-  { expectedMs, waitedMs, isServed }: {
+  { waitRatios }: WaitingQueue,
+  { waitClass, expectedMs, waitedMs, isServed }: {
+    waitClass: WaitClass;
     expectedMs: number;
     waitedMs: number;
     isServed: boolean;
   },
 ): void {
+  const waitRatio = waitRatios[waitClass];
   const raw = expectedMs / waitRatio.value;
   if (!Number.isFinite(raw) || raw < MIN_COMPARED_MS) return;
   const ratio = Math.max(MIN_RATIO, Math.min(MAX_RATIO, waitedMs / raw));
--- a/packages/core/src/admission/retry_delay.ts
+++ b/packages/core/src/admission/retry_delay.ts
@@ -10,9 +10,9 @@
 /** Shortest delay that is named, ms, unless the remaining time is too short for it. */
 const MIN_DELAY_MS = 50;
 /** Part of a delay by which callers are spread. */
-const SPREAD = 0.4;
-/** Factor on the delay of the most urgent callers; the others approach 1. */
-const URGENT_FACTOR = 0.5;
+const SPREAD = 0.2;
+/** Part of a delay that the most urgent callers are spared; less with each step below them. */
+const URGENT_ADVANCE = 0.2;
 
 /** Options of {@link retryDelayOf}. */
 export interface RetryDelayOptions {
@@ -36,7 +36,7 @@
 ): number {
   const cap = Math.max(0, remainingMs) * MAX_REMAINING_SHARE;
   const roomMs = Math.min(cap, Math.max(MIN_DELAY_MS, expectedMs));
-  const urgencyFactor = 1 - URGENT_FACTOR ** (urgencyStep + 1);
+  const urgencyFactor = 1 - URGENT_ADVANCE / (urgencyStep + 1);
   const spread = 1 - SPREAD * nextFloat(random);
   return Math.floor(roomMs * urgencyFactor * spread);
 }
--- a/packages/core/src/admission/shares.ts
+++ b/packages/core/src/admission/shares.ts
@@ -77,12 +77,14 @@
 
 /** Records that a route and team found no room. */
 export function recordUnmet(
-  { unmetAt }: PriorityLevel,
+  { unmet }: PriorityLevel,
   [route, team]: Waiter["path"],
   { now }: { now: number },
 ): void {
-  unmetAt.set(tupleKey(route), now);
-  unmetAt.set(tupleKey(route, team), now);
+  const entry = unmet.get(route) ?? { at: now, teams: new Map() };
+  entry.at = now;
+  entry.teams.set(team, now);
+  unmet.set(route, entry);
 }
 
 /** One claimant of a share: a route, or a team of a route. */
@@ -112,21 +114,25 @@
   now: number;
 }
 
+/** Marks those as in need that wait for room, or found none a moment ago. */
 function addNeed(
   claims: Claims,
-  { level, now }: Scope,
-  { node, prefix }: { node: FairNode<Waiter> | undefined; prefix: string[] },
+  { node, unmetAt, now }: {
+    node: FairNode<Waiter> | undefined;
+    unmetAt: Iterable<[string, number]>;
+    now: number;
+  },
 ): void {
   for (const { name, backlog } of node?.children.values() ?? []) {
-    const unmetAt = level.unmetAt.get(tupleKey(...prefix, name)) ?? -Infinity;
-    const isInNeed = backlog > 0 || now - unmetAt <= UNMET_MEMORY_MS;
-    if (isInNeed) claimOf(claims, name).isInNeed = true;
+    if (backlog > 0) claimOf(claims, name).isInNeed = true;
+  }
+  for (const [name, at] of unmetAt) {
+    if (now - at <= UNMET_MEMORY_MS) claimOf(claims, name).isInNeed = true;
   }
 }
 
 /** Returns the claims of all routes. */
-function routeClaims(scope: Scope): Claims {
-  const { level, zone } = scope;
+function routeClaims({ level, zone, now }: Scope): Claims {
   const claims: Claims = new Map();
   for (const { route, tokens, waiting } of zone ?? []) {
     const claim = claimOf(claims, route);
@@ -136,13 +142,16 @@
   for (const [route, { cost }] of zone === undefined ? level.held : []) {
     claimOf(claims, route).cost += cost;
   }
-  addNeed(claims, scope, { node: level.inTime, prefix: [] });
+  const unmetAt = [...level.unmet].map(([route, { at }]): [string, number] => [
+    route,
+    at,
+  ]);
+  addNeed(claims, { node: level.inTime, unmetAt, now });
   return claims;
 }
 
 /** Returns the claims of the teams of a route. */
-function teamClaims(scope: Scope, route: string): Claims {
-  const { level, zone } = scope;
+function teamClaims({ level, zone, now }: Scope, route: string): Claims {
   const claims: Claims = new Map();
   for (const holding of zone ?? []) {
     if (holding.route !== route) continue;
@@ -153,7 +162,8 @@
   const teams = zone === undefined ? level.held.get(route)?.teams : undefined;
   for (const [team, cost] of teams ?? []) claimOf(claims, team).cost += cost;
   const node = level.inTime.children.get(route);
-  addNeed(claims, scope, { node, prefix: [route] });
+  const unmetAt = level.unmet.get(route)?.teams ?? [];
+  addNeed(claims, { node, unmetAt, now });
   return claims;
 }
 
@@ -194,3 +204,31 @@
   return exceedsShare(routeClaims(scope), route, cost) ||
     exceedsShare(teamClaims(scope, route), team, cost);
 }
+
+/** Returns this daemon's own counts by route and team, to be shared with the other daemons of its availability zone. */
+export function ownHoldings({ holders, queues }: Admission): ZoneHolding[] {
+  const byPath = new Map<string, ZoneHolding>();
+  const holdingOf = ([route, team]: Waiter["path"]): ZoneHolding => {
+    const key = tupleKey(route, team);
+    const known = byPath.get(key);
+    if (known !== undefined) return known;
+    const holding = {
+      route,
+      team: team === "" ? undefined : team,
+      requests: 0,
+      tokens: 0,
+      waiting: 0,
+    };
+    byPath.set(key, holding);
+    return holding;
+  };
+  for (const { path, cost } of holders.values()) {
+    const holding = holdingOf(path);
+    holding.requests += 1;
+    holding.tokens += cost;
+  }
+  for (const { waiters } of queues.values()) {
+    for (const { path } of waiters.values()) holdingOf(path).waiting += 1;
+  }
+  return [...byPath.values()];
+}
--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -6,6 +6,9 @@
 import type { Average, Rate } from "../util/ewma.ts";
 import type { FairNode } from "./fair_queue.ts";
 
+/** Whether the first event of a waiting request can be within the objective. */
+export type WaitClass = "in_time" | "late";
+
 /** A request that waits for a free slot. */
 export interface Waiter {
   request: string;
@@ -38,8 +41,16 @@
   demand: Rate;
   /** Requests in flight from this daemon, by route and team. */
   held: HeldTree;
-  /** Times at which a route or team last found no room, ms, by path key. */
-  unmetAt: Map<string, number>;
+  /** When requests last found no room, by route and team. */
+  unmet: Map<string, UnmetRoute>;
+}
+
+/** Times at which requests of one route last found no room. */
+export interface UnmetRoute {
+  /** Of any team, ms. */
+  at: number;
+  /** By team, ms. */
+  teams: Map<string, number>;
 }
 
 /** Cost in flight, by route and team. */
@@ -64,8 +75,8 @@
   holdingMs: Average | undefined;
   /** Mean time from a send to the first event, ms, by route. */
   firstEventMs: Map<string, Average>;
-  /** Mean ratio of waits to their estimates. */
-  waitRatio: Average;
+  /** Mean ratio of waits to their estimates, of requests that could be in time and of late ones. */
+  waitRatios: Record<WaitClass, Average>;
   /** Time at which idle nodes were last removed, ms. */
   prunedAt: number;
 }
@@ -98,12 +109,24 @@
   ageMs: number;
 }
 
+/** A refused request that may come back. */
+export interface Refused {
+  /** Time at which it first arrived, ms. */
+  arrivedAt: number;
+  /** Time before which its caller was told not to come back, ms. */
+  returnAt: number;
+  /** Time by which its caller gives up, ms. */
+  expiresAt: number;
+}
+
 /** State of admission to services whose capacity is shared. */
 export interface Admission {
   /** By kind of work: service and model. */
   queues: Map<string, WaitingQueue>;
   /** Requests in flight, by id. */
   holders: Map<string, Holder>;
+  /** Refused requests by team and content, oldest refusal first. */
+  refused: Map<string, Refused>;
   /** Undefined until a table has arrived. */
   zone: { table: ZoneHoldings; countedAt: number } | undefined;
 }
--- a/packages/core/src/admission/wait_decision.ts
+++ b/packages/core/src/admission/wait_decision.ts
@@ -11,6 +11,9 @@
 /** Share of the time budget up to which a first event that misses the objective may still be waited for. */
 const LATE_BUDGET_SHARE = 0.5;
 
+/** Largest share of the objective that the expected time after a send takes of it. */
+const MAX_SERVICE_SHARE = 0.75;
+
 /** What a caller's request allows for. */
 export interface TimeBudget {
   arrivedAt: number;
@@ -44,8 +47,10 @@
   const budgetMs = (expiresAt - arrivedAt) * LATE_BUDGET_SHARE;
   const lateMs = Math.min(patienceMs, Math.max(objectiveMs, budgetMs));
   const lateUntil = Math.min(arrivedAt + lateMs, expiresAt) - serviceMs;
+  // Without a bound, a mean over the objective would make every request of its route late, so that it could never mend.
+  const boundMs = Math.max(leastServiceMs, objectiveMs * MAX_SERVICE_SHARE);
   const inTimeUntil = Math.min(arrivedAt + objectiveMs, expiresAt) -
-    leastServiceMs;
+    Math.min(serviceMs, boundMs);
   return { inTimeUntil, lateUntil: Math.max(inTimeUntil, lateUntil) };
 }
 
--- a/packages/core/src/admission/waiting_queue.ts
+++ b/packages/core/src/admission/waiting_queue.ts
@@ -27,6 +27,7 @@
 import type {
   Admission,
   PriorityLevel,
+  WaitClass,
   Waiter,
   WaitingQueue,
 } from "./types.ts";
@@ -39,6 +40,9 @@
 const DEMAND_WINDOW_MS = 10_000;
 /** Interval at which idle nodes are removed, ms. */
 const PRUNE_INTERVAL_MS = 1_000;
+/** Part by which a ratio of waits to their estimates returns to 1 at each such interval: while all are refused at once,
+ * no wait corrects it. */
+const RATIO_RETURN = 0.1;
 /** Time for which a route or team that found no room counts as in need of some, ms. */
 export const UNMET_MEMORY_MS = 1_000;
 /** Weight of the newest request in the mean cost. */
@@ -54,7 +58,12 @@
 
 /** Creates the state of admission without any request. */
 export function createAdmission(): Admission {
-  return { queues: new Map(), holders: new Map(), zone: undefined };
+  return {
+    queues: new Map(),
+    holders: new Map(),
+    refused: new Map(),
+    zone: undefined,
+  };
 }
 
 /** Returns the queue of a kind of work, created where there is none yet. */
@@ -72,7 +81,7 @@
       demand: createRate(now),
       holdingMs: undefined,
       firstEventMs: new Map(),
-      waitRatio: createAverage(1),
+      waitRatios: { in_time: createAverage(1), late: createAverage(1) },
       prunedAt: now,
     };
     queues.set(key, queue);
@@ -95,7 +104,7 @@
     credit: 0,
     demand: createRate(now),
     held: new Map(),
-    unmetAt: new Map(),
+    unmet: new Map(),
   };
   levels.push(level);
   levels.sort((left, right) => left.priority - right.priority);
@@ -128,6 +137,11 @@
   addSample(queue.unitCost, cost, { weight: UNIT_COST_WEIGHT });
 }
 
+/** Returns whether a waiting request is among those that can be in time. */
+export function waitClassOf({ isLate }: Waiter): WaitClass {
+  return isLate ? "late" : "in_time";
+}
+
 /** Adds a request to the queue. */
 export function addWaiter(
   queue: WaitingQueue,
@@ -149,9 +163,19 @@
 }
 
 /** Moves a request behind all that can still be in time. */
-export function moveToLate(queue: WaitingQueue, waiter: Waiter): Waiter {
+export function moveToLate(
+  queue: WaitingQueue,
+  waiter: Waiter,
+  { now }: { now: number },
+): Waiter {
   removeWaiter(queue, waiter.request);
-  const late: Waiter = { ...waiter, isLate: true, isGone: false };
+  const late: Waiter = {
+    ...waiter,
+    since: now,
+    expectedMs: undefined,
+    isLate: true,
+    isGone: false,
+  };
   insert(queue, late);
   return late;
 }
@@ -220,18 +244,21 @@
   }
 }
 
-/** Removes nodes and records that say nothing any more, at intervals. */
+/** Removes what says nothing any more, and lets the ratios of waits to their estimates fade, at intervals. */
 export function pruneQueue(
   queue: WaitingQueue,
   { now }: { now: number },
 ): void {
   if (now - queue.prunedAt < PRUNE_INTERVAL_MS) return;
   queue.prunedAt = now;
-  for (const { inTime, late, unmetAt } of queue.levels) {
+  for (const ratio of Object.values(queue.waitRatios)) {
+    ratio.value += (1 - ratio.value) * RATIO_RETURN;
+  }
+  for (const { inTime, late, unmet } of queue.levels) {
     pruneIdle(inTime);
     pruneIdle(late);
-    for (const [key, at] of unmetAt) {
-      if (now - at > UNMET_MEMORY_MS) unmetAt.delete(key);
+    for (const [route, { at }] of unmet) {
+      if (now - at > UNMET_MEMORY_MS) unmet.delete(route);
     }
   }
 }
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -64,8 +64,12 @@
 export const URGENT_QUEUE_REQUESTS = 2;
 /** Slots kept free for more urgent requests, for each step of priority. */
 export const RESERVED_SLOTS = 1;
-/** Slots of a group that requests which are late or over their share leave free, where capacity is shared. */
+/** Share of a request's slack that its wait in a runner's queue may take, where capacity is shared. */
+export const QUEUE_SLACK_SHARE = 0.25;
+/** Slots of a group that requests of a route or team over its share leave free, where capacity is shared. */
 export const OVER_SHARE_RESERVED_SLOTS = 2;
+/** Slots of a group that late requests leave free for those that can still be in time, where capacity is shared. */
+export const LATE_RESERVED_SLOTS = 2;
 /** Rate at which a runner that names a lower limit is still asked, so that the end of the limit is noticed, 1/s. */
 export const MIN_REQUESTS_PER_SECOND = 0.1;
 /** Time for which the limit of a runner whose entry is gone is kept, since the entry may come back, ms. */
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -4,12 +4,14 @@
  * @module
  */
 import { recordWait } from "../admission/expected_wait.ts";
+import { forgetRefused } from "../admission/returns.ts";
 import { hold } from "../admission/shares.ts";
 import {
   addWaiter,
   queueOf,
   recordStart,
   removeWaiter,
+  waitClassOf,
 } from "../admission/waiting_queue.ts";
 import { mayDecide } from "../catch_up/mod.ts";
 import { chooseForwarder, forwarderStatsOf } from "../forwarding/forwarders.ts";
@@ -120,6 +122,7 @@
     recordStart(queue, waiter, { now: state.now });
     if (waiter.expectedMs !== undefined) {
       recordWait(queue, {
+        waitClass: waitClassOf(waiter),
         expectedMs: waiter.expectedMs,
         waitedMs: state.now - waiter.since,
         isServed: true,
@@ -162,6 +165,7 @@
   const stats = runnerStatsOf(gateway, id);
   stats.inFlight += 1;
   if (isShared(gateway, request)) countHeld(state, request);
+  forgetRefused(gateway.admission, request);
   countLimitedSend(gateway, stats, state.now);
   noteTrial(stats, state.now);
   request.attempts += 1;
--- a/packages/core/src/gateway/shared_admission.ts
+++ b/packages/core/src/gateway/shared_admission.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type ExpectedWait, recordWait } from "../admission/expected_wait.ts";
+import { findRefused, recordRefused } from "../admission/returns.ts";
 import { recordUnmet } from "../admission/shares.ts";
 import type { Waiter } from "../admission/types.ts";
 import { decideWait } from "../admission/wait_decision.ts";
@@ -11,13 +12,14 @@
   levelOf,
   moveToLate,
   recordDemand,
+  waitClassOf,
 } from "../admission/waiting_queue.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { MIN_REMAINING_MS } from "./constants.ts";
 import { failRequest } from "./finish.ts";
 import { retryAfterOf } from "./retry_after.ts";
-import { workKey } from "./runner_index.ts";
+import { hasCandidates, workKey } from "./runner_index.ts";
 import { joinQueue, serveWaiting } from "./send.ts";
 import {
   describeWaiter,
@@ -32,7 +34,11 @@
 type WaitCause = "no_slot" | "over_share" | "runners_paused";
 
 /** Why a request is refused for want of room. */
-type CapacityCause = "wait_too_long" | "waited_out";
+type CapacityCause =
+  | "wait_too_long"
+  | "waited_out"
+  /** It came back sooner than its caller was told to. */
+  | "early_return";
 
 const SHORT_OF_ROOM = "All runners are full; try again";
 
@@ -69,6 +75,12 @@
   if (waiter === undefined) return;
   const level = levelOf(queue, request.priority, { now });
   recordUnmet(level, waiter.path, { now });
+  const earlier = findRefused(gateway.admission, request, { now });
+  if (earlier !== undefined && now < earlier.returnAt) {
+    const expected = expectedWaitOf(state, request, waiter);
+    const details = { cause: "early_return" as const, expected };
+    return yield* refuseForCapacity(state, request, details);
+  }
   yield* decide(state, request, waiter);
 }
 
@@ -115,7 +127,9 @@
   request: RoutedRequest,
   waiter: Waiter,
 ): Effects {
-  const late = moveToLate(sharedQueueOf(state, request), waiter);
+  const late = moveToLate(sharedQueueOf(state, request), waiter, {
+    now: state.now,
+  });
   yield* decide(state, request, late);
 }
 
@@ -125,10 +139,15 @@
   { cause, expected, needs }: {
     cause: CapacityCause;
     expected: ExpectedWait;
-    needs: WaitCause | undefined;
+    needs?: WaitCause;
   },
 ): Effects {
+  const { now, gateway } = state;
   const retryAfterMs = retryAfterOf(state, request);
+  const { arrivedAt, expiresAt } = request;
+  const returnAt = now + retryAfterMs;
+  const refusal = { arrivedAt, returnAt, expiresAt };
+  recordRefused(gateway!.admission, request, refusal);
   yield {
     kind: "log",
     event: "capacity_refused",
@@ -155,10 +174,18 @@
   request: RoutedRequest,
   waiter: Waiter,
 ): Effects {
-  const { now } = state;
+  const { now, gateway } = state;
+  if (!hasCandidates(gateway!, request)) {
+    return yield* failRequest(state, gateway!, request, {
+      code: "no_capacity",
+      message: "No runner serves this at the moment; try again",
+      retryAfterMs: retryAfterOf(state, request),
+    });
+  }
   const queue = sharedQueueOf(state, request);
   if (now >= request.waitUntil) {
     recordWait(queue, {
+      waitClass: waitClassOf(waiter),
       expectedMs: waiter.expectedMs ?? Infinity,
       waitedMs: now - waiter.since,
       isServed: false,
@@ -167,7 +194,6 @@
     const details = {
       cause: "waited_out" as const,
       expected,
-      needs: undefined,
     };
     return yield* refuseForCapacity(state, request, details);
   }
--- a/packages/core/src/gateway/shared_queue.ts
+++ b/packages/core/src/gateway/shared_queue.ts
@@ -8,6 +8,7 @@
   expectWait,
   type RunnerRoom,
 } from "../admission/expected_wait.ts";
+import { findRefused } from "../admission/returns.ts";
 import { isOverShare } from "../admission/shares.ts";
 import type { Waiter, WaitingQueue } from "../admission/types.ts";
 import { type WaitWindow, waitWindowOf } from "../admission/wait_decision.ts";
@@ -16,6 +17,7 @@
   levelOf,
   moveToLate,
   queueOf,
+  waitClassOf,
   waitersAhead,
   waitersInOrder,
 } from "../admission/waiting_queue.ts";
@@ -25,7 +27,9 @@
 import { chooseDestination, type Destination, slotsOf } from "./choose.ts";
 import {
   BACKOFF_TRIAL_MS,
+  LATE_RESERVED_SLOTS,
   OVER_SHARE_RESERVED_SLOTS,
+  QUEUE_SLACK_SHARE,
   RESERVED_SLOTS,
   URGENT_QUEUE_REQUESTS,
 } from "./constants.ts";
@@ -76,13 +80,15 @@
 
 /** Returns the times until which sending a request is of use to its caller. */
 export function windowOf(state: State, request: RoutedRequest): WaitWindow {
-  const { route, arrivedAt, expiresAt } = request;
+  const { route, expiresAt } = request;
+  const { admission } = state.gateway!;
+  const earlier = findRefused(admission, request, { now: state.now });
+  const arrivedAt = earlier?.arrivedAt ?? request.arrivedAt;
   const queue = sharedQueueOf(state, request);
   return waitWindowOf({
     arrivedAt,
     expiresAt,
     objectiveMs: route.targetLatencyMs,
-    // By the least time: a mean over the objective would make every request of its route late, and so never mend.
     leastServiceMs: readingMsOf(state.gateway!, request),
     serviceMs: firstEventMsOf(state.gateway!, queue, request),
     isStream: isStream(route),
@@ -107,6 +113,22 @@
   });
 }
 
+/**
+ * Returns how many requests beyond its slots a runner may have when a request is sent there.
+ *
+ * Daemons learn late of slots that others leave, so that a short queue at the runner uses these; it must not take more
+ * than a part of the request's slack.
+ */
+function queueAllowanceOf(state: State, request: RoutedRequest): number {
+  const gateway = state.gateway!;
+  const queue = sharedQueueOf(state, request);
+  const slots = gateway.routing!.services.get(request.service)!.engine!.slots;
+  const { inTimeUntil } = windowOf(state, request);
+  const slackMs = Math.max(0, inTimeUntil - state.now) * QUEUE_SLACK_SHARE;
+  const perPlaceMs = holdingMsOf(gateway, queue, request) / slots;
+  return Math.min(URGENT_QUEUE_REQUESTS, slackMs / perPlaceMs);
+}
+
 /** Returns the slots that a request leaves free at a runner; negative where it may queue there. */
 export function reservedSlotsOf(
   state: State,
@@ -118,9 +140,12 @@
   const level = levelOf(queue, request.priority, { now: state.now });
   const levels = levelsOfService(gateway, request.service);
   const step = urgencyStepOf(levels, request.priority);
-  const yields = waiter.isLate || exceedsShare(state, request, waiter);
-  if (yields) return step * RESERVED_SLOTS + OVER_SHARE_RESERVED_SLOTS;
-  if (step === 0) return -URGENT_QUEUE_REQUESTS;
+  const isOver = exceedsShare(state, request, waiter);
+  if (isOver || waiter.isLate) {
+    return step * RESERVED_SLOTS + (isOver ? OVER_SHARE_RESERVED_SLOTS : 0) +
+      (waiter.isLate ? LATE_RESERVED_SLOTS : 0);
+  }
+  if (step === 0) return -queueAllowanceOf(state, request);
   return isBelowMinimum(queue, level) ? 0 : step * RESERVED_SLOTS;
 }
 
@@ -165,7 +190,7 @@
     holdingMs: holdingMsOf(gateway, queue, request),
     share: Math.max(gateway.workShare.value, total > 0 ? own / total : 0),
     ahead: waitersAhead(queue, waiter),
-    ratio: queue.waitRatio.value,
+    ratio: queue.waitRatios[waitClassOf(waiter)].value,
   });
 }
 
@@ -217,7 +242,7 @@
   for (const waiter of waitersInOrder(queue)) {
     const request = gateway.requests.get(waiter.request)!;
     if (!waiter.isLate && state.now > windowOf(state, request).inTimeUntil) {
-      moveToLate(queue, waiter);
+      moveToLate(queue, waiter, { now: state.now });
       return "reordered";
     }
     if (quarantineRefusal(state, request) !== undefined) continue;
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -21,6 +21,8 @@
 export * from "./gateway/event_types.ts";
 export { ageOf } from "./gateway/freshness.ts";
 export * from "./gateway/gateway.ts";
+export { ownHoldings, setZoneHoldings } from "./admission/shares.ts";
+export type { ZoneHolding, ZoneHoldings } from "./admission/types.ts";
 export { batchDelayOf } from "./gateway/batch_delay.ts";
 export { READ_SHARING_VERSION } from "./read_sharing/constants.ts";
 export * from "./read_sharing/effect_types.ts";
