--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -24,6 +24,7 @@
 } from "prom-client";
 import { createGaugeAdder } from "../observe/gauges.ts";
 import type { LogFields } from "../observe/logger.ts";
+import { createAdmissionCounters } from "./admission_metrics.ts";
 
 /** Metrics of one gateway. */
 export interface GatewayMetrics {
@@ -136,6 +137,7 @@
   createGauges(state, { registers, now, droppedLines });
 
   const counters: EventCounters = {
+    ...createAdmissionCounters(state.gateway!, registers),
     request_refused: ({ code }) => refusals.inc({ code: label(code) }),
     request_ended: ({ verdict, code, tookMs }) => {
       const labels = { verdict: label(verdict) };
