Hold back by each exceeded share, keep less urgent requests behind, test 24 daemons

A daemon with three requests a second has a queue of one, so that the order of its queue protects nobody. Requests now leave one slot of a group free for each share that they exceed (route, team), and less urgent ones yield as much while a more urgent priority needs room. The next one in line waits through its window also where other daemons may take what comes free, as nothing corrected the estimate otherwise.

--- a/packages/core/src/admission/expected_wait.ts
+++ b/packages/core/src/admission/expected_wait.ts
@@ -47,6 +47,8 @@
 export interface ExpectedWait {
   /** Infinite where no slot can come free. */
   ms: number;
+  /** The same where no other daemon takes what comes free, ms. */
+  soonestMs: number;
   /** Slots that this daemon can use, 1/s. */
   freedPerSecond: number;
   ahead: number;
@@ -63,11 +65,13 @@
   return Math.max(0, occupancy - usableSlots + 1);
 }
 
+const NO_SLOT = { ms: Infinity, soonestMs: Infinity, perMs: 0 };
+
 /** Estimates the wait for a slot at the runners that take requests now. */
 function slotWaitMs(
   rooms: readonly RunnerRoom[],
   { holdingMs, share, ahead }: WaitInputs,
-): { ms: number; perMs: number } {
+): { ms: number; soonestMs: number; perMs: number } {
   const least = Math.min(...rooms.map(excessOf));
   const near = rooms.filter((room) => excessOf(room) <= least + 1);
   let perMs = 0;
@@ -77,10 +81,11 @@
     perMs += rate * share;
     fastest = Math.max(fastest, rate);
   }
-  if (perMs === 0) return { ms: Infinity, perMs };
+  if (perMs === 0) return NO_SLOT;
   // The runners lose what is beyond their usable slots at the same time, each at its own rate.
   const drainMs = Math.max(0, least - 1) / fastest;
-  return { ms: drainMs + (ahead + 1) / perMs, perMs };
+  const slotMs = (ahead + 1) / perMs;
+  return { ms: drainMs + slotMs, soonestMs: drainMs + slotMs * share, perMs };
 }
 
 /** Estimates the wait for a runner with a free slot that takes no request for the moment. */
@@ -105,12 +110,12 @@
 export function expectWait(inputs: WaitInputs): ExpectedWait {
   const { rooms, holdingMs, share, ahead, ratio } = inputs;
   const open = rooms.filter(({ opensInMs }) => opensInMs <= 0);
-  const { ms, perMs } = open.length === 0
-    ? { ms: Infinity, perMs: 0 }
-    : slotWaitMs(open, inputs);
+  const slot = open.length === 0 ? NO_SLOT : slotWaitMs(open, inputs);
+  const openingMs = openingWaitMs(rooms, ahead);
   return {
-    ms: Math.min(ms * ratio, openingWaitMs(rooms, ahead)),
-    freedPerSecond: perMs * MS_PER_SECOND,
+    ms: Math.min(slot.ms * ratio, openingMs),
+    soonestMs: Math.min(slot.soonestMs, openingMs),
+    freedPerSecond: slot.perMs * MS_PER_SECOND,
     ahead,
     holdingMs,
     share,
--- a/packages/core/src/admission/shares.ts
+++ b/packages/core/src/admission/shares.ts
@@ -87,6 +87,18 @@
   unmet.set(route, entry);
 }
 
+/** Returns whether any request of a level waits for room, or found none a moment ago. */
+export function isInNeed(
+  { inTime, unmet }: PriorityLevel,
+  { now }: { now: number },
+): boolean {
+  if (inTime.backlog > 0) return true;
+  for (const { at } of unmet.values()) {
+    if (now - at <= UNMET_MEMORY_MS) return true;
+  }
+  return false;
+}
+
 /** One claimant of a share: a route, or a team of a route. */
 interface Claim {
   cost: number;
@@ -180,29 +192,35 @@
   return false;
 }
 
-/** Options of {@link isOverShare}. */
+/** Options of {@link sharesExceeded}. */
 export interface ShareOptions {
   /** Routes of the configuration that belong to the level. */
   routes: ReadonlySet<string>;
   now: number;
 }
 
-/** Returns whether a request's route, or its team within the route, holds more than its share while others need room. */
-export function isOverShare(
+/**
+ * Returns how many shares a request exceeds, 0 to 2, while others need room: that of its route, and that of its team
+ * within the route.
+ */
+export function sharesExceeded(
   { zone: known }: Admission,
   level: PriorityLevel,
   { path: [route, team], cost, options: { routes, now } }:
     & Pick<Waiter, "path" | "cost">
     & { options: ShareOptions },
-): boolean {
+): number {
   const isFresh = known !== undefined &&
     now - known.countedAt <= MAX_HOLDINGS_AGE_MS;
   const zone = isFresh
     ? known.table.holdings.filter((holding) => routes.has(holding.route))
     : undefined;
   const scope = { level, zone, now };
-  return exceedsShare(routeClaims(scope), route, cost) ||
-    exceedsShare(teamClaims(scope, route), team, cost);
+  const exceeded = [
+    exceedsShare(routeClaims(scope), route, cost),
+    exceedsShare(teamClaims(scope, route), team, cost),
+  ];
+  return exceeded.filter(Boolean).length;
 }
 
 /** Returns this daemon's own counts by route and team, to be shared with the other daemons of its availability zone. */
--- a/packages/core/src/admission/shares_test.ts
+++ b/packages/core/src/admission/shares_test.ts
@@ -1,12 +1,12 @@
 import { expect } from "chai";
 import {
   hold,
-  isOverShare,
   MAX_HOLDINGS_AGE_MS,
   ownHoldings,
   recordUnmet,
   release,
   setZoneHoldings,
+  sharesExceeded,
 } from "./shares.ts";
 import type { Admission } from "./types.ts";
 import {
@@ -36,7 +36,7 @@
 ): boolean {
   const level = levelOf(queueOf(admission, "k", { now }), 0, { now });
   const options = { routes: ROUTES, now };
-  return isOverShare(admission, level, { path, cost: 1_000, options });
+  return sharesExceeded(admission, level, { path, cost: 1_000, options }) > 0;
 }
 
 function noteUnmet(
--- a/packages/core/src/admission/wait_decision.ts
+++ b/packages/core/src/admission/wait_decision.ts
@@ -57,19 +57,35 @@
 /** Decision on a request that finds no free slot. */
 export type WaitDecision = "wait_in_time" | "wait_late" | "refuse";
 
+/** Options of {@link decideWait}, as {@link ExpectedWait} has them. */
+export interface WaitOptions {
+  now: number;
+  /** Expected wait, ms. */
+  expectedMs: number;
+  /** Wait that is expected where no other daemon takes what comes free, ms. */
+  soonestMs: number;
+  /** Requests that go before this one. */
+  ahead: number;
+}
+
 /**
  * Decides on a request whose wait for a free slot is expected to take a time.
  *
+ * The next one in line waits as one in time also where only the most favorable estimate allows it: how many slots the
+ * other daemons take is uncertain, and no wait would correct the estimate if all were refused at once.
+ *
  * @example
  * ```ts
- * decideWait({ inTimeUntil: 200, lateUntil: 1_900 }, { now: 0, expectedMs: 900 }); // "wait_late"
+ * const window = { inTimeUntil: 200, lateUntil: 1_900 };
+ * decideWait(window, { now: 0, expectedMs: 900, soonestMs: 300, ahead: 0 }); // "wait_late"
  * ```
  */
 export function decideWait(
   { inTimeUntil, lateUntil }: WaitWindow,
-  { now, expectedMs }: { now: number; expectedMs: number },
+  { now, expectedMs, soonestMs, ahead }: WaitOptions,
 ): WaitDecision {
   const startAt = now + expectedMs;
-  if (startAt <= inTimeUntil) return "wait_in_time";
+  const isNextInTime = ahead === 0 && now + soonestMs <= inTimeUntil;
+  if (startAt <= inTimeUntil || isNextInTime) return "wait_in_time";
   return startAt <= lateUntil ? "wait_late" : "refuse";
 }
--- a/packages/core/src/admission/wait_decision_test.ts
+++ b/packages/core/src/admission/wait_decision_test.ts
@@ -14,13 +14,27 @@
   it("lets a request wait while its first event is expected within the objective", () => {
     const window = waitWindowOf(BUDGET);
     const decide = (expectedMs: number) =>
-      decideWait(window, { now: 1_000, expectedMs });
+      decideWait(window, {
+        now: 1_000,
+        expectedMs,
+        soonestMs: expectedMs,
+        ahead: 1,
+      });
     expect(decide(220)).to.equal("wait_in_time");
     expect(decide(221)).to.equal("wait_late");
     expect(decide(1_921)).to.equal("refuse");
     expect(decide(Infinity)).to.equal("refuse");
   });
 
+  it("lets the next in line wait in time where others may leave what comes free", () => {
+    const window = waitWindowOf(BUDGET);
+    const options = { now: 1_000, expectedMs: 5_000, soonestMs: 90 };
+    expect(decideWait(window, { ...options, ahead: 0 })).to.equal(
+      "wait_in_time",
+    );
+    expect(decideWait(window, { ...options, ahead: 1 })).to.equal("refuse");
+  });
+
   it("never lets a stream wait for longer than its caller stays, whatever its time budget", () => {
     for (const objectiveMs of [200, 400, 800]) {
       const { lateUntil } = waitWindowOf({
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -66,8 +66,10 @@
 export const RESERVED_SLOTS = 1;
 /** Share of a request's slack that its wait in a runner's queue may take, where capacity is shared. */
 export const QUEUE_SLACK_SHARE = 0.25;
-/** Slots of a group that requests of a route or team over its share leave free, where capacity is shared. */
-export const OVER_SHARE_RESERVED_SLOTS = 2;
+/** Slots of a group that requests leave free for each share that they exceed, where capacity is shared. */
+export const OVER_SHARE_RESERVED_SLOTS = 1;
+/** Shares that a request can exceed: that of its route, and that of its team. */
+export const SHARES = 2;
 /** Slots of a group that late requests leave free for those that can still be in time, where capacity is shared. */
 export const LATE_RESERVED_SLOTS = 2;
 /** Rate at which a runner that names a lower limit is still asked, so that the end of the limit is noticed, 1/s. */
--- a/packages/core/src/gateway/shared_admission.ts
+++ b/packages/core/src/gateway/shared_admission.ts
@@ -23,7 +23,7 @@
 import { joinQueue, serveWaiting } from "./send.ts";
 import {
   describeWaiter,
-  exceedsShare,
+  exceededShares,
   expectedWaitOf,
   sharedQueueOf,
   windowOf,
@@ -48,7 +48,7 @@
   { waiter, expected }: { waiter: Waiter; expected: ExpectedWait },
 ): WaitCause {
   if (expected.freedPerSecond === 0) return "runners_paused";
-  return exceedsShare(state, request, waiter) ? "over_share" : "no_slot";
+  return exceededShares(state, request, waiter) > 0 ? "over_share" : "no_slot";
 }
 
 /** Returns an estimate and its inputs for a log line. */
@@ -93,7 +93,8 @@
   const { now } = state;
   const window = windowOf(state, request);
   const expected = expectedWaitOf(state, request, waiter);
-  const decision = decideWait(window, { now, expectedMs: expected.ms });
+  const { ms: expectedMs, soonestMs, ahead } = expected;
+  const decision = decideWait(window, { now, expectedMs, soonestMs, ahead });
   const cause = causeOf(state, request, { waiter, expected });
   if (decision === "wait_late" && !waiter.isLate) {
     return yield* waitLate(state, request, waiter);
@@ -103,8 +104,9 @@
     return yield* refuseForCapacity(state, request, details);
   }
   waiter.expectedMs ??= expected.ms;
+  const isLateUseful = now + expectedMs <= window.lateUntil;
   request.waitUntil = Math.min(
-    window.lateUntil,
+    isLateUseful ? window.lateUntil : window.inTimeUntil,
     request.expiresAt - MIN_REMAINING_MS,
   );
   yield {
--- a/packages/core/src/gateway/shared_admission_test.ts
+++ b/packages/core/src/gateway/shared_admission_test.ts
@@ -13,7 +13,8 @@
   refusalOf,
   sendRequest,
 } from "./test_fixture.ts";
-import { createStreamRoute, LOAD_ENGINE } from "./test_load.ts";
+import { LOAD_ENGINE } from "./test_engines.ts";
+import { createStreamRoute } from "./test_load.ts";
 import type { Route } from "./types.ts";
 
 const SLOTS = LOAD_ENGINE.slots;
--- a/packages/core/src/gateway/shared_invariants_test.ts
+++ b/packages/core/src/gateway/shared_invariants_test.ts
@@ -9,7 +9,8 @@
   publish,
   sendRequest,
 } from "./test_fixture.ts";
-import { createStreamRoute, LOAD_ENGINE } from "./test_load.ts";
+import { LOAD_ENGINE } from "./test_engines.ts";
+import { createStreamRoute } from "./test_load.ts";
 
 const SLOTS = 2;
 const TEAMS = ["one", "two"];
--- a/packages/core/src/gateway/shared_load_test.ts
+++ b/packages/core/src/gateway/shared_load_test.ts
@@ -1,8 +1,8 @@
 import { expect } from "chai";
+import type { Load } from "./test_engines.ts";
 import {
   createStreamRoute,
   inTimeShare,
-  type Load,
   playLoads,
   type PlayOptions,
   servedShare,
@@ -81,6 +81,32 @@
   });
 });
 
+describe("long prompts beside many short ones, at 24 daemons that share counts", () => {
+  it("are served, though each daemon sees few of them", () => {
+    const routes = [
+      createStreamRoute("a", { targetLatencyMs: 202 }),
+      createStreamRoute("b", { targetLatencyMs: 302 }),
+      createStreamRoute("c", { targetLatencyMs: 403 }),
+    ];
+    const [short, ...long] = playLoads([
+      createLoad("a", 66, { promptTokens: 714 }),
+      createLoad("b", 7.5, { promptTokens: 1_460 }),
+      createLoad("c", 7.5, { promptTokens: 2_000 }),
+    ], {
+      ...OPTIONS,
+      routes,
+      groups: 6,
+      daemons: 24,
+      sharesCounts: true,
+      seconds: 20,
+    });
+    for (const served of long) {
+      expect(servedShare(served)).to.be.above(0.9);
+      expect(inTimeShare(served)).to.be.above(inTimeShare(short!));
+    }
+  });
+});
+
 describe("callers that repeat at once", () => {
   it("gain nothing over those that wait, where their requests are recognized", () => {
     const [patient, hasty] = playLoads([
--- a/packages/core/src/gateway/shared_queue.ts
+++ b/packages/core/src/gateway/shared_queue.ts
@@ -9,7 +9,7 @@
   type RunnerRoom,
 } from "../admission/expected_wait.ts";
 import { findRefused } from "../admission/returns.ts";
-import { isOverShare } from "../admission/shares.ts";
+import { isInNeed, sharesExceeded } from "../admission/shares.ts";
 import type { Waiter, WaitingQueue } from "../admission/types.ts";
 import { type WaitWindow, waitWindowOf } from "../admission/wait_decision.ts";
 import {
@@ -31,6 +31,7 @@
   OVER_SHARE_RESERVED_SLOTS,
   QUEUE_SLACK_SHARE,
   RESERVED_SLOTS,
+  SHARES,
   URGENT_QUEUE_REQUESTS,
 } from "./constants.ts";
 import {
@@ -95,18 +96,18 @@
   });
 }
 
-/** Returns whether a waiting request's route or team holds more than its share while others need room. */
-export function exceedsShare(
+/** Returns how many shares a request exceeds while others need room: that of its route, and that of its team. */
+export function exceededShares(
   { gateway, now }: State,
   request: RoutedRequest,
   waiter: Pick<Waiter, "path" | "cost">,
-): boolean {
+): number {
   const { admission } = gateway!;
   const queue = queueOf(admission, workKey(request), { now });
   const level = levelOf(queue, request.priority, { now });
   const { routes } = levelsOfService(gateway!, request.service);
   const { path, cost } = waiter;
-  return isOverShare(admission, level, {
+  return sharesExceeded(admission, level, {
     path,
     cost,
     options: { routes, now },
@@ -140,13 +141,19 @@
   const level = levelOf(queue, request.priority, { now: state.now });
   const levels = levelsOfService(gateway, request.service);
   const step = urgencyStepOf(levels, request.priority);
-  const isOver = exceedsShare(state, request, waiter);
-  if (isOver || waiter.isLate) {
-    return step * RESERVED_SLOTS + (isOver ? OVER_SHARE_RESERVED_SLOTS : 0) +
-      (waiter.isLate ? LATE_RESERVED_SLOTS : 0);
+  const exceeded = exceededShares(state, request, waiter);
+  const isBelow = isBelowMinimum(queue, level);
+  if (exceeded === 0 && !waiter.isLate) {
+    if (step === 0) return -queueAllowanceOf(state, request);
+    if (isBelow) return 0;
   }
-  if (step === 0) return -queueAllowanceOf(state, request);
-  return isBelowMinimum(queue, level) ? 0 : step * RESERVED_SLOTS;
+  // A less urgent request finds no more room than a more urgent one that exceeds its shares.
+  const yieldsTo = queue.levels.some((other) =>
+    other.priority < request.priority && isInNeed(other, { now: state.now })
+  );
+  const shares = yieldsTo && !isBelow ? SHARES : exceeded;
+  return step * RESERVED_SLOTS + shares * OVER_SHARE_RESERVED_SLOTS +
+    (waiter.isLate ? LATE_RESERVED_SLOTS : 0);
 }
 
 /** Returns the time until a runner takes requests again, ms; 0 where it takes them now. */
--- a/packages/core/src/gateway/test_load.ts
+++ b/packages/core/src/gateway/test_load.ts
@@ -1,64 +1,37 @@
 /**
- * Simulates callers and groups of engines around a gateway under test, in virtual time.
+ * Simulates callers of gateways under test, in virtual time.
  *
  * @module
  */
-import { createRandom, nextFloat, type Random } from "../util/random.ts";
+import { ownHoldings, setZoneHoldings } from "../admission/shares.ts";
+import type { Effect } from "../effect/types.ts";
+import { createRandom, nextFloat, nextIndex } from "../util/random.ts";
 import {
   createDocument,
   createHarness,
   createHead,
   createRoute,
   effectsOf,
-  ENGINE,
   type GatewayHarness,
   publish,
 } from "./test_fixture.ts";
-import type { EngineProfile, Route } from "./types.ts";
-
-/** Requests of one route and team. */
-export interface Load {
-  route: string;
-  team: string;
-  perSecond: number;
-  promptTokens: number;
-  outputTokens: number;
-  /** True where a refused caller repeats its request at once, whatever `Retry-After` says. */
-  repeatsAtOnce?: boolean;
-}
-
-/** What became of the requests of one load. */
-export interface Served {
-  /** Distinct requests of callers; one that comes back counts once. */
-  offered: number;
-  /** First events within the objective. */
-  inTime: number;
-  /** First events after it. */
-  late: number;
-  refusals: number;
-}
-
-/** Engines that read 20,000 prompt tokens and write 20 tokens a second for each request. */
-export const LOAD_ENGINE: EngineProfile = {
-  ...ENGINE,
-  speed: {
-    stepMs: 50,
-    stepMsPerRequest: 0,
-    stepMsPerContextKiloToken: 0,
-    stepsPerPass: 1,
-    prefillTokensPerSecond: 20_000,
-    prefillChunkTokens: 2_000,
-    usual: { promptTokens: 1_000, outputTokens: 20 },
-  },
-  models: [{ name: "small", size: 2, share: 1, pace: 1, loadMs: 12_000 }],
-};
+import {
+  at,
+  begin,
+  type Job,
+  type Load,
+  LOAD_ENGINE,
+  loadOf,
+  nowOf,
+  type Play,
+  type Served,
+} from "./test_engines.ts";
+import type { Route } from "./types.ts";
 
 const MS_PER_SECOND = 1_000;
 const STEP_MS = 10;
-const MS_PER_TOKEN = 50;
-const PROMPT_TOKENS_PER_MS = 20;
-/** Time that a request and its first event take on their way, ms. */
-const NETWORK_MS = 20;
+/** Interval at which daemons share counts, ms. */
+const SHARE_INTERVAL_MS = 200;
 /** Time between refusal and repeat of a caller that does not wait, ms. */
 const REPEAT_MS = 10;
 /** Time for which a caller tries, ms. */
@@ -85,60 +58,31 @@
   });
 }
 
-interface Job {
-  load: Load;
-  startedAt: number;
-  served: Served;
-  objectiveMs: number;
-  tries: number;
-  id: number;
-}
-
-interface Running {
-  id: string;
-  runner: string;
-  urgency: number;
-  job: Job;
-}
-
 /** Options of {@link playLoads}. */
 export interface PlayOptions {
   routes: Route[];
   groups: number;
   seconds: number;
   seed?: number;
+  /** Daemons among which all tries are spread at random; 1 by default. */
+  daemons?: number;
+  /** True where the daemons share their counts by route and team. */
+  sharesCounts?: boolean;
   /** True where the gateway recognizes requests that come back. */
   hasFingerprints?: boolean;
   /** Changes the gateway before the first request. */
   prepare?(harness: GatewayHarness): void;
 }
 
-/** A simulation in progress. */
-interface Play {
-  harness: GatewayHarness;
-  random: Random;
-  jobs: Map<string, Job>;
-  running: Map<string, Running[]>;
-  queued: Map<string, Running[]>;
-  /** What happens later, by time, ms. */
-  agenda: { at: number; run: () => void }[];
-  seenEffects: number;
-  hasFingerprints: boolean;
-  count: number;
-}
-
-function at(play: Play, delayMs: number, run: () => void): void {
-  play.agenda.push({ at: play.harness.state.now + delayMs, run });
-}
-
 function arrive(play: Play, job: Job): void {
-  const { harness } = play;
   const { load } = job;
-  const leftMs = job.startedAt + BUDGET_MS - harness.state.now;
+  const leftMs = job.startedAt + BUDGET_MS - nowOf(play);
   const hasTries = load.repeatsAtOnce || job.tries < MAX_TRIES;
   if (leftMs < GIVE_UP_MS || !hasTries) return;
   job.tries += 1;
   play.count += 1;
+  const { harnesses, random } = play;
+  const harness = harnesses[nextIndex(random, harnesses.length)]!;
   const request = `r${play.count}`;
   play.jobs.set(request, job);
   harness.feed({
@@ -157,64 +101,24 @@
   });
 }
 
-function loadOf(play: Play, runner: string) {
-  const running = play.running.get(runner)?.length ?? 0;
-  const waiting = play.queued.get(runner)?.length ?? 0;
-  return { running, waiting };
-}
-
-function begin(play: Play, run: Running): void {
-  const { harness } = play;
-  const { load } = run.job;
-  const running = play.running.get(run.runner) ?? [];
-  running.push(run);
-  play.running.set(run.runner, running);
-  const attempt = 1;
-  const readMs = load.promptTokens / PROMPT_TOKENS_PER_MS + NETWORK_MS;
-  at(play, readMs, () => {
-    const event = { request: run.id, attempt };
-    harness.feed({
-      ...event,
-      kind: "response_started",
-      status: 200,
-      verdict: "ran",
-      load: loadOf(play, run.runner),
-    });
-    harness.feed({ ...event, kind: "response_progressed", lastEvent: "1" });
-    const tookMs = harness.state.now - run.job.startedAt;
-    if (tookMs <= run.job.objectiveMs) run.job.served.inTime += 1;
-    else run.job.served.late += 1;
-  });
-  // Equal times would free slots in step with the return of refused callers.
-  const outputTokens = load.outputTokens * (0.5 + nextFloat(play.random));
-  at(play, readMs + outputTokens * MS_PER_TOKEN, () => end(play, run));
-}
-
-function end(play: Play, run: Running): void {
-  const running = play.running.get(run.runner)!;
-  running.splice(running.indexOf(run), 1);
-  const queued = play.queued.get(run.runner) ?? [];
-  queued.sort((left, right) => left.urgency - right.urgency);
-  const next = queued.shift();
-  if (next !== undefined) begin(play, next);
-  play.harness.feed({
-    kind: "response_ended",
-    request: run.id,
-    attempt: 1,
-    status: 200,
-    verdict: "ran",
-    isRelayable: false,
+/** Carries out what the gateway has decided since the last step. */
+function carryOut(play: Play): void {
+  play.harnesses.forEach((harness, index) => {
+    const effects = harness.effects.slice(play.seenEffects[index]);
+    play.seenEffects[index] = harness.effects.length;
+    carryOutEffects(play, harness, effects);
   });
 }
 
-/** Carries out what the gateway has decided since the last step. */
-function carryOut(play: Play): void {
-  const { harness } = play;
-  const effects = harness.effects.slice(play.seenEffects);
-  play.seenEffects = harness.effects.length;
+function carryOutEffects(
+  play: Play,
+  harness: GatewayHarness,
+  effects: readonly Effect[],
+): void {
   for (const send of effectsOf(effects, "send_to_runner")) {
     const { request: id, runner, urgency } = send;
-    const run = { id, runner, urgency, job: play.jobs.get(id)! };
+    const job = play.jobs.get(id)!;
+    const run = { harness, id, runner, urgency, job };
     const queued = play.queued.get(runner) ?? [];
     play.queued.set(runner, queued);
     if (loadOf(play, runner).running < LOAD_ENGINE.slots) begin(play, run);
@@ -229,9 +133,8 @@
 }
 
 function step(play: Play): void {
-  const { harness } = play;
-  harness.advance(STEP_MS);
-  const { now } = harness.state;
+  for (const harness of play.harnesses) harness.advance(STEP_MS);
+  const now = nowOf(play);
   const due = play.agenda.filter((entry) => entry.at <= now);
   play.agenda = play.agenda.filter((entry) => entry.at > now);
   for (const { run } of due) run();
@@ -239,9 +142,7 @@
 }
 
 function start(loads: readonly Load[], options: PlayOptions): Play {
-  const { routes, groups, seed = 7, hasFingerprints = false, prepare } =
-    options;
-  const harness = createHarness({}, { seed });
+  const { routes, groups, daemons = 1, seed = 7, prepare } = options;
   const teams = [...new Set(loads.map(({ team }) => team))].map((name) => ({
     name,
     keys: [`key-${name}`],
@@ -253,28 +154,43 @@
   );
   const services = [{ name: "llm", engine: LOAD_ENGINE }];
   const document = createDocument({ routes, teams, services });
-  publish(harness, { runners, document });
-  prepare?.(harness);
+  const harnesses = Array.from({ length: daemons }, (_, index) => {
+    const harness = createHarness({}, { seed: seed + index });
+    publish(harness, { runners, document });
+    prepare?.(harness);
+    return harness;
+  });
   return {
-    harness,
+    harnesses,
+    seenEffects: harnesses.map(({ effects }) => effects.length),
     random: createRandom(seed),
     jobs: new Map(),
     running: new Map(),
     queued: new Map(),
     agenda: [],
-    seenEffects: harness.effects.length,
-    hasFingerprints,
+    hasFingerprints: options.hasFingerprints ?? false,
     count: 0,
   };
 }
 
+/** Gives every daemon the counts of all. */
+function shareCounts({ harnesses }: Play): void {
+  const holdings = harnesses.flatMap(({ state }) =>
+    ownHoldings(state.gateway!.admission)
+  );
+  for (const { state: { gateway, now } } of harnesses) {
+    const table = { holdings, ageMs: SHARE_INTERVAL_MS };
+    setZoneHoldings(gateway!.admission, table, { now });
+  }
+}
+
 /** Plays loads against groups of engines and returns what became of each. */
 export function playLoads(
   loads: readonly Load[],
   options: PlayOptions,
 ): Served[] {
   const play = start(loads, options);
-  const { harness, random } = play;
+  const { harnesses, random } = play;
   const results = loads.map(() => ({
     offered: 0,
     inTime: 0,
@@ -282,21 +198,24 @@
     refusals: 0,
   }));
   for (let time = 0; time < options.seconds * MS_PER_SECOND; time += STEP_MS) {
-    const { now: confirmedAt } = harness.state;
-    if (time % MS_PER_SECOND === 0) {
+    const confirmedAt = nowOf(play);
+    for (const harness of time % MS_PER_SECOND === 0 ? harnesses : []) {
       harness.feed({
         kind: "freshness_confirmed",
         topic: "routing",
         confirmedAt,
       });
     }
+    if (options.sharesCounts && time % SHARE_INTERVAL_MS === 0) {
+      shareCounts(play);
+    }
     loads.forEach((load, index) => {
       if (nextFloat(random) >= load.perSecond * STEP_MS / MS_PER_SECOND) return;
       const served = results[index]!;
       served.offered += 1;
       const route = options.routes.find(({ name }) => name === load.route)!;
       const objectiveMs = route.targetLatencyMs;
-      const startedAt = harness.state.now;
+      const startedAt = nowOf(play);
       arrive(play, {
         load,
         startedAt,
