--- a/packages/core/src/gateway/capacity_policy.ts
+++ b/packages/core/src/gateway/capacity_policy.ts
@@ -37,6 +37,14 @@
   return new Set(priorities).size < priorities.length;
 }
 
+/** Returns whether the capacity of the service of a request or runner is shared. */
+export function isShared(
+  gateway: Gateway,
+  { service }: { service: string },
+): boolean {
+  return capacityPolicyOf(gateway, service) === "shared";
+}
+
 /** Returns the capacity policy of a service; `local` where no configuration is in force. */
 export function capacityPolicyOf(
   { routing }: Gateway,
--- a/packages/core/src/gateway/choose.ts
+++ b/packages/core/src/gateway/choose.ts
@@ -11,7 +11,7 @@
  * @module
  */
 import { type Candidate, chooseByExpectedTime } from "../load/choice.ts";
-import { isShared } from "../load/runner_loads.ts";
+import { isShared } from "./capacity_policy.ts";
 import { weighOccupancy } from "../cold_start/mod.ts";
 import { canForward, type Path, pathsOf } from "../forwarding/path.ts";
 import { mayReceive } from "../pacing/mod.ts";
@@ -33,9 +33,10 @@
 function usableSlots(
   slots: number,
   { priority }: RoutedRequest,
-  { canUseReserved }: ChooseOptions,
+  { canUseReserved, reservedSlots }: ChooseOptions,
 ): number {
   if (canUseReserved) return slots + URGENT_QUEUE_REQUESTS;
+  if (reservedSlots !== undefined) return slots - reservedSlots;
   return priority === 0
     ? slots + URGENT_QUEUE_REQUESTS
     : slots - RESERVED_SLOTS * priority;
@@ -50,6 +51,8 @@
 export interface ChooseOptions {
   /** True where the request may use reserved slots, since a refusal would cut off a response. */
   canUseReserved: boolean;
+  /** Slots that the request leaves free, negative where it may queue at the runner; by its priority where undefined. */
+  reservedSlots?: number | undefined;
 }
 
 /** The runner that a request is sent to, and the way there. */
@@ -99,7 +102,7 @@
   state: State,
   gateway: Gateway,
   request: RoutedRequest,
-  { canUseReserved, isUsable }: RunnerOptions,
+  { isUsable, ...options }: RunnerOptions,
 ): Generator<Candidate, void, void> {
   for (const runner of candidatesFor(gateway, request)) {
     if (!mayUse(state, request, runner)) continue;
@@ -109,7 +112,7 @@
       occupancy: occupancyOf(gateway, { runner, stats }, state.now),
     });
     const slots = slotsOf(gateway, runner);
-    const usable = usableSlots(slots, request, { canUseReserved });
+    const usable = usableSlots(slots, request, options);
     yield { runner, stats, occupancy, slots, usable };
   }
 }
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -64,6 +64,14 @@
 export const URGENT_QUEUE_REQUESTS = 2;
 /** Slots kept free for more urgent requests, for each step of priority. */
 export const RESERVED_SLOTS = 1;
+/** Share of a request's slack that its wait in a runner's queue may take, where capacity is shared. */
+export const QUEUE_SLACK_SHARE = 0.25;
+/** Slots of a group that requests leave free for each share that they exceed, where capacity is shared. */
+export const OVER_SHARE_RESERVED_SLOTS = 1;
+/** Shares that a request can exceed: that of its route, and that of its team. */
+export const SHARES = 2;
+/** Slots of a group that late requests leave free for those that can still be in time, where capacity is shared. */
+export const LATE_RESERVED_SLOTS = 2;
 /** Time for which the limit of a runner whose entry is gone is kept, since the entry may come back, ms. */
 export const LIMIT_MEMORY_MS = 30_000;
 /** Runners that are remembered as leaving; the ones that said so first are forgotten beyond it. */
--- a/packages/core/src/gateway/finish.ts
+++ b/packages/core/src/gateway/finish.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { EventOf } from "../event/types.ts";
+import { release } from "../admission/shares.ts";
 import { forwarderStatsOf } from "../forwarding/forwarders.ts";
 import { isStranded } from "../forwarding/stranded.ts";
 import { recordInFlight } from "../load/runner_loads.ts";
@@ -26,6 +27,10 @@
   const stats = runnerStatsOf(gateway, attempt.runner);
   stats.inFlight -= 1;
   recordInFlight(state, attempt.runner, -1);
+  // The other attempt of a hedged request still holds its place.
+  if (request.parallelAttempt === undefined) {
+    release(gateway.admission, request.id);
+  }
   if (attempt.forwarder !== undefined) {
     forwarderStatsOf(gateway, attempt.forwarder).inFlight -= 1;
   }
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { createAdmission } from "../admission/waiting_queue.ts";
 import { sweepColdRunners } from "../cold_start/mod.ts";
 import { advanceNode } from "../drain/drain.ts";
 import type { EventOf } from "../event/types.ts";
@@ -67,6 +68,7 @@
     placement: createPlacement(),
     requests: new Map(),
     waitingRequests: new Map(),
+    admission: createAdmission(),
     retryBudgets: new Map(),
     hedging: createHedgingState(),
     meanLoads: new Map(),
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -29,6 +29,7 @@
 import { failAttempt } from "./retry.ts";
 import { isStream } from "./routes.ts";
 import { endBackoff, hearBackoff } from "./runner_backoff.ts";
+import { recordFirstEvent, recordServiceTimes } from "./service_times.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 
 function findByAttempt(
@@ -129,6 +130,7 @@
   if (request.hasEvents) return;
   request.hasEvents = true;
   recordFirstResponse(state, request);
+  recordFirstEvent(state, request);
   const { priority, arrivedAt } = request;
   const ms = state.now - arrivedAt;
   yield { kind: "first_event", priority, ms, attemptTimes };
@@ -172,6 +174,7 @@
   stats.failures = 0;
   yield* settleHedge(state, request);
   if (!isStream(request.route)) recordFirstResponse(state, request);
+  recordServiceTimes(state, request);
   yield* reportCompletion(state, request);
   yield logEnd(state, request, { status, runner, verdict: "ran" });
   if (!request.isRelaying) {
--- a/packages/core/src/load/ejection.ts
+++ b/packages/core/src/load/ejection.ts
@@ -29,7 +29,8 @@
   MIN_EVIDENCE_SOURCES,
   TRIAL_MS,
 } from "./constants.ts";
-import { isShared, nodeOf, runnerLoadOf } from "./runner_loads.ts";
+import { isShared } from "../gateway/capacity_policy.ts";
+import { nodeOf, runnerLoadOf } from "./runner_loads.ts";
 import type { Ejection, PendingEvidence, RunnerEvidence } from "./types.ts";
 
 /** Returns whether a runner may get a request: it is not ejected, or the next trial request is due. */
--- a/packages/core/src/load/figures.ts
+++ b/packages/core/src/load/figures.ts
@@ -5,7 +5,7 @@
  */
 import { canServe } from "../gateway/runner_index.ts";
 import type { Gateway } from "../gateway/types.ts";
-import { isShared } from "./runner_loads.ts";
+import { isShared } from "../gateway/capacity_policy.ts";
 import { isSlow } from "./slowness.ts";
 
 /** Returns the mean age of the newest load report of each runner, ms; undefined where no report is shared. */
--- a/packages/core/src/load/reports.ts
+++ b/packages/core/src/load/reports.ts
@@ -18,7 +18,8 @@
   MAX_REPORT_AGE_MS,
   REPORT_RESOLUTION_MS,
 } from "./constants.ts";
-import { inFlightAt, isShared, pruneRunnerLoads } from "./runner_loads.ts";
+import { isShared } from "../gateway/capacity_policy.ts";
+import { inFlightAt, pruneRunnerLoads } from "./runner_loads.ts";
 import { hearSlowness } from "./slowness.ts";
 import type { LoadReport, LoadSharing, PendingLoad } from "./types.ts";
 
--- a/packages/core/src/load/runner_loads.ts
+++ b/packages/core/src/load/runner_loads.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import { capacityPolicyOf } from "../gateway/capacity_policy.ts";
-import type { Gateway, Runner, RunnerStats } from "../gateway/types.ts";
+import { isShared } from "../gateway/capacity_policy.ts";
+import type { Gateway, RunnerStats } from "../gateway/types.ts";
 import type { State } from "../state/types.ts";
 import { hashFraction } from "../util/hash.ts";
 import { tupleKey } from "../util/tuple_key.ts";
@@ -23,14 +23,6 @@
   };
 }
 
-/** Returns whether the daemons of a zone share the load reports of a runner. */
-export function isShared(
-  gateway: Gateway,
-  { service }: Pick<Runner, "service">,
-): boolean {
-  return capacityPolicyOf(gateway, service) === "shared";
-}
-
 /** Returns the name by which other daemons know this one. */
 export function nodeOf({ gateway, node }: State): string {
   return gateway!.readSharing.self?.node ?? node.name;
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -26,6 +26,7 @@
 } from "prom-client";
 import { createGaugeAdder } from "../observe/gauges.ts";
 import type { LogFields } from "../observe/logger.ts";
+import { createAdmissionCounters } from "./admission_metrics.ts";
 import { createLoadMetrics } from "./load_metrics.ts";
 
 type FirstEvent = Extract<Effect, { kind: "first_event" }>;
@@ -154,6 +155,7 @@
   createPacingMetrics(state, { registers });
 
   const counters: EventCounters = {
+    ...createAdmissionCounters(state.gateway!, registers),
     request_refused: ({ code }) => refusals.inc({ code: label(code) }),
     request_ended: ({ verdict, code, tookMs }) => {
       const labels = { verdict: label(verdict) };
