--- a/packages/core/src/gateway/shared_queue.ts
+++ b/packages/core/src/gateway/shared_queue.ts
@@ -21,6 +21,7 @@
   waitersAhead,
   waitersInOrder,
 } from "../admission/waiting_queue.ts";
+import { mayUse } from "../placement/may_use.ts";
 import type { State } from "../state/types.ts";
 import { tupleKey } from "../util/tuple_key.ts";
 import { chooseDestination, type Destination } from "./choose.ts";
@@ -173,6 +174,7 @@
   let own = 0;
   let total = 0;
   for (const runner of candidatesFor(gateway, request)) {
+    if (!mayUse(state, request, runner)) continue;
     const stats = runnerStatsOf(gateway, runner.id);
     const occupancy = occupancyOf(gateway, { runner, stats }, now);
     own += stats.inFlight;
--- a/packages/core/src/load/choice.ts
+++ b/packages/core/src/load/choice.ts
@@ -11,7 +11,6 @@
 import type { State } from "../state/types.ts";
 import { nextIndex } from "../util/random.ts";
 import {
-  MAX_QUEUE_SHARE,
   MIN_SUBSET_SIZE,
   NEW_CONNECTION_COST_MS,
   OTHER_ZONE_COST_MS,
@@ -65,7 +64,7 @@
   });
 }
 
-/** Runners with room, as a daemon uses them, and full ones. */
+/** Runners with room, as a daemon uses them. */
 interface RankedCandidates {
   /** The subset of the own zone. */
   subset: RankedCandidate[];
@@ -73,7 +72,6 @@
   beyond: RankedCandidate[];
   /** The first ones of the other zones. */
   remote: RankedCandidate[];
-  full: RankedCandidate[];
 }
 
 /** Chooses the runner of a request among those that are usable; undefined where it would wait too long at all. */
@@ -87,9 +85,7 @@
   const outside = drawOne(state, request, ranked.beyond);
   const near = betterBy(NEW_CONNECTION_COST_MS, inside, outside);
   const far = chooseOfTwo(state, request, ranked.remote);
-  const choice = betterBy(OTHER_ZONE_COST_MS, near, far) ??
-    chooseFull(state, request, ranked.full);
-  return choice?.runner;
+  return betterBy(OTHER_ZONE_COST_MS, near, far)?.runner;
 }
 
 /** Sorts candidates in one pass, since a choice goes over dozens of them. */
@@ -103,20 +99,19 @@
   const subset: RankedCandidate[] = [];
   const beyond: RankedCandidate[] = [];
   const remote: RankedCandidate[] = [];
-  const full: RankedCandidate[] = [];
   for (const candidate of candidates) {
     const load = runnerLoadOf(state, candidate.runner.id);
     if (!mayUse(load.ejection, state.now)) continue;
     const ranked = rankCandidate(candidate, load, state.now);
-    if (ranked.occupancy >= ranked.usable) full.push(ranked);
-    else if (ranked.runner.zone !== zone) {
+    if (ranked.occupancy >= ranked.usable) continue;
+    if (ranked.runner.zone !== zone) {
       insertByPlace(remote, ranked, MIN_SUBSET_SIZE);
     } else {
       const left = insertByPlace(subset, ranked, size);
       if (left !== undefined) beyond.push(left);
     }
   }
-  return { subset, beyond, remote, full };
+  return { subset, beyond, remote };
 }
 
 function rankCandidate(
@@ -135,24 +130,6 @@
   };
 }
 
-/** Chooses a full runner where a wait there still meets the objective, for requests that may use every slot. */
-function chooseFull(
-  state: State,
-  request: RoutedRequest,
-  full: readonly RankedCandidate[],
-): Choice | undefined {
-  const timeLeftMs = request.arrivedAt + request.route.targetLatencyMs -
-    state.now;
-  const inTime = full.filter((candidate) => {
-    const { occupancy, slots, usable } = candidate;
-    if (usable < slots || occupancy >= slots * (1 + MAX_QUEUE_SHARE)) {
-      return false;
-    }
-    return expectedMsOf(state, request, candidate) <= timeLeftMs;
-  });
-  return chooseOfTwo(state, request, inTime);
-}
-
 /** Returns the better of two candidates drawn at random. */
 function chooseOfTwo(
   state: State,
--- a/packages/core/src/load/constants.ts
+++ b/packages/core/src/load/constants.ts
@@ -27,8 +27,6 @@
 export const OTHER_ZONE_COST_MS = 30;
 /** Time by which a runner outside the subset must be better, since it takes a new connection, ms; likewise. */
 export const NEW_CONNECTION_COST_MS = 25;
-/** Share of the slots that may wait at a runner beyond them, where a wait there still meets the objective. */
-export const MAX_QUEUE_SHARE = 0.25;
 
 /** Time within which a kept connection to a runner should be used again, ms; runners close it soon after. */
 export const CONNECTION_REUSE_MS = 4_000;
