Bound what a gateway holds of callers' requests by one budget

readBody collected chunks without a common bound, so that unfinished bodies took the memory of the VM, and each small chunk took a few hundred bytes and 3 us of processor time. The intake accounts for heads, bodies being read, waiting and kept, and gives up the largest unfinished request beyond the budget; a body has to make progress; connections are bounded by the descriptors. Answers that callers leave unread count against the budget of responses, and a runner that cuts one after a second or more is not blamed.

--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -97,3 +97,6 @@
 export const STOP_STREAMS_MS = 2_500;
 /** Remaining grace time at which the last requests are ended, ms. */
 export const STOP_MARGIN_MS = 600;
+
+/** Time for which a response is left unread after which its runner may cut it without being blamed, ms. */
+export const MIN_UNREAD_MS = 1_000;
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -19,6 +19,7 @@
 import { hearLeaving } from "./leaving.ts";
 import { recordLoad } from "./occupancy.ts";
 import { failAttempt } from "./retry.ts";
+import { isLeftUnread } from "./unread.ts";
 import { hearLimit } from "./request_limit.ts";
 import { isStream } from "./routes.ts";
 import { endBackoff, hearBackoff } from "./runner_backoff.ts";
@@ -117,10 +118,12 @@
   event: EventOf<"relay_blocked">,
 ): Effects {
   const request = findByAttempt(state.gateway!, event);
-  if (request !== undefined) {
-    request.currentAttempt!.isBlocked = event.isBlocked;
-    request.currentAttempt!.lastByteAt = state.now;
-  }
+  if (request === undefined) return noEffects();
+  const attempt = request.currentAttempt!;
+  if (event.isBlocked) attempt.blockedAt = state.now;
+  else if (isLeftUnread(state, attempt)) attempt.wasLeftUnread = true;
+  attempt.isBlocked = event.isBlocked;
+  attempt.lastByteAt = state.now;
   return noEffects();
 }
 
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -13,6 +13,12 @@
 import type { State } from "../state/types.ts";
 import type { Outcome } from "../verdict/types.ts";
 import { verdictOf } from "../verdict/verdict_table.ts";
+import {
+  BLAMELESS_OUTCOMES,
+  PATH_OUTCOMES,
+  SUSPICIOUS_OUTCOMES,
+  UNSENT_OUTCOMES,
+} from "./blame.ts";
 import { chooseDestination, type Destination } from "./choose.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
 import {
@@ -31,6 +37,7 @@
 import { joinQueue, sendToRunner } from "./send.ts";
 import { hastenSweep } from "./sweep_schedule.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
+import { isCutUnread } from "./unread.ts";
 
 /** A failed attempt of a request. */
 export interface FailedAttempt {
@@ -121,6 +128,7 @@
   const { request, outcome, isRelayable, side, refusal, isDisconnect } =
     failure;
   if (isRelayable || BLAMELESS_OUTCOMES.has(outcome)) return;
+  if (isCutUnread(state, request.currentAttempt!, { outcome })) return;
   const { runner, forwarder } = request.currentAttempt!;
   const { service } = request;
   if (neverArrived(failure)) request.unreachedRunners.add(runner);
@@ -162,35 +170,6 @@
   if (!isOwnPath) stats.avoidForwardedUntil = stats.avoidUntil;
 }
 
-/** Outcomes that tell nothing of a runner or of the path to it. */
-const BLAMELESS_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  "cancelled",
-  "request_unwritable",
-]);
-
-/** Outcomes of attempts whose request never left. */
-const UNSENT_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  "connect_refused",
-  "connect_timeout",
-  "reset_before_send",
-]);
-
-/** Outcomes that a dead or silent runner causes, which others would meet too. */
-const SUSPICIOUS_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  "connect_refused",
-  "connect_timeout",
-  "response_timeout",
-  "body_cut_off",
-]);
-
-/** Outcomes that a fault of the network between this daemon and a runner causes, among other things. */
-const PATH_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  ...UNSENT_OUTCOMES,
-  "reset_after_send",
-  "response_timeout",
-  "body_cut_off",
-]);
-
 /** Returns whether an attempt certainly did not reach its runner. */
 function neverArrived({ outcome, side }: FailedAttempt): boolean {
   return UNSENT_OUTCOMES.has(outcome) ||
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -97,6 +97,8 @@
     isSound: false,
     chains: knownChains(state.quarantine, request.crashSuspects),
     isBlocked: false,
+    blockedAt: 0,
+    wasLeftUnread: false,
   };
   yield {
     kind: "log",
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -112,6 +112,10 @@
   chains: KnownChains;
   /** True while the caller does not read what it was sent, so that the runner's response is paused. */
   isBlocked: boolean;
+  /** Time at which that last began, ms. */
+  blockedAt: number;
+  /** True once the response was left unread for so long that its runner may have cut it. */
+  wasLeftUnread: boolean;
 }
 
 /** A caller's request while the gateway handles it. */
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -48,6 +48,25 @@
 export * from "./fold/constants.ts";
 export * from "./fold/fold_record.ts";
 export * from "./fold/fold_state.ts";
+export {
+  balance,
+  beginRequest,
+  closeConnection,
+  closeHolding,
+  createConnectionTable,
+  createIntake,
+  endRequest,
+  giveUpSmallChunks,
+  headCost,
+  intakeLimitsOf,
+  openConnection,
+  openHolding,
+  receiveChunk,
+  setBodyBytes,
+  setStage,
+  sweepIntake,
+} from "./intake/mod.ts";
+export type * from "./intake/mod.ts";
 export * from "./peer/types.ts";
 export * from "./quarantine/effect_types.ts";
 export * from "./quarantine/event_types.ts";
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -17,8 +17,9 @@
 import { createCallerConnections } from "../http/caller_connections.ts";
 import { CutOffError, readBody } from "../http/body.ts";
 import { RequestError, sendClientError, sendError } from "../http/errors.ts";
+import { GivenUpError, type IntakeGate } from "../intake/intake_gate.ts";
 import type { HeaderCodec } from "./adapters.ts";
-import { createBufferBudget } from "./buffer_budget.ts";
+import type { BufferBudget } from "./buffer_budget.ts";
 import { fingerprintOf } from "../http/fingerprint.ts";
 import { createRelay, type Relay } from "./relay.ts";
 
@@ -27,6 +28,9 @@
   headerCodec: HeaderCodec;
   agents: Agents;
   relays: Map<string, Relay>;
+  gate: IntakeGate;
+  /** Bytes that all responses may hold. */
+  buffers: BufferBudget;
   isStopping(): boolean;
   dispatch(event: EventBody): void;
   log(event: LogEventName, fields?: Record<string, unknown>): void;
@@ -46,14 +50,12 @@
 /** The gateway keeps idle connections open this much longer than callers reuse them, ms. */
 const IDLE_MARGIN_MS = 1_000;
 /** Limits in force until a configuration is known. */
-const INITIAL_LIMITS: CallerLimits = {
+export const INITIAL_LIMITS: CallerLimits = {
   maxHeaderBytes: 16 * 1024,
   maxBodyBytes: 4 * 1024 * 1024,
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
-/** Bytes that all responses may hold before they are complete: a part of the smallest VM's memory. */
-const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
 /** Interval at which a closing listener checks for open requests, ms. */
 const CLOSE_CHECK_MS = 20;
 /** Limit of the HTTP parser, bytes; the limits in force apply below it. */
@@ -64,10 +66,10 @@
 export function createCallerListener(
   options: CallerListenerOptions,
 ): CallerListener {
-  const { headerCodec, agents, relays, isStopping, dispatch, log } = options;
+  const { headerCodec, agents, relays, gate, buffers } = options;
+  const { isStopping, dispatch, log } = options;
   let limits = INITIAL_LIMITS;
   const connections = createCallerConnections();
-  const buffers = createBufferBudget({ maxBytes: MAX_BUFFERED_BYTES });
   let requestCount = 0;
   let readingCount = 0;
 
@@ -87,11 +89,14 @@
       response.end();
       return;
     }
+    const metadata = headerCodec.readRequest(request.headers);
+    const { deadlineMs } = metadata;
+    const held = gate.admit(request, response, { deadlineMs });
+    const { maxBodyBytes: maxBytes } = limits;
     readingCount += 1;
-    const body = await readBody(request, { maxBytes: limits.maxBodyBytes })
+    const body = await readBody(request, { maxBytes, held })
       .finally(() => readingCount -= 1);
     if (response.destroyed) return;
-    const metadata = headerCodec.readRequest(request.headers);
     requestCount += 1;
     const name = `${metadata.id ?? "unnamed"}#${requestCount}`;
     const relay = createRelay({
@@ -101,6 +106,7 @@
       request,
       response,
       body,
+      held,
       agents,
       headerCodec,
       isStopping,
@@ -145,6 +151,16 @@
       response.setHeader("connection", "close");
       return sendError(response, { code, message, verdict: "not_run" });
     }
+    if (error instanceof GivenUpError) {
+      const { message, retryAfterMs } = error;
+      response.setHeader("connection", "close");
+      return sendError(response, {
+        code: "overloaded",
+        message,
+        verdict: "not_run",
+        retryAfterMs,
+      });
+    }
     if (!(error instanceof CutOffError)) {
       const cause = error instanceof Error ? error.stack : String(error);
       log("internal_error", { cause });
@@ -162,7 +178,10 @@
   const server = app.server as Server;
   server.on("request", app.handler as never);
   server.on("clientError", (error, socket) => sendClientError(error, socket));
+  // The gate bounds the time for a body, by the deadline of its caller.
   server.requestTimeout = 0;
+  // Otherwise Node would leave out lines beyond the first thousand without a word.
+  server.maxHeadersCount = 0;
 
   function setLimits(next: CallerLimits): void {
     limits = next;
--- a/packages/daemon/src/gateway/follower_listener.ts
+++ b/packages/daemon/src/gateway/follower_listener.ts
@@ -22,6 +22,7 @@
 export interface FollowerListenerOptions {
   /** `IP:PORT`. */
   address: string;
+  maxConnections: number;
   /** Handles requests that other daemons want forwarded, on the same port. */
   onRequest(request: IncomingMessage, response: ServerResponse): void;
   dispatch(event: EventBody): void;
@@ -70,13 +71,18 @@
 
 /** Starts the listener. */
 export async function startFollowerListener(
-  { address, onRequest, dispatch, log, onSent }: FollowerListenerOptions,
+  { address, maxConnections, onRequest, dispatch, log, onSent }:
+    FollowerListenerOptions,
 ): Promise<FollowerListener> {
   const [host, port] = address.split(":");
   const connections = new Map<string, FollowerConnection>();
   let count = 0;
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, onRequest);
+  // The gate bounds the time for a body.
   server.requestTimeout = 0;
+  // Otherwise Node would leave out lines beyond the first thousand without a word.
+  server.maxHeadersCount = 0;
+  server.maxConnections = maxConnections;
   const followers = new WebSocketServer({
     server,
     maxPayload: MAX_POLL_BYTES,
--- a/packages/daemon/src/gateway/forward_listener.ts
+++ b/packages/daemon/src/gateway/forward_listener.ts
@@ -21,6 +21,7 @@
 } from "../backend/transport.ts";
 import { onConnectionEnd } from "../http/connection_end.ts";
 import { readBody } from "../http/body.ts";
+import { GivenUpError, type IntakeGate } from "../intake/intake_gate.ts";
 import { findUnwritable } from "../http/header_bytes.ts";
 import { fingerprintOf } from "../http/fingerprint.ts";
 import type { HeaderCodec, ResponseHeaders } from "./adapters.ts";
@@ -41,6 +42,7 @@
   agents: Agents;
   /** Key that a daemon must know for its requests to be forwarded. */
   forwardKey: string;
+  gate: IntakeGate;
   /** Returns the largest body that callers may send, bytes. */
   maxBodyBytes(): number;
   dispatch(event: EventBody): void;
@@ -85,7 +87,7 @@
 
 /** Creates the listener. */
 export function createForwardListener(
-  { headerCodec, agents, forwardKey, maxBodyBytes, dispatch, log }:
+  { headerCodec, agents, forwardKey, gate, maxBodyBytes, dispatch, log }:
     ForwardListenerOptions,
 ): ForwardListener {
   /** Requests that are open, by name. */
@@ -117,17 +119,22 @@
     { order, request, response }: Omit<ForwardedRequest, "body">,
   ): Promise<void> {
     let body: Buffer;
+    const { id, promptParts, deadlineMs } = headerCodec.readRequest(
+      request.headers,
+    );
+    const held = gate.admit(request, response, { deadlineMs });
     readingCount += 1;
     try {
-      body = await readBody(request, { maxBytes: maxBodyBytes() });
+      body = await readBody(request, { maxBytes: maxBodyBytes(), held });
     } catch (error) {
+      if (error instanceof GivenUpError) return refuseAtOnce(response, "busy");
       log("forward_refused", { cause: (error as Error).message });
       return void response.destroy();
     } finally {
       readingCount -= 1;
     }
     if (response.destroyed) return;
-    const { id, promptParts } = headerCodec.readRequest(request.headers);
+    held.setStage("kept");
     count += 1;
     const name = `${id ?? "unnamed"}#forward${count}`;
     const host = request.headers.host ?? "";
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -7,20 +7,12 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Effect, EventBody, LogEventName } from "@primroseshed/core";
-import {
-  type Agents,
-  type Attempt,
-  isFramed,
-  startAttempt,
-} from "../backend/transport.ts";
+import { type Agents, isFramed, startAttempt } from "../backend/transport.ts";
 import type { CallerConnections } from "../http/caller_connections.ts";
 import { findUnwritable } from "../http/header_bytes.ts";
-import type {
-  HeaderCodec,
-  ResponseHeaders,
-  ResponseMetadata,
-} from "./adapters.ts";
-import type { BufferBudget, BufferShare } from "./buffer_budget.ts";
+import type { HeldRequest } from "../intake/intake_gate.ts";
+import type { HeaderCodec, ResponseHeaders } from "./adapters.ts";
+import type { BufferBudget } from "./buffer_budget.ts";
 import { createCallerAnswer } from "./caller_answer.ts";
 import { statusOfRefusal } from "./refusal_status.ts";
 import {
@@ -29,7 +21,9 @@
   encodeForwardOrder,
   withoutForwardHeaders,
 } from "./forward_headers.ts";
-import { createEventSplitter, type EventSplitter } from "./event_splitter.ts";
+import { createEventSplitter } from "./event_splitter.ts";
+import { watchUnread } from "./unread_answer.ts";
+import type { UpstreamResponse } from "./upstream_response.ts";
 
 type EffectOf<K extends Effect["kind"]> = Extract<Effect, { kind: K }>;
 
@@ -55,6 +49,8 @@
   request: IncomingMessage;
   response: ServerResponse;
   body: Buffer;
+  /** What is held of the request. */
+  held: HeldRequest;
   agents: Agents;
   headerCodec: HeaderCodec;
   /** Returns true once persistent connections should close. */
@@ -68,27 +64,6 @@
 
 type ResponseFailure = Extract<EventBody, { kind: "response_failed" }>;
 
-interface UpstreamResponse {
-  number: number;
-  /** True where it comes through another daemon. */
-  isForwarded: boolean;
-  isStream: boolean;
-  /** True where its connection may have carried another request before. */
-  isKept: boolean;
-  attempt: Attempt | undefined;
-  status: number;
-  headers: ResponseHeaders;
-  /** Headers that its caller gets. */
-  relayedHeaders: ResponseHeaders;
-  metadata: ResponseMetadata | undefined;
-  chunks: Buffer[];
-  size: number;
-  share: BufferShare;
-  splitter: EventSplitter;
-  /** True once a whole event has arrived. */
-  hasEvents: boolean;
-}
-
 /** Largest response that is buffered until it is complete, bytes. */
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 /** Largest event of a stream, bytes. */
@@ -107,6 +82,7 @@
     request,
     response,
     body,
+    held,
     agents,
     headerCodec,
     connections,
@@ -115,6 +91,13 @@
     log,
   } = options;
   const answer = createCallerAnswer(options);
+  const countUnread = watchUnread(response, {
+    buffers,
+    onGivenUp(bytes) {
+      log("answer_unread", { request: name, bytes });
+      answer.breakOff();
+    },
+  });
   let current: UpstreamResponse | undefined;
 
   function beginStream(
@@ -134,6 +117,7 @@
 
   function writeEvents(upstream: UpstreamResponse, bytes: Buffer): void {
     response.write(bytes);
+    countUnread();
     if (response.writableLength < MAX_UNREAD_BYTES) return;
     upstream.attempt?.pause();
     reportBlocked(upstream, true);
@@ -306,6 +290,7 @@
         hasEvents: false,
       };
       release(current);
+      held.setStage("kept");
       current = upstream;
       const { runner, remainingMs, team, resumeAfter } = effect;
       const urgency = effect.isStream ? effect.urgency : undefined;
@@ -358,8 +343,9 @@
       if (current.isStream && current.metadata?.verdict === "ran") return;
       const whole = Buffer.concat(current.chunks);
       beginWhole(current, whole);
-      response.write(whole);
       release(current);
+      response.write(whole);
+      countUnread();
     },
     cancel(attempt) {
       if (current?.number !== attempt) return;
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -4,12 +4,10 @@
  * @module
  */
 import { randomBytes } from "node:crypto";
-import { createServer, type Server } from "node:http";
 import {
   createState,
   type Effect,
   type EventBody,
-  isGatewayReady,
   isLeaderCandidate,
   type State,
 } from "@primroseshed/core";
@@ -28,7 +26,9 @@
 import { createErrorReport } from "../observe/error_report.ts";
 import { createLogger, type Logger } from "../observe/logger.ts";
 import type { Adapters, HealthCheckResult } from "./adapters.ts";
-import { createCallerListener } from "./caller_listener.ts";
+import { createCallerListener, INITIAL_LIMITS } from "./caller_listener.ts";
+import { createGatewayIntake } from "./gateway_intake.ts";
+import { createReadyListener, listen } from "./ready_listener.ts";
 import { createLeadershipRenewal } from "./leadership_renewal.ts";
 import { createGatewayMetrics } from "./metrics.ts";
 import { createOperatorListener } from "./operator_listener.ts";
@@ -69,16 +69,6 @@
 /** Remaining grace time at which the last connections are closed, ms. */
 const EXIT_MARGIN_MS = 200;
 const SEED_RANGE = 2 ** 31;
-/** Length of the operating system's queue of new connections; a burst of callers must not lose its first packets. */
-const BACKLOG = 1_024;
-
-function listen(server: Server, address: string): Promise<void> {
-  const [host, port] = address.split(":");
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen({ host, port: Number(port), backlog: BACKLOG }, resolve);
-  });
-}
 
 /**
  * Creates and starts a gateway.
@@ -138,6 +128,7 @@
     now: monotonicNow,
     droppedLines: () => logger.droppedLines(),
   });
+  const intake = createGatewayIntake({ node, limits: INITIAL_LIMITS, log });
   const dispatch = (event: EventBody) => driver.dispatch(event);
   let resolveStopped: (interruptedRequests: number) => void;
   const stopped = new Promise<number>((resolve) => resolveStopped = resolve);
@@ -210,7 +201,10 @@
     order_runner: (effect) => runDetached(sendOrder(effect)),
     check_runner: ({ runner, address }) =>
       runDetached(checkHealth(runner, address)),
-    limits_in_force: ({ limits }) => callers.setLimits(limits),
+    limits_in_force({ limits }) {
+      callers.setLimits(limits);
+      intake.setLimits(limits);
+    },
     probe_path: ({ runner, address }) => runDetached(probe(runner, address)),
     forward: (effect) => forwards.forward(effect),
     refuse_forward: (effect) => forwards.refuse(effect),
@@ -265,6 +259,8 @@
     headerCodec: adapters.headerCodec,
     agents,
     relays,
+    gate: intake.gate,
+    buffers: intake.buffers,
     isStopping: () => state.phase !== "serving",
     dispatch,
     log,
@@ -273,24 +269,29 @@
     headerCodec: adapters.headerCodec,
     agents,
     forwardKey,
+    gate: intake.gate,
     maxBodyBytes: () => callers.limits().maxBodyBytes,
     dispatch,
     log,
   });
-  const ready = createServer((request, response) => {
-    const isReady = request.url === adapters.headerCodec.readyPath &&
-      isGatewayReady(state, monotonicNow());
-    response.statusCode = isReady ? 200 : 503;
-    response.end();
+  const ready = createReadyListener({
+    state,
+    path: adapters.headerCodec.readyPath,
+    now: monotonicNow,
   });
-
   const operators = createOperatorListener({
     state,
     metrics,
     now: monotonicNow,
   });
 
+  intake.attach(callers.server, {
+    registry: metrics.registry,
+    internal: [ready, operators],
+  });
+
   function shutDown(interruptedRequests: number): void {
+    intake.stop();
     storeReads.stop();
     partSharing.stop();
     upstream.unfollow();
@@ -318,6 +319,7 @@
     ? undefined
     : await startFollowerListener({
       address: followersAddress,
+      maxConnections: intake.maxDaemons,
       onRequest: forwards.handle,
       dispatch,
       log,
