--- a/packages/core/src/intake/constants.ts
+++ b/packages/core/src/intake/constants.ts
@@ -42,5 +42,7 @@
  * 75 ms, or 0.6 of the time on a quarter of a core. A body of 4 MiB in chunks of 1 KiB has 4,096 chunks, none small.
  */
 export const MAX_SMALL_CHUNKS = 25_000;
+/** Small chunks of one request between two sweeps from which on it may be given up for them; a small body is one. */
+export const MANY_SMALL_CHUNKS = 64;
 /** A sweep that comes later than this after the one before says nothing of callers: this daemon was late, ms. */
 export const MAX_SWEEP_GAP_MS = 2_000;
--- a/packages/core/src/intake/progress.ts
+++ b/packages/core/src/intake/progress.ts
@@ -22,13 +22,12 @@
   holding.smallChunks = 0;
 }
 
-/** Returns whether a body has taken all of its time, or has made too little progress; begins its next span. */
+/** Returns whether a body has taken all of its time, or too long for its next bytes; begins the next span after these. */
 function isTooSlow(holding: Holding, now: number): boolean {
   if (now >= holding.endsAt) return true;
-  if (now - holding.windowStartedAt < PROGRESS_WINDOW_MS) return false;
   const arrived = holding.receivedBytes - holding.windowBytes;
-  startWindow(holding, now);
-  return arrived < MIN_WINDOW_BYTES;
+  if (arrived >= MIN_WINDOW_BYTES) startWindow(holding, now);
+  return now - holding.windowStartedAt >= PROGRESS_WINDOW_MS;
 }
 
 /**
--- a/packages/core/src/intake/small_chunks.ts
+++ b/packages/core/src/intake/small_chunks.ts
@@ -3,7 +3,11 @@
  *
  * @module
  */
-import { MAX_SMALL_CHUNKS, SMALL_CHUNK_BYTES } from "./constants.ts";
+import {
+  MANY_SMALL_CHUNKS,
+  MAX_SMALL_CHUNKS,
+  SMALL_CHUNK_BYTES,
+} from "./constants.ts";
 import { closeHolding } from "./holdings.ts";
 import type { Holding, Intake, IntakeDecisions } from "./types.ts";
 
@@ -21,18 +25,21 @@
   if (bytes >= SMALL_CHUNK_BYTES) return false;
   holding.smallChunks += 1;
   intake.smallChunks += 1;
-  return intake.smallChunks > MAX_SMALL_CHUNKS;
+  return intake.smallChunks > MAX_SMALL_CHUNKS &&
+    holding.smallChunks >= MANY_SMALL_CHUNKS;
 }
 
-/** Gives up unfinished requests that send small chunks, those with the most first, until the rest is within the bound. */
+/**
+ * Gives up all unfinished requests that have sent many small chunks since the last sweep but the oldest, which goes on:
+ * a single request within the limits is served.
+ */
 export function* giveUpSmallChunks(intake: Intake): IntakeDecisions {
-  const senders = [...intake.holdings.values()]
-    .filter(({ stage, smallChunks }) => stage === "reading" && smallChunks > 0)
-    .sort((left, right) => right.smallChunks - left.smallChunks);
-  // The last one goes on: a single request within the limits is served.
-  for (const holding of senders.slice(0, -1)) {
-    if (intake.smallChunks <= MAX_SMALL_CHUNKS) return;
-    intake.smallChunks -= holding.smallChunks;
+  // Holdings are in the order in which their requests arrived.
+  const senders = [...intake.holdings.values()].filter(
+    ({ stage, smallChunks }) =>
+      stage === "reading" && smallChunks >= MANY_SMALL_CHUNKS,
+  );
+  for (const holding of senders.slice(1)) {
     closeHolding(intake, holding);
     yield { kind: "give_up", holding: holding.id, cause: "chunks" };
   }
--- a/packages/core/src/intake/types.ts
+++ b/packages/core/src/intake/types.ts
@@ -19,7 +19,7 @@
 export type GiveUpCause =
   /** All requests together hold more than the budget. */
   | "budget"
-  /** Small chunks take too much processor time, and it has sent the most of them. */
+  /** Small chunks take too much processor time, and an older request sends some, too. */
   | "chunks"
   /** Its body makes too little progress. */
   | "slow";
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -17,6 +17,7 @@
 import { createCallerConnections } from "../http/caller_connections.ts";
 import { CutOffError, readBody } from "../http/body.ts";
 import { RequestError, sendClientError, sendError } from "../http/errors.ts";
+import { givenUpAnswer } from "../http/guard.ts";
 import { GivenUpError, type IntakeGate } from "../intake/intake_gate.ts";
 import type { HeaderCodec } from "./adapters.ts";
 import type { BufferBudget } from "./buffer_budget.ts";
@@ -152,14 +153,8 @@
       return sendError(response, { code, message, verdict: "not_run" });
     }
     if (error instanceof GivenUpError) {
-      const { message, retryAfterMs } = error;
       response.setHeader("connection", "close");
-      return sendError(response, {
-        code: "overloaded",
-        message,
-        verdict: "not_run",
-        retryAfterMs,
-      });
+      return sendError(response, givenUpAnswer(error));
     }
     if (!(error instanceof CutOffError)) {
       const cause = error instanceof Error ? error.stack : String(error);
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -25,9 +25,10 @@
 import { createLoopWatch } from "../observe/loop_watch.ts";
 import { createErrorReport } from "../observe/error_report.ts";
 import { createLogger, type Logger } from "../observe/logger.ts";
+import { createIdentity } from "../startup.ts";
 import type { Adapters, HealthCheckResult } from "./adapters.ts";
 import { createCallerListener, INITIAL_LIMITS } from "./caller_listener.ts";
-import { createGatewayIntake } from "./gateway_intake.ts";
+import { createDaemonIntake } from "../intake/daemon_intake.ts";
 import { createReadyListener, listen } from "./ready_listener.ts";
 import { createLeadershipRenewal } from "./leadership_renewal.ts";
 import { createGatewayMetrics } from "./metrics.ts";
@@ -63,12 +64,10 @@
   connect?: Connect;
 }
 
-const INCARNATION_BYTES = 4;
 const FORWARD_KEY_BYTES = 18;
 const MS_PER_SECOND = 1_000;
 /** Remaining grace time at which the last connections are closed, ms. */
 const EXIT_MARGIN_MS = 200;
-const SEED_RANGE = 2 ** 31;
 
 /**
  * Creates and starts a gateway.
@@ -85,7 +84,7 @@
   { adapters, logger: givenLogger, connect }: GatewayDaemonOptions,
 ): Promise<GatewayDaemon> {
   const { node, store, timing, bounds, regions } = settings;
-  const incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
+  const { incarnation, seed } = createIdentity();
   const forwardKey = randomBytes(FORWARD_KEY_BYTES).toString("base64url");
   const { followers: followersAddress } = settings.listen;
   const state = createState(
@@ -97,7 +96,7 @@
       balancerLagMs: 0,
     },
     {
-      seed: randomBytes(INCARNATION_BYTES).readUInt32LE() % SEED_RANGE,
+      seed,
       now: monotonicNow(),
       gateway: {
         ...bounds,
@@ -128,7 +127,7 @@
     now: monotonicNow,
     droppedLines: () => logger.droppedLines(),
   });
-  const intake = createGatewayIntake({ node, limits: INITIAL_LIMITS, log });
+  const intake = createDaemonIntake({ node, limits: INITIAL_LIMITS, log });
   const dispatch = (event: EventBody) => driver.dispatch(event);
   let resolveStopped: (interruptedRequests: number) => void;
   const stopped = new Promise<number>((resolve) => resolveStopped = resolve);
--- a/packages/daemon/src/http/body.ts
+++ b/packages/daemon/src/http/body.ts
@@ -18,6 +18,11 @@
   held?: HeldRequest | undefined;
 }
 
+/** Drops what still arrives; a paused request would queue the chunks that are in hand. */
+function discardRest(request: IncomingMessage): void {
+  request.on("data", () => undefined);
+}
+
 /** Start of a body: all of it if it fits the limit, else its first part. */
 export interface BodyStart {
   bytes: Buffer;
@@ -60,7 +65,7 @@
     function stop(): void {
       isSettled = true;
       request.off("data", add).off("end", end).off("close", cutOff);
-      request.pause();
+      if (request.listenerCount("data") === 0) request.pause();
     }
 
     function fail(error: Error): void {
@@ -98,7 +103,12 @@
     // The listener stays, since an error without one would end the process.
     request.on("error", cutOff);
     request.on("data", add).on("end", end).on("close", cutOff);
+    // Chunks of the bytes in hand are then passed on one by one, in place of being queued as objects first.
+    request.read(0);
     held?.setAwaiting(true);
-    held?.whenGivenUp(fail);
+    held?.whenGivenUp((error) => {
+      if (!isSettled) discardRest(request);
+      fail(error);
+    });
   });
 }
--- a/packages/daemon/src/http/caller_app.ts
+++ b/packages/daemon/src/http/caller_app.ts
@@ -16,10 +16,7 @@
   type Arrival,
   type EventBody,
   type LogEventName,
-  type ModelDeployment,
   type Principal,
-  servesCaller,
-  type ServiceDeployment,
   type State,
 } from "@primroseshed/core";
 import polka from "polka";
@@ -32,11 +29,15 @@
 import { createGuard, NotReadyError, type Route } from "./guard.ts";
 import type { PeerRelay } from "./peer_relay.ts";
 import { createChatExchange } from "./chat_exchange.ts";
+import { readChatRequest } from "./chat_request.ts";
 import {
-  type ChatRequest,
-  readChatRequest,
-  unknownNameMessage,
-} from "./chat_request.ts";
+  listNames,
+  maxOutputOf,
+  modelOf,
+  serviceOf,
+} from "./deployment_lookup.ts";
+import type { IntakeGate } from "../intake/intake_gate.ts";
+import { breakOff } from "./break_off.ts";
 import {
   RequestError,
   sendClientError,
@@ -55,6 +56,7 @@
   exchanges: Exchanges;
   agents: Agents;
   relay: PeerRelay;
+  gate: IntakeGate;
   dispatch(event: EventBody): void;
   log(event: LogEventName, fields?: Record<string, unknown>): void;
 }
@@ -65,7 +67,8 @@
 
 /** Creates the callers' server. */
 export function createCallerApp(options: CallerAppOptions): Server {
-  const { settings, state, exchanges, agents, relay, dispatch, log } = options;
+  const { settings, state, exchanges, agents, relay, gate } = options;
+  const { dispatch, log } = options;
   const { limits } = settings;
   const connections = createCallerConnections();
   let keys: KeyIndex = new Map();
@@ -108,50 +111,6 @@
     dispatch({ kind: "request_arrived", ...arrival });
   }
 
-  function modelOf(principal: Principal, model: string): ModelDeployment {
-    const deployment = state.config?.config.deployments[model];
-    if (deployment?.kind === "model") return deployment;
-    throw new RequestError(
-      "not_found",
-      unknownNameMessage("model", model, listNames(principal, "model")),
-    );
-  }
-
-  function serviceOf(principal: Principal, name: string): ServiceDeployment {
-    const deployment = state.config?.config.deployments[name];
-    if (deployment?.kind === "service") return deployment;
-    throw new RequestError(
-      "not_found",
-      unknownNameMessage("service", name, listNames(principal, "service")),
-    );
-  }
-
-  function listNames(
-    principal: Principal,
-    kind: "model" | "service",
-  ): string[] {
-    return Object.entries(state.config?.config.deployments ?? {})
-      .filter(([, deployment]) =>
-        deployment.kind === kind && servesCaller(deployment, principal)
-      )
-      .map(([name]) => name);
-  }
-
-  function maxOutputOf(chat: ChatRequest, deployment: ModelDeployment): number {
-    const requestedTokens = chat.maxOutputTokens ?? deployment.maxOutputTokens;
-    if (requestedTokens > deployment.maxOutputTokens) {
-      const message =
-        `max_tokens: ${requestedTokens} is more than this deployment allows; ask for at most ${deployment.maxOutputTokens}`;
-      throw new RequestError("invalid_request", message);
-    }
-    if (chat.promptTokens > deployment.maxPromptTokens) {
-      const message =
-        `messages: about ${chat.promptTokens} tokens; shorten them to at most ${deployment.maxPromptTokens}`;
-      throw new RequestError("invalid_request", message);
-    }
-    return requestedTokens;
-  }
-
   async function completeChat(
     request: IncomingMessage,
     response: ServerResponse,
@@ -160,9 +119,15 @@
     const { key: _key, ...requestOptions } = readRequestOptions(
       request.headers,
     );
-    const bytes = await readBody(request, { maxBytes: limits.maxBodyBytes });
+    const held = gate.admit(request, response, {
+      deadlineMs: requestOptions.deadlineMs ?? limits.bodyTimeoutMs,
+    });
+    const bytes = await readBody(request, {
+      maxBytes: limits.maxBodyBytes,
+      held,
+    });
     const chat = readChatRequest(bytes);
-    const deployment = modelOf(principal, chat.body.model);
+    const deployment = modelOf(state, principal, chat.body.model);
     const maxOutputTokens = maxOutputOf(chat, deployment);
     chat.body.max_tokens = maxOutputTokens;
     const id = nextId("chatcmpl");
@@ -212,10 +177,16 @@
     const [, name = "", path = "/", query = ""] =
       SERVICE_PATH.exec(request.url ?? "") ?? [];
     const requestOptions = readRequestOptions(request.headers);
-    const deployment = serviceOf(principal, decodeName(name));
+    const deployment = serviceOf(state, principal, decodeName(name));
+    const held = gate.admit(request, response, {
+      deadlineMs: requestOptions.deadlineMs ?? limits.bodyTimeoutMs,
+    });
     const start = await readBodyStart(request, {
       maxBytes: limits.replayBytes,
+      held,
     });
+    // Part of it may have run by then, so its caller gets no answer.
+    held.whenGivenUp(() => breakOff(request, response));
     const isIdempotentMethod = deployment.idempotentMethods.includes(
       request.method ?? "GET",
     );
@@ -235,6 +206,7 @@
       deployment,
       path: `${path}${query}`,
       start,
+      held,
       idempotent,
       storesResponse: requestOptions.key !== undefined && !isIdempotentMethod,
       request,
@@ -274,7 +246,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
-    const names = listNames(principalOf(request), "model");
+    const names = listNames(state, principalOf(request), "model");
     const data = names.map((id) => ({
       id,
       object: "model",
--- a/packages/daemon/src/http/guard.ts
+++ b/packages/daemon/src/http/guard.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { LogEventName } from "@primroseshed/core";
+import { GivenUpError } from "../intake/intake_gate.ts";
 import { CutOffError } from "./body.ts";
 import { type CallerError, RequestError, sendError } from "./errors.ts";
 
@@ -28,6 +29,13 @@
   verdict: "not_run",
 };
 
+/** Returns the answer to a request that was given up before it was complete. */
+export function givenUpAnswer(
+  { message, retryAfterMs }: GivenUpError,
+): CallerError {
+  return { code: "overloaded", message, verdict: "not_run", retryAfterMs };
+}
+
 /** Creates a function that wraps routes with error handling. */
 export function createGuard({ log }: GuardOptions): (route: Route) => Route {
   function sendRequestError(
@@ -49,6 +57,10 @@
     if (error instanceof RequestError) {
       return sendRequestError(error, request, response);
     }
+    if (error instanceof GivenUpError) {
+      response.setHeader("connection", "close");
+      return sendError(response, givenUpAnswer(error));
+    }
     if (error instanceof NotReadyError) return sendError(response, NOT_READY);
     if (!(error instanceof CutOffError)) {
       const cause = error instanceof Error ? error.stack : String(error);
--- a/packages/daemon/src/http/peer_relay.ts
+++ b/packages/daemon/src/http/peer_relay.ts
@@ -18,6 +18,7 @@
 } from "@primroseshed/core";
 import { Agent } from "undici";
 import { type Attempt, startAttempt } from "../backend/transport.ts";
+import type { IntakeGate } from "../intake/intake_gate.ts";
 import { readBody } from "./body.ts";
 import { breakOff } from "./break_off.ts";
 import { sendError } from "./errors.ts";
@@ -31,6 +32,7 @@
   connectTimeoutMs: number;
   firstByteTimeoutMs: number;
   maxBodyBytes: number;
+  gate: IntakeGate;
   /** Returns the known daemons. */
   listPeers(): readonly PeerAddress[];
   log(event: LogEventName, fields?: Record<string, unknown>): void;
@@ -141,7 +143,9 @@
     isNeeded: (request) => !isRelayed(request) && isCutOff(state),
     async relay(request, response) {
       const { maxBodyBytes: maxBytes } = options;
-      const body = await readBody(request, { maxBytes });
+      const held = options.gate.admit(request, response);
+      const body = await readBody(request, { maxBytes, held });
+      held.setStage("kept");
       let verdict: Verdict = "not_run";
       for (const peer of usablePeers()) {
         const result = await send(request, response, { peer, body });
--- a/packages/daemon/src/http/service_exchange.ts
+++ b/packages/daemon/src/http/service_exchange.ts
@@ -22,6 +22,7 @@
   startAttempt,
 } from "../backend/transport.ts";
 import { reportServer } from "../backend/server_report.ts";
+import type { HeldRequest } from "../intake/intake_gate.ts";
 import type { BodyStart } from "./body.ts";
 import { breakOff } from "./break_off.ts";
 import { sendError } from "./errors.ts";
@@ -36,6 +37,8 @@
   /** Path and query at the service. */
   path: string;
   start: BodyStart;
+  /** What is held of the request. */
+  held: HeldRequest;
   idempotent: boolean;
   /** True if a small response is stored for repetitions of its idempotency key. */
   storesResponse: boolean;
@@ -53,11 +56,22 @@
 const RETRIED_STATUSES: ReadonlySet<number> = new Set([502, 503, 504]);
 
 async function* streamBody(
-  start: BodyStart,
-  request: IncomingMessage,
+  { start, request, held }: Pick<
+    ServiceExchangeOptions,
+    "start" | "request" | "held"
+  >,
 ): AsyncGenerator<Buffer> {
+  held.setAwaiting(false);
   yield start.bytes;
-  for await (const chunk of request) yield chunk as Buffer;
+  held.setAwaiting(true);
+  for await (const chunk of request) {
+    held.addReceived((chunk as Buffer).length);
+    // While the server does not read, the caller cannot make progress.
+    held.setAwaiting(false);
+    yield chunk as Buffer;
+    held.setAwaiting(true);
+  }
+  held.setStage("kept");
 }
 
 /** Creates the exchange of one service call. */
@@ -131,7 +145,7 @@
   }
 
   function bodyOf(): AttemptRequest["body"] {
-    if (!start.isWhole) return Readable.from(streamBody(start, request));
+    if (!start.isWhole) return Readable.from(streamBody(options));
     return start.bytes.length > 0 ? start.bytes : null;
   }
 
--- a/packages/daemon/src/gateway/gateway_intake.ts
+++ b/packages/daemon/src/intake/daemon_intake.ts
@@ -1,26 +1,29 @@
 /**
- * Bounds what a gateway holds for its callers by the memory and the descriptors of its VM.
+ * Bounds what a daemon holds for its callers by the memory and the descriptors of its VM.
  *
  * @module
  */
 import type { Server } from "node:http";
 import {
-  type CallerLimits,
+  type CallerLimits as AllCallerLimits,
   intakeLimitsOf,
   type LogEventName,
 } from "@primroseshed/core";
 import type { Registry } from "prom-client";
 import { monotonicNow } from "../driver/driver.ts";
+import { type ConnectionLimit, limitConnections } from "./connection_limit.ts";
+import { createIntakeGate, type IntakeGate } from "./intake_gate.ts";
+import { addIntakeMetrics } from "./intake_metrics.ts";
 import {
-  type ConnectionLimit,
-  limitConnections,
-} from "../intake/connection_limit.ts";
-import { createIntakeGate, type IntakeGate } from "../intake/intake_gate.ts";
-import { addIntakeMetrics } from "../intake/intake_metrics.ts";
-import { type BufferBudget, createBufferBudget } from "./buffer_budget.ts";
+  type BufferBudget,
+  createBufferBudget,
+} from "../gateway/buffer_budget.ts";
 
-/** Intake of a gateway. */
-export interface GatewayIntake {
+/** Limits on callers that the intake goes by. */
+type CallerLimits = Pick<AllCallerLimits, "maxBodyBytes" | "headerTimeoutMs">;
+
+/** Intake of a daemon. */
+export interface DaemonIntake {
   gate: IntakeGate;
   /** Bytes that all responses may hold. */
   buffers: BufferBudget;
@@ -35,8 +38,8 @@
   stop(): void;
 }
 
-/** Options of {@link createGatewayIntake}. */
-export interface GatewayIntakeOptions {
+/** Options of {@link createDaemonIntake}. */
+export interface DaemonIntakeOptions {
   /** Limits of the VM. */
   node: { memoryMb: number; maxDescriptors: number };
   limits: CallerLimits;
@@ -44,9 +47,9 @@
 }
 
 /** Creates the intake. */
-export function createGatewayIntake(
-  { node, limits: initialLimits, log }: GatewayIntakeOptions,
-): GatewayIntake {
+export function createDaemonIntake(
+  { node, limits: initialLimits, log }: DaemonIntakeOptions,
+): DaemonIntake {
   let limits = initialLimits;
   let connections: ConnectionLimit | undefined;
   const limitsOf = ({ maxBodyBytes }: CallerLimits) =>
--- a/packages/daemon/src/intake/intake_gate.ts
+++ b/packages/daemon/src/intake/intake_gate.ts
@@ -147,6 +147,8 @@
       ...intake.heldBytes,
     });
     const retryAfterMs = MIN_RETRY_MS * (1 + id % RETRY_STEPS);
+    // An answer would let the rest of what has arrived be parsed chunk by chunk.
+    if (cause === "chunks") entry.request.socket.destroy();
     entry.error = new GivenUpError(cause, retryAfterMs);
     entry.onGivenUp?.(entry.error);
   }
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -35,6 +35,10 @@
     owner: z.string(),
     zone: z.string(),
     site: z.string(),
+    /** Memory of the VM, MB. */
+    memoryMb: z.number().positive().default(256),
+    /** File descriptors that the process may open. */
+    maxDescriptors: z.number().int().positive().default(4_096),
   }),
   listen: z.strictObject({
     callers: listener,
--- a/packages/daemon/src/startup.ts
+++ b/packages/daemon/src/startup.ts
@@ -4,9 +4,14 @@
  * @module
  */
 import type { PeerAddress, PeerTls } from "./peers/mesh.ts";
+import {
+  createDaemonIntake,
+  type DaemonIntake,
+} from "./intake/daemon_intake.ts";
+import type { Logger } from "./observe/logger.ts";
 import type { Settings } from "./settings/schema.ts";
 import type { State } from "@primroseshed/core";
-import { createPrivateKey, sign } from "node:crypto";
+import { createPrivateKey, randomBytes, sign } from "node:crypto";
 import { readFileSync } from "node:fs";
 import type { Server } from "node:http";
 
@@ -28,6 +33,32 @@
   });
 }
 
+const INCARNATION_BYTES = 4;
+const SEED_RANGE = 2 ** 31;
+
+/** Returns what tells this start of a daemon from its earlier ones, and the seed of its random numbers. */
+export function createIdentity(
+  seed?: number,
+): { incarnation: string; seed: number } {
+  return {
+    incarnation: randomBytes(INCARNATION_BYTES).toString("hex"),
+    seed: seed ?? randomBytes(INCARNATION_BYTES).readUInt32LE() % SEED_RANGE,
+  };
+}
+
+/** Creates the intake of a daemon. */
+export function createIntakeOf(
+  { node, limits }: Settings,
+  log: Logger["write"],
+): DaemonIntake {
+  const { maxBodyBytes, headerTimeoutMs } = limits;
+  return createDaemonIntake({
+    node,
+    limits: { maxBodyBytes, headerTimeoutMs },
+    log,
+  });
+}
+
 /** Reads the TLS files for connections between peers; returns an empty object if TLS is not used. */
 export function readPeerTls(settings: Settings): { tls?: PeerTls } {
   const { peerTls } = settings;
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -26,7 +26,14 @@
 import { createMesh } from "./peers/mesh.ts";
 import { createVmListPoll } from "./peers/vm_list.ts";
 import type { LoadedSettings } from "./settings/load.ts";
-import { createSigner, listenOn, listPeers, readPeerTls } from "./startup.ts";
+import {
+  createIdentity,
+  createIntakeOf,
+  createSigner,
+  listenOn,
+  listPeers,
+  readPeerTls,
+} from "./startup.ts";
 import {
   createState,
   type Effect,
@@ -34,7 +41,6 @@
   type State,
   usagePayload,
 } from "@primroseshed/core";
-import { randomBytes } from "node:crypto";
 
 /** Addresses a daemon listens on. */
 export interface Addresses {
@@ -57,8 +63,6 @@
   stopped: Promise<number>;
 }
 
-const INCARNATION_BYTES = 4;
-const SEED_RANGE = 2 ** 31;
 const CACHE_POLL_MS = 1_000;
 const NOT_FOUND = 404;
 const PEER_REFRESH_MS = 1_000;
@@ -88,9 +92,7 @@
   const { settings, document, peerKey, usageKey } = loaded;
   const { name, zone, site } = settings.node;
   const { balancerLagMs } = settings.timing;
-  const incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
-  const seed = settings.seed ??
-    randomBytes(INCARNATION_BYTES).readUInt32LE() % SEED_RANGE;
+  const { incarnation, seed } = createIdentity(settings.seed);
   const state = createState({ name, zone, site, incarnation, balancerLagMs }, {
     seed,
     now: monotonicNow(),
@@ -210,12 +212,14 @@
     dispatch,
     log: write,
   });
+  const intake = createIntakeOf(settings, write);
   const relay = createPeerRelay({
     state,
     tls: peerTls.tls,
     connectTimeoutMs: settings.timing.connectTimeoutMs,
     firstByteTimeoutMs: settings.timing.firstByteTimeoutMs,
     maxBodyBytes: settings.limits.maxBodyBytes,
+    gate: intake.gate,
     listPeers: () => listPeers(settings, state),
     log: write,
   });
@@ -225,6 +229,7 @@
     exchanges,
     agents,
     relay,
+    gate: intake.gate,
     dispatch,
     log: write,
   });
@@ -236,7 +241,10 @@
     log: write,
   });
 
+  intake.attach(callers, { registry: metrics.registry, internal: [operators] });
+
   async function shutDown(interruptedRequests: number): Promise<void> {
+    intake.stop();
     clearInterval(peerTimer);
     stopVmList();
     tail.stop();
