--- a/packages/daemon/src/gateway/buffer_budget.ts
+++ b/packages/daemon/src/gateway/buffer_budget.ts
@@ -1,8 +1,9 @@
 /**
- * Limits the bytes of responses that a daemon holds until they are complete, over all requests.
+ * Limits the bytes of responses that a daemon holds, until they are complete or until their callers read them.
  *
  * A few faulty runners whose responses never end would otherwise take the memory of the process, and with it the
- * requests of all other callers. Beyond the limit the response that holds most is given up.
+ * requests of all other callers, and so would callers that do not read. Beyond the limit the answer that holds most of
+ * those left unread is given up, and where there is none, the incomplete response that holds most.
  *
  * @module
  */
@@ -15,19 +16,31 @@
   release(): void;
 }
 
+/** Options of {@link BufferBudget.open}. */
+export interface BufferOptions {
+  /** True for bytes that their caller leaves unread; these are given up first. */
+  isUnread?: boolean;
+}
+
 /** Bytes that all responses may hold together. */
 export interface BufferBudget {
   /** Adds a response; `onGivenUp` is called where it holds most when the limit is exceeded. */
-  open(onGivenUp: () => void): BufferShare;
+  open(onGivenUp: () => void, options?: BufferOptions): BufferShare;
   /** Returns the bytes that all responses hold. */
   total(): number;
 }
 
 interface Holder {
   bytes: number;
+  isUnread: boolean;
   onGivenUp(): void;
 }
 
+function goesBefore(left: Holder, right: Holder): boolean {
+  if (left.isUnread !== right.isUnread) return left.isUnread;
+  return left.bytes > right.bytes;
+}
+
 /**
  * Creates the budget.
  *
@@ -55,7 +68,7 @@
     const [first, ...others] = holders;
     if (first === undefined) return;
     const largest = others.reduce(
-      (left, right) => right.bytes > left.bytes ? right : left,
+      (left, right) => goesBefore(right, left) ? right : left,
       first,
     );
     setBytes(largest, 0);
@@ -63,8 +76,8 @@
   }
 
   return {
-    open(onGivenUp) {
-      const holder: Holder = { bytes: 0, onGivenUp };
+    open(onGivenUp, { isUnread = false } = {}) {
+      const holder: Holder = { bytes: 0, isUnread, onGivenUp };
       return {
         set(bytes) {
           setBytes(holder, bytes);
--- a/packages/daemon/src/gateway/buffer_budget_test.ts
+++ b/packages/daemon/src/gateway/buffer_budget_test.ts
@@ -16,6 +16,19 @@
     expect(budget.total()).to.equal(11);
   });
 
+  // Guards against slow callers whose answers crowd out responses of sound runners.
+  it("give up what is left unread before what is incomplete", () => {
+    const budget = createBufferBudget({ maxBytes: 100 });
+    const given: string[] = [];
+    const incomplete = budget.open(() => given.push("incomplete"));
+    const unread = budget.open(() => given.push("unread"), { isUnread: true });
+    incomplete.set(80);
+    unread.set(21);
+    expect(given).to.deep.equal(["unread"]);
+    incomplete.set(101);
+    expect(given).to.deep.equal(["unread", "incomplete"]);
+  });
+
   it("count nothing of a response that has ended", () => {
     const budget = createBufferBudget({ maxBytes: 100 });
     const share = budget.open(() => undefined);
--- a/packages/daemon/src/gateway/forward_listener.ts
+++ b/packages/daemon/src/gateway/forward_listener.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { timingSafeEqual } from "node:crypto";
+import { randomBytes, timingSafeEqual } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type {
   Effect,
@@ -70,6 +70,7 @@
 /** Requests whose bodies are read at once. */
 const MAX_READING = 64;
 const MISSING_STATUS = 404;
+const FORWARD_KEY_BYTES = 18;
 const NOTHING = Buffer.alloc(0);
 
 function hasSameBytes(left: string, right: string): boolean {
@@ -85,6 +86,11 @@
   response.end();
 }
 
+/** Creates the key that a daemon's requests to forward have to name. */
+export function createForwardKey(): string {
+  return randomBytes(FORWARD_KEY_BYTES).toString("base64url");
+}
+
 /** Creates the listener. */
 export function createForwardListener(
   { headerCodec, agents, forwardKey, gate, maxBodyBytes, dispatch, log }:
--- a/packages/daemon/src/gateway/unread_answer.ts
+++ b/packages/daemon/src/gateway/unread_answer.ts
@@ -29,7 +29,10 @@
   response: ServerResponse,
   { buffers, onGivenUp }: UnreadOptions,
 ): () => void {
-  const share = buffers.open(() => onGivenUp(response.writableLength));
+  const share = buffers.open(
+    () => onGivenUp(response.writableLength),
+    { isUnread: true },
+  );
   let awaitsDrain = false;
   response.once("close", () => share.release());
 
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { randomBytes } from "node:crypto";
 import {
   createState,
   type Effect,
@@ -35,7 +34,7 @@
 import { createOperatorListener } from "./operator_listener.ts";
 import type { Relay } from "./relay.ts";
 import type { GatewaySettingsFile } from "./settings.ts";
-import { createForwardListener } from "./forward_listener.ts";
+import { createForwardKey, createForwardListener } from "./forward_listener.ts";
 import { startFollowerListener } from "./follower_listener.ts";
 import { startPartSharing } from "./part_sharing.ts";
 import { startStoreReads } from "./store_reads.ts";
@@ -64,7 +63,6 @@
   connect?: Connect;
 }
 
-const FORWARD_KEY_BYTES = 18;
 const MS_PER_SECOND = 1_000;
 /** Remaining grace time at which the last connections are closed, ms. */
 const EXIT_MARGIN_MS = 200;
@@ -85,7 +83,7 @@
 ): Promise<GatewayDaemon> {
   const { node, store, timing, bounds, regions } = settings;
   const { incarnation, seed } = createIdentity();
-  const forwardKey = randomBytes(FORWARD_KEY_BYTES).toString("base64url");
+  const forwardKey = createForwardKey();
   const { followers: followersAddress } = settings.listen;
   const state = createState(
     {
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -126,10 +126,8 @@
     exchange?.abandon();
   }
 
-  const errors = createErrorReport({
-    log: (event, fields) => logger.write(event, fields),
-    abandonRequest,
-  });
+  const write: Logger["write"] = (event, fields) => logger.write(event, fields);
+  const errors = createErrorReport({ log: write, abandonRequest });
   const handlers: Partial<EffectHandlers> = {
     send: (effect) =>
       withExchange((exchange) => exchange.send(effect), effect.request),
@@ -172,11 +170,10 @@
     onError: errors.reportFailure,
     onDelay: createLoopWatch({
       registry: metrics.registry,
-      log: (event, fields) => logger.write(event, fields),
+      log: write,
       describeLoad: () => ({ requests: state.requests.size }),
     }),
   });
-  const write: Logger["write"] = (event, fields) => logger.write(event, fields);
   const sendOrder = createOrderSender({ agent: agents.reusing, log: write });
   const {
     statusPollMs,
