--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -39,6 +39,7 @@
 import { joinQueue, sendToRunner } from "./send.ts";
 import { hastenSweep } from "./sweep_schedule.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
+import { isCutUnread } from "./unread.ts";
 
 /** A failed attempt of a request. */
 export interface FailedAttempt {
@@ -132,6 +133,7 @@
   const { request, outcome, isRelayable, side, refusal, isDisconnect } =
     failure;
   if (isRelayable || BLAMELESS_OUTCOMES.has(outcome)) return;
+  if (isCutUnread(state, request.currentAttempt!, { outcome })) return;
   const { runner, forwarder } = request.currentAttempt!;
   const { service } = request;
   if (neverArrived(failure)) request.unreachedRunners.add(runner);
