--- a/packages/core/src/admission/waiting_queue.ts
+++ b/packages/core/src/admission/waiting_queue.ts
@@ -40,8 +40,10 @@
 const DEMAND_WINDOW_MS = 10_000;
 /** Interval at which idle nodes are removed, ms. */
 const PRUNE_INTERVAL_MS = 1_000;
-/** Part by which a ratio of waits to their estimates returns to 1 at each such interval: while all are refused at once,
- * no wait corrects it. */
+/**
+ * Part by which a ratio of waits to their estimates returns to 1 at each such interval: while all are refused at once,
+ * no wait corrects it.
+ */
 const RATIO_RETURN = 0.1;
 /** Time for which a route or team that found no room counts as in need of some, ms. */
 export const UNMET_MEMORY_MS = 1_000;
--- a/packages/core/src/gateway/shared_admission.ts
+++ b/packages/core/src/gateway/shared_admission.ts
@@ -158,12 +158,12 @@
       route: request.route.name,
       cause,
       needs,
-      waitedMs: Math.round(state.now - request.arrivedAt),
+      waitedMs: Math.round(now - arrivedAt),
       retryAfterMs,
       ...describeEstimate(expected),
     },
   };
-  yield* failRequest(state, state.gateway!, request, {
+  yield* failRequest(state, gateway!, request, {
     code: "overloaded",
     message: SHORT_OF_ROOM,
     retryAfterMs,
@@ -193,10 +193,7 @@
       isServed: false,
     });
     const expected = expectedWaitOf(state, request, waiter);
-    const details = {
-      cause: "waited_out" as const,
-      expected,
-    };
+    const details = { cause: "waited_out" as const, expected };
     return yield* refuseForCapacity(state, request, details);
   }
   const isOverdue = now > windowOf(state, request).inTimeUntil;
