Check configurations for unmatched entries and contradicting limits

checkConfig reports what daemons refuse in the same words, entries that never match, limits that contradict each other, and the changes from the document in force. checkRouting does so for the gateway's routing configuration; its findings are logged once (1646) when it comes into force and refuse nothing.

--- a/packages/core/src/config/problem.ts
+++ b/packages/core/src/config/problem.ts
@@ -143,15 +143,24 @@
   });
 }
 
-function problemAt(
+/** Finds a field in the sources, the last one first; where none has it, the nearest field around it. */
+export function locateField(
+  sources: readonly SourceText[],
   path: readonly PropertyKey[],
-  message: string,
-  { sources }: IssueContext,
-): Problem {
+): { file: string; line: number } | undefined {
   let location = findPosition(sources, path);
   for (let depth = path.length - 1; !location && depth >= 0; depth--) {
     location = findPosition(sources, path.slice(0, depth));
   }
+  return location;
+}
+
+function problemAt(
+  path: readonly PropertyKey[],
+  message: string,
+  { sources }: IssueContext,
+): Problem {
+  const location = locateField(sources, path);
   return {
     file: location?.file ?? sources.at(-1)?.file ?? "settings",
     line: location?.line,
--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -179,6 +179,11 @@
   request_hedged: event(1643, "info", "slow request sent a second time"),
   hedge_settled: event(1644, "info", "first response of a hedged request"),
   hedge_denied: event(1645, "info", "slow request not sent a second time"),
+  config_findings: event(
+    1646,
+    "warn",
+    "routing configuration in force has findings",
+  ),
   peer_refused: event(1603, "warn", "peer refused"),
   peer_frame_dropped: event(1604, "warn", "peer frame dropped"),
   usage_published: event(1701, "info", "usage published"),
--- a/packages/core/src/gateway/routing.ts
+++ b/packages/core/src/gateway/routing.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { logFindings } from "../config_check/mod.ts";
 import type { EventOf } from "../event/types.ts";
 import { publishRouting } from "../read_sharing/publish.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
@@ -22,7 +23,8 @@
   >,
 ): Effects {
   const gateway = state.gateway!;
-  const inForce = gateway.routing?.document.version;
+  const before = gateway.routing?.document;
+  const inForce = before?.version;
   if (confirmedAt !== undefined) {
     if (isHeldBack(state, { document, confirmedAt })) return;
     noteStoreVersion(state, document.version);
@@ -41,6 +43,11 @@
       ageMs: confirmedAt && Math.round(state.now - confirmedAt),
     },
   };
+  yield* logFindings(document, {
+    inForce: before,
+    regions: gateway.settings.regions,
+    isHedging: gateway.settings.hedging !== undefined,
+  });
   yield { kind: "limits_in_force", limits: document.limits };
   yield* recordFloor(state);
   if (confirmedAt !== undefined) yield* publishRouting(state, document);
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -9,6 +9,17 @@
 export * from "./config/problem.ts";
 export * from "./config/resolve.ts";
 export * from "./config/audience.ts";
+export {
+  checkConfig,
+  type CheckContext,
+  type CheckReport,
+  checkRouting,
+  type DocumentSources,
+  type Finding,
+  type FindingSeverity,
+  type PartChange,
+  type RoutingContext,
+} from "./config_check/mod.ts";
 export { backendSchema, configSchema } from "./config/schema.ts";
 export * from "./effect/types.ts";
 export * from "./effect/log_events.ts";
