Add primrosectl config check

It prints all findings of configuration files with file and line, and what differs from the version in force with the effect on requests in flight. Exit code 7 stands for warnings only. Without a daemon in reach it checks the files alone and says so.

--- a/packages/cli/src/commands/config.ts
+++ b/packages/cli/src/commands/config.ts
@@ -30,7 +30,8 @@
   overlays: string[];
 }
 
-interface ConfigResponse {
+/** A daemon's response to `/config`. */
+export interface ConfigResponse {
   node: string;
   offset?: number;
   document?: ConfigDocument;
@@ -40,7 +41,12 @@
 
 const WAIT_POLL_MS = 100;
 
-function readSource(file: string): SourceText {
+/**
+ * Reads a file of a configuration.
+ *
+ * @throws {CommandError} The file cannot be read.
+ */
+export function readSource(file: string): SourceText {
   try {
     return { file, text: readFileSync(file, "utf8") };
   } catch (error) {
@@ -56,6 +62,11 @@
   throw new CommandError("invalid", formatProblems(resolution.problems));
 }
 
+/** Returns the site of an overlay: its file name without the extension. */
+export function siteOf(file: string): string {
+  return basename(file, extname(file));
+}
+
 /** Reads and validates a base file and overlays; the site of an overlay is its file name without the extension. */
 export function readDocument({ base, overlays }: ConfigFiles): ConfigDocument {
   const baseSource = readSource(base);
@@ -66,7 +77,7 @@
   unwrap(resolveConfig(document, "", { sources: [baseSource] }));
   for (const file of overlays) {
     const source = readSource(file);
-    const site = basename(file, extname(file));
+    const site = siteOf(file);
     document.overlays[site] = unwrap(parseJsonc(source));
     unwrap(resolveConfig(document, site, { sources: [baseSource, source] }));
   }
@@ -88,7 +99,8 @@
   );
 }
 
-async function readConfigInForce(
+/** Reads the configuration in force from the first daemon that responds. */
+export async function readConfigInForce(
   access: DaemonAccess,
 ): Promise<ConfigResponse> {
   return await callAny<ConfigResponse>(access, "/config");
--- a/packages/cli/src/exit_codes.ts
+++ b/packages/cli/src/exit_codes.ts
@@ -15,6 +15,7 @@
   unreachable: 4,
   conflict: 5,
   incomplete: 6,
+  warnings: 7,
 } as const;
 
 /** Reason for which a command ends. */
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -12,6 +12,7 @@
   showHistory,
   validateConfig,
 } from "./commands/config.ts";
+import { checkFiles } from "./commands/config_check.ts";
 import { compareConfigs } from "./commands/compare.ts";
 import { explain } from "./commands/explain.ts";
 import {
@@ -169,6 +170,15 @@
         (inner) => addFileOptions(inner, { required: true }),
         (argv) => validateConfig(configFilesOf(argv), outputOf(argv)),
       )
+      .command(
+        "check",
+        "Check configuration files: errors, entries that never match, contradicting limits, and changes from the version in force",
+        (inner) => addFileOptions(inner, { required: true }),
+        (argv) =>
+          checkFiles(accessOf(argv), outputOf(argv), {
+            files: configFilesOf(argv),
+          }),
+      )
       .command(
         "show",
         "Show the configuration in force, or that of files, as a whole or merged for a site",
--- a/packages/core/src/config_check/config_changes.ts
+++ b/packages/core/src/config_check/config_changes.ts
@@ -25,7 +25,7 @@
   deployment: {
     added: NONE,
     removed:
-      "running requests end where they run but are not retried or resumed; waiting ones are refused when their time is up",
+      "running requests end with an error at their deadline, even where the response is ready; remove it once it has none",
     changed:
       "running requests end where they run; removed backends and groups finish them first; callers, ranks and sites count from the next arrival",
   },
--- a/packages/core/src/config_check/routing_check_test.ts
+++ b/packages/core/src/config_check/routing_check_test.ts
@@ -253,6 +253,28 @@
       .length(1);
   });
 
+  it("logs one short line under 5,000 shadowed routes and 20,000 shared keys, since log lines must stay bounded", () => {
+    const names = (count: number, prefix: string) =>
+      Array.from({ length: count }, (_, index) => `${prefix}${index}`);
+    const harness = createHarness();
+    publish(harness, {
+      document: createDocument({
+        routes: names(5_000, "r").map((name) => createRoute({ name })),
+        teams: [
+          ...names(2, "t").map((name) => ({
+            name,
+            keys: names(20_000, "k"),
+            priority: undefined,
+          })),
+        ],
+      }),
+    });
+    const [fields, ...others] = findingsLogged(harness);
+    expect(others).to.deep.equal([]);
+    expect(fields).to.include({ errors: 5_000, warnings: 0 });
+    expect(JSON.stringify(fields).length).to.be.below(1_000);
+  });
+
   it("is not logged where there are none", () => {
     const harness = createHarness();
     publish(harness, {
