--- a/packages/core/src/config_check/log_findings.ts
+++ b/packages/core/src/config_check/log_findings.ts
@@ -5,6 +5,7 @@
  */
 import type { RoutingDocument } from "../gateway/fleet_types.ts";
 import type { Effects } from "../reduce_types.ts";
+import { compareRouting } from "./routing_changes.ts";
 import { checkRouting, type RoutingContext } from "./routing_check.ts";
 import type { Finding } from "./types.ts";
 
@@ -22,7 +23,12 @@
   document: RoutingDocument,
   context: RoutingContext,
 ): Effects {
-  const { findings, changes } = checkRouting(document, context);
+  const { inForce } = context;
+  // The comparison is left out where nothing is logged, since it visits every part of both versions.
+  const { findings } = checkRouting(document, {
+    ...context,
+    inForce: undefined,
+  });
   if (findings.length === 0) return;
   const errors = findings.filter(({ severity }) => severity === "error").length;
   yield {
@@ -32,7 +38,7 @@
       version: document.version,
       errors,
       warnings: findings.length - errors,
-      changes: changes.length,
+      changes: inForce && compareRouting(inForce, document).length,
       first: findings.slice(0, LOGGED_FINDINGS).map(describe).join(" | "),
     },
   };
--- a/packages/core/src/config_check/routing_check_test.ts
+++ b/packages/core/src/config_check/routing_check_test.ts
@@ -248,6 +248,7 @@
     const [fields, ...others] = findingsLogged(harness);
     expect(others).to.deep.equal([]);
     expect(fields).to.include({ version: 1, errors: 4, warnings: 0 });
+    expect(fields!.changes).to.equal(undefined);
     expect(fields!.first).to.include("routes.s3").and.not.include("routes.s4");
     expect(effectsOf(sendRequest(harness, "r1"), "send_to_runner")).to.have
       .length(1);
@@ -275,6 +276,16 @@
     expect(JSON.stringify(fields).length).to.be.below(1_000);
   });
 
+  it("is logged with the number of changes from the version before", () => {
+    const harness = createHarness();
+    publish(harness, { document });
+    publish(harness, {
+      document: { ...document, version: 2, routes: document.routes.slice(1) },
+    });
+    const [, fields] = findingsLogged(harness);
+    expect(fields).to.include({ version: 2, errors: 3, changes: 1 });
+  });
+
   it("is not logged where there are none", () => {
     const harness = createHarness();
     publish(harness, {
