--- a/packages/core/src/gateway/test_fixture.ts
+++ b/packages/core/src/gateway/test_fixture.ts
@@ -37,8 +37,6 @@
 /** Time between two ticks, ms. */
 export const TICK_MS = 50;
 
-const SERVICES = ["desk", "llm"];
-
 /** Settings as in a current deployment. */
 export const SETTINGS: GatewaySettings = {
   revokeMs: 5_000,
@@ -76,7 +74,7 @@
     incarnation: "i1",
     balancerLagMs: 0,
   }, { seed, now: 0, gateway: { ...SETTINGS, ...settings } });
-  for (const service of SERVICES) {
+  for (const service of ["desk", "llm"]) {
     retryBudgetOf(state.gateway!, service).level = retries;
   }
   const effects: Effect[] = [];
