--- a/packages/core/src/intake/constants.ts
+++ b/packages/core/src/intake/constants.ts
@@ -18,9 +18,9 @@
 /** Part of the descriptors for operators, and as much for checks of readiness. */
 export const OPERATOR_DESCRIPTORS = 1 / 32;
 /** Room beside the largest body, so that a single request always fits: its head at the cost of many short lines, bytes. */
-export const HEAD_ROOM_BYTES = 1024 * 1024;
+export const HEAD_ROOM_BYTES = 9 * 256 * 1024;
 /** Objects of the runtime for one header line: name, value and their places in lists, bytes. */
-export const HEADER_LINE_BYTES = 128;
+export const HEADER_LINE_BYTES = 512;
 /** The text of a head is held as it came and once more in strings. */
 export const HEAD_COPIES = 2;
 /** Time for a body of a caller with a shorter deadline: 5 s, and a second for the way, ms. */
--- a/packages/core/src/intake/limits.ts
+++ b/packages/core/src/intake/limits.ts
@@ -59,7 +59,7 @@
  *
  * @example
  * ```ts
- * headCost({ textBytes: 500, lines: 10 }); // 2_280
+ * headCost({ textBytes: 500, lines: 10 }); // 6_120
  * ```
  */
 export function headCost(
