--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -179,6 +179,10 @@
       retryAfterMs: capacityRetryAfter(state, request),
     });
   }
+  const unplaced = placementRefusal(state, request);
+  if (unplaced !== undefined) {
+    return yield* failRequest(state, gateway, request, unplaced);
+  }
   if (isShared(gateway, request) && hasCandidates(gateway, request)) {
     return yield* admitShared(state, request);
   }
@@ -196,10 +200,6 @@
       retryAfterMs: capacityRetryAfter(state, request),
     });
   }
-  const unplaced = placementRefusal(state, request);
-  if (unplaced !== undefined) {
-    return yield* failRequest(state, gateway, request, unplaced);
-  }
   if (isHopeless(state, request)) {
     return yield* failRequest(
       state,
--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -7,6 +7,7 @@
 import type { EventOf } from "../event/types.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
+import { forgetEvidence } from "../load/ejection.ts";
 import { publishRunners } from "../read_sharing/publish.ts";
 import { laterOf } from "../store_timeline/position.ts";
 import { confirm } from "./freshness.ts";
@@ -155,6 +156,9 @@
     stats.requestsPerSecond = undefined;
   }
   const { membership } = runner;
+  const isSameGroup = known !== undefined && !isRestarted &&
+    known.membership?.epoch === membership?.epoch;
+  if (!isSameGroup) forgetEvidence(state, runner.id);
   if (isSame) return;
   yield {
     kind: "log",
--- a/packages/core/src/load/choice.ts
+++ b/packages/core/src/load/choice.ts
@@ -82,7 +82,7 @@
 ): Runner | undefined {
   const ranked = rankCandidates(state, request, candidates);
   const inside = chooseOfTwo(state, request, ranked.subset);
-  const outside = drawOne(state, request, ranked.beyond);
+  const outside = chooseOfTwo(state, request, ranked.beyond);
   const near = betterBy(NEW_CONNECTION_COST_MS, inside, outside);
   const far = chooseOfTwo(state, request, ranked.remote);
   return betterBy(OTHER_ZONE_COST_MS, near, far)?.runner;
--- a/packages/core/src/load/constants.ts
+++ b/packages/core/src/load/constants.ts
@@ -20,13 +20,10 @@
 
 /** Time to another availability zone and back, ms. */
 export const OTHER_ZONE_ROUND_TRIP_MS = 2.8;
-/**
- * Time by which a runner of another zone must be better beyond the network's, since bytes between zones are paid for,
- * ms. It is more than the rest of a pass, which any idle group saves, and less than a wait for a slot.
- */
+/** Time by which a runner of another zone must be better beyond the network's, since bytes between zones are paid for, ms. */
 export const OTHER_ZONE_COST_MS = 30;
-/** Time by which a runner outside the subset must be better, since it takes a new connection, ms; likewise. */
-export const NEW_CONNECTION_COST_MS = 25;
+/** Time by which a runner outside the subset must be better, since it takes a new connection, ms. */
+export const NEW_CONNECTION_COST_MS = 8;
 
 /** Time within which a kept connection to a runner should be used again, ms; runners close it soon after. */
 export const CONNECTION_REUSE_MS = 4_000;
@@ -71,7 +68,7 @@
 /** Largest share of the groups of a model that may be ejected at once. */
 export const MAX_EJECTED_SHARE = 0.25;
 /** Time for which a runner is ejected, ms; twice as long from the second time on. */
-export const EJECTION_MS = 5_000;
+export const EJECTION_MS = 2_000;
 /** Part by which daemons spread the ends of their ejections, so that their trial requests do not come together. */
 export const EJECTION_JITTER = 0.5;
 /** Time for which a trial request goes alone, where it has no first event, ms. */
--- a/packages/core/src/load/ejection.ts
+++ b/packages/core/src/load/ejection.ts
@@ -42,6 +42,19 @@
   return now >= until && now - triedAt >= TRIAL_MS;
 }
 
+/**
+ * Forgets what was observed against a runner whose process or group has changed, since it was observed of another one:
+ * a group that had lost a member serves again once it is repaired.
+ */
+export function forgetEvidence({ gateway }: State, runner: string): void {
+  const ejection = gateway!.loadSharing.runnerLoads.get(runner)?.ejection;
+  if (ejection === undefined) return;
+  ejection.phase = "serving";
+  ejection.count = 0;
+  ejection.factor = 1;
+  ejection.evidence.clear();
+}
+
 /** Records a request that is sent to a runner, which is a trial request where the runner was ejected. */
 export function recordTrial(state: State, runner: string): void {
   const { ejection } = runnerLoadOf(state, runner);
@@ -70,7 +83,7 @@
   // The answer to a request from before the ejection.
   if (ejection.phase === "ejected") return;
   if (ejection.phase === "trial") {
-    if (hasRecovered(ratio)) yield* readmit(ejection, id);
+    if (hasRecovered(ratio)) yield* readmit(state, id);
     else if (isStraggler(ratio)) {
       yield* recordEvidence(state, runner);
     }
@@ -203,10 +216,7 @@
   return { ejected, total };
 }
 
-function* readmit(ejection: Ejection, runner: string): Effects {
-  ejection.phase = "serving";
-  ejection.count = 0;
-  ejection.factor = 1;
-  ejection.evidence.clear();
+function* readmit(state: State, runner: string): Effects {
+  forgetEvidence(state, runner);
   yield { kind: "log", event: "runner_readmitted", fields: { runner } };
 }
--- a/packages/stand_ins/src/process/daemon_process.ts
+++ b/packages/stand_ins/src/process/daemon_process.ts
@@ -29,6 +29,8 @@
   settings: string;
   /** Limit of the JavaScript heap, MB. */
   heapMb: number;
+  /** Other flags of the runtime with which the daemon is deployed. */
+  runtimeFlags?: readonly string[];
 }
 
 const BYTES_PER_KB = 1_024;
@@ -59,13 +61,14 @@
  * ```
  */
 export function startDaemonProcess(
-  { script, settings, heapMb }: DaemonProcessOptions,
+  { script, settings, heapMb, runtimeFlags = [] }: DaemonProcessOptions,
 ): DaemonProcess {
   if (process.platform !== "linux") {
     throw new Error("Cannot measure a process without /proc; run on Linux");
   }
   const child = spawn(process.execPath, [
     `--max-old-space-size=${heapMb}`,
+    ...runtimeFlags,
     script,
     "--settings",
     settings,
