Take an own-zone runner without a shared report for idle, not for as full as the others

The mean of a kind, fed by the one group in use, kept all daemons of a zone away from idle groups. Only where other daemons' reports arrive; ejections last 3 s.

--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -52,6 +52,8 @@
 export const MAX_AVOID_MS = 4_000;
 /** Time constant with which the weight of a runner's load report decays, ms; a stream lasts about as long. */
 export const LOAD_DECAY_MS = 1_600;
+/** Age up to which a shared load report counts in full, ms; a stream lasts about as long. */
+export const SHARED_REPORT_FRESH_MS = 3_000;
 /** Time constant with which the mean load of a kind of runners decays without new reports, ms. */
 export const MEAN_LOAD_DECAY_MS = 10_000;
 /** Weight of the newest report in the mean load of the runners of one kind. */
--- a/packages/core/src/gateway/occupancy.ts
+++ b/packages/core/src/gateway/occupancy.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+import { isShared } from "./capacity_policy.ts";
 import { addSample, createAverage } from "../util/ewma.ts";
 import { tupleKey } from "../util/tuple_key.ts";
 import {
@@ -15,6 +16,7 @@
   LOAD_DECAY_MS,
   MEAN_LOAD_DECAY_MS,
   MEAN_LOAD_WEIGHT,
+  SHARED_REPORT_FRESH_MS,
   WORK_SHARE_WEIGHT,
 } from "./constants.ts";
 import { canServe } from "./runner_index.ts";
@@ -72,6 +74,9 @@
   { runner, stats: { load, inFlight } }: { runner: Runner; stats: RunnerStats },
   now: number,
 ): number {
+  if (isReportedInZone(gateway, runner, now)) {
+    return inFlight + sharedRemoteRequests(load, now);
+  }
   const expected = expectedRemoteRequests(gateway, runner, now);
   if (load === undefined) {
     return expected === undefined
@@ -84,6 +89,35 @@
     (1 - reportWeight) * (expected ?? reported);
 }
 
+/**
+ * Returns whether the daemons that use a runner pass on its reports, so that a missing one says something: those of its
+ * own zone do, while the daemons of other zones share nothing with this one.
+ */
+function isReportedInZone(
+  gateway: Gateway,
+  runner: Runner,
+  now: number,
+): boolean {
+  const { loadSharing, zone } = gateway;
+  return runner.zone === zone && isShared(gateway, runner) &&
+    now - loadSharing.heardAt <= SHARED_REPORT_FRESH_MS;
+}
+
+/**
+ * Returns the remote requests at a runner whose reports the daemons of the zone share.
+ *
+ * A runner without a recent report has had no request of any of them; the mean of the others would be that of the few
+ * that are full, and keep all daemons away from an idle one.
+ */
+function sharedRemoteRequests(
+  load: LoadSample | undefined,
+  now: number,
+): number {
+  if (load === undefined) return 0;
+  const staleMs = Math.max(0, now - load.at - SHARED_REPORT_FRESH_MS);
+  return remoteRequestsIn(load) * Math.exp(-staleMs / LOAD_DECAY_MS);
+}
+
 /**
  * Records this daemon's current share of the requests at all runners in its mean.
  *
--- a/packages/core/src/load/constants.ts
+++ b/packages/core/src/load/constants.ts
@@ -68,7 +68,7 @@
 /** Largest share of the groups of a model that may be ejected at once. */
 export const MAX_EJECTED_SHARE = 0.25;
 /** Time for which a runner is ejected, ms; twice as long from the second time on. */
-export const EJECTION_MS = 2_000;
+export const EJECTION_MS = 3_000;
 /** Part by which daemons spread the ends of their ejections, so that their trial requests do not come together. */
 export const EJECTION_JITTER = 0.5;
 /** Time for which a trial request goes alone, where it has no first event, ms. */
--- a/packages/core/src/load/reports.ts
+++ b/packages/core/src/load/reports.ts
@@ -95,6 +95,7 @@
     const runner = state.gateway!.runners.get(report.runner);
     if (runner === undefined || !isShared(state.gateway!, runner)) continue;
     if (report.ageMs > MAX_REPORT_AGE_MS) continue;
+    state.gateway!.loadSharing.heardAt = state.now;
     yield* applyReport(state, runner, report);
   }
 }
--- a/packages/core/src/load/runner_loads.ts
+++ b/packages/core/src/load/runner_loads.ts
@@ -17,6 +17,7 @@
     pending: new Map(),
     newEvidence: [],
     nextPassAt: now,
+    heardAt: -Infinity,
     runnerLoads: new Map(),
     sendRates: new Map(),
     baselines: new Map(),
--- a/packages/core/src/load/types.ts
+++ b/packages/core/src/load/types.ts
@@ -102,6 +102,8 @@
   newEvidence: PendingEvidence[];
   /** Time from which on reports are passed on, ms. */
   nextPassAt: number;
+  /** Time at which reports of other daemons last arrived, ms. */
+  heardAt: number;
   runnerLoads: Map<string, RunnerLoad>;
   /** Rates of the requests that this daemon sends, by kind of work. */
   sendRates: Map<string, Rate>;
