Let a request that a runner turned away wait again

Where the capacity of its service is shared and no other runner has room, it was refused at once. It now waits as on arrival, before the others of its route and team, and does not keep them from the runner that it may not use.

--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -37,6 +37,7 @@
 import { retryAfterOf } from "./retry_after.ts";
 import { canRepeat } from "./routes.ts";
 import { joinQueue, sendToRunner } from "./send.ts";
+import { mayReturn, readmitShared } from "./shared_admission.ts";
 import { hastenSweep } from "./sweep_schedule.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 import { isCutUnread } from "./unread.ts";
@@ -104,7 +105,7 @@
       ...next.destination,
     });
   }
-  if (next.kind === "wait") return yield* waitToResume(state, request);
+  if (next.kind === "wait") return yield* waitAgain(state, request);
   if (isRelayable && !request.isRelaying) {
     yield logEnd(state, request, { runner, verdict, outcome });
     yield { kind: "relay", request: request.id, attempt };
@@ -196,7 +197,7 @@
   /** The other attempt of a hedged request goes on. */
   | { kind: "continue" }
   | { kind: "send"; destination: Destination }
-  /** A stream waits for a free slot. */
+  /** A stream that broke off, or a request that was turned away, waits for a free slot. */
   | { kind: "wait" }
   | { kind: "end" };
 
@@ -207,7 +208,7 @@
   | "free"
   | "denied";
 
-/** Decides whether the request is sent again, waits for a slot, or ends. */
+/** Decides whether the request is sent again, waits, or ends. */
 function nextStep(
   state: State,
   gateway: Gateway,
@@ -226,9 +227,8 @@
   const destination = chooseDestination(state, gateway, request, {
     canUseReserved: true,
   });
-  if (destination === undefined && !request.isRelaying) {
-    return { next: { kind: "end" } };
-  }
+  const mayWait = request.isRelaying || mayReturn(state, request, outcome);
+  if (destination === undefined && !mayWait) return { next: { kind: "end" } };
   const charge = chargeRetry(state, gateway, failure);
   if (charge === "denied") return { next: { kind: "end" }, charge };
   const next: NextStep = destination === undefined
@@ -280,11 +280,9 @@
   return destination !== undefined;
 }
 
-/** Queues a stream that broke off until a slot is free in which it can be resumed. */
-function* waitToResume(
-  state: State,
-  request: RoutedRequest,
-): Effects {
+/** Queues a request that was turned away, or a stream that broke off until a slot is free in which it can be resumed. */
+function* waitAgain(state: State, request: RoutedRequest): Effects {
+  if (!request.isRelaying) return yield* readmitShared(state, request);
   request.waitUntil = state.now + RESUME_WAIT_MS;
   joinQueue(state, request);
   hastenSweep(state);
--- a/packages/core/src/gateway/shared_admission.ts
+++ b/packages/core/src/gateway/shared_admission.ts
@@ -16,10 +16,12 @@
 } from "../admission/waiting_queue.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
+import type { Outcome } from "../verdict/types.ts";
 import { MIN_REMAINING_MS } from "./constants.ts";
 import { failRequest } from "./finish.ts";
 import { retryAfterOf } from "./retry_after.ts";
 import { hasCandidates, workKey } from "./runner_index.ts";
+import { isShared } from "./capacity_policy.ts";
 import { joinQueue, serveWaiting } from "./send.ts";
 import {
   describeWaiter,
@@ -28,6 +30,7 @@
   sharedQueueOf,
   windowOf,
 } from "./shared_queue.ts";
+import { hastenSweep } from "./sweep_schedule.ts";
 import type { RoutedRequest } from "./types.ts";
 
 /** Why a request finds no room. */
@@ -84,6 +87,42 @@
   yield* decide(state, request, waiter);
 }
 
+/** Returns whether a request that a runner has turned away may wait for room at another one. */
+export function mayReturn(
+  state: State,
+  request: RoutedRequest,
+  outcome: Outcome,
+): boolean {
+  const gateway = state.gateway!;
+  return outcome === "status_not_run" && isShared(gateway, request) &&
+    hasCandidates(gateway, request);
+}
+
+/** Lets a request that a runner has turned away wait, with the time that has passed, or refuses it. */
+export function* readmitShared(
+  state: State,
+  request: RoutedRequest,
+): Effects {
+  const { now } = state;
+  joinQueue(state, request);
+  const queue = sharedQueueOf(state, request);
+  const waiter = queue.waiters.get(request.id)!;
+  const level = levelOf(queue, request.priority, { now });
+  recordUnmet(level, waiter.path, { now });
+  hastenSweep(state);
+  yield {
+    kind: "log",
+    event: "request_returned",
+    fields: {
+      request: request.id,
+      route: request.route.name,
+      tries: request.attempts,
+      tookMs: Math.round(now - request.arrivedAt),
+    },
+  };
+  yield* decide(state, request, waiter);
+}
+
 /** Decides whether a request that has found no room waits on. */
 function* decide(
   state: State,
@@ -164,7 +203,7 @@
     },
   };
   yield* failRequest(state, gateway!, request, {
-    code: "overloaded",
+    code: request.mayHaveRun ? "backend_failed" : "overloaded",
     message: SHORT_OF_ROOM,
     retryAfterMs,
   });
