--- a/packages/daemon/src/gateway/admission_metrics.ts
+++ b/packages/daemon/src/gateway/admission_metrics.ts
@@ -56,6 +56,16 @@
     labelNames: ["priority"],
     registers,
   });
+  const returned = new Counter({
+    name: "primrose_returned_requests_total",
+    help: "Requests that a runner turned away and that were queued again",
+    registers,
+  });
+  const outdated = new Counter({
+    name: "primrose_zone_counts_outdated_total",
+    help: "Times at which the counts of the zone went out of date",
+    registers,
+  });
   const expectedWait = new Histogram({
     name: "primrose_expected_wait_seconds",
     help: "Expected wait of requests that found no free slot, by decision",
@@ -75,5 +85,7 @@
     },
     minimum_share_used: ({ priority }) =>
       minimumStarts.inc({ priority: String(priority) }),
+    request_returned: () => returned.inc(),
+    zone_counts_outdated: () => outdated.inc(),
   };
 }
--- a/packages/daemon/src/gateway/admission_metrics_test.ts
+++ b/packages/daemon/src/gateway/admission_metrics_test.ts
@@ -15,7 +15,11 @@
     counters.capacity_refused!({ cause: "waited_out", expectedMs: 100 });
     counters.capacity_refused!({ cause: "wait_too_long" });
     counters.request_waits!({ expectedMs: 30 });
+    counters.request_returned!({});
+    counters.zone_counts_outdated!({});
     const text = await registry.metrics();
+    expect(text).to.include("primrose_returned_requests_total 1");
+    expect(text).to.include("primrose_zone_counts_outdated_total 1");
     expect(text).to.include('primrose_waiting_requests{route="chat"} 1');
     expect(text).to.include(
       'primrose_capacity_refusals_total{cause="wait_too_long"} 1',
