--- a/packages/core/src/intake/constants.ts
+++ b/packages/core/src/intake/constants.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-/** Memory of a daemon that serves nothing, MB: 104 were measured, of which some is freed under load. */
+/** Memory of a daemon that serves nothing, MB. */
 export const PROCESS_MB = 96;
 /**
  * Part of the memory beyond {@link PROCESS_MB} for callers' requests, and as much for responses. The rest is for buffers
