--- a/packages/cli/src/commands/config.ts
+++ b/packages/cli/src/commands/config.ts
@@ -30,7 +30,8 @@
   overlays: string[];
 }
 
-interface ConfigResponse {
+/** Configuration in force at a daemon. */
+export interface ConfigResponse {
   node: string;
   offset?: number;
   document?: ConfigDocument;
@@ -40,7 +41,12 @@
 
 const WAIT_POLL_MS = 100;
 
-function readSource(file: string): SourceText {
+/**
+ * Reads a file of a configuration.
+ *
+ * @throws {CommandError} The file cannot be read.
+ */
+export function readSource(file: string): SourceText {
   try {
     return { file, text: readFileSync(file, "utf8") };
   } catch (error) {
@@ -56,6 +62,11 @@
   throw new CommandError("invalid", formatProblems(resolution.problems));
 }
 
+/** Returns the site of an overlay: its file name without the extension. */
+export function siteOf(file: string): string {
+  return basename(file, extname(file));
+}
+
 /** Reads and validates a base file and overlays; the site of an overlay is its file name without the extension. */
 export function readDocument({ base, overlays }: ConfigFiles): ConfigDocument {
   const baseSource = readSource(base);
@@ -66,7 +77,7 @@
   unwrap(resolveConfig(document, "", { sources: [baseSource] }));
   for (const file of overlays) {
     const source = readSource(file);
-    const site = basename(file, extname(file));
+    const site = siteOf(file);
     document.overlays[site] = unwrap(parseJsonc(source));
     unwrap(resolveConfig(document, site, { sources: [baseSource, source] }));
   }
@@ -88,7 +99,8 @@
   );
 }
 
-async function readConfigInForce(
+/** Returns the configuration in force at the first daemon that responds. */
+export async function readConfigInForce(
   access: DaemonAccess,
 ): Promise<ConfigResponse> {
   return await callAny<ConfigResponse>(access, "/config");
@@ -169,8 +181,29 @@
 ): Promise<void> {
   const document = readDocument(files);
   const { log, offset: inForce = 0 } = await readConfigInForce(access);
+  await publishDocument(access, output, {
+    document,
+    log,
+    basedOn: basedOn ?? inForce,
+    author,
+    waitMs,
+  });
+}
+
+/** Publishes a document that was checked, and waits until every daemon has it in force. */
+export async function publishDocument(
+  access: DaemonAccess,
+  output: Output,
+  { document, log, basedOn: baseOffset, author, waitMs }: {
+    document: ConfigDocument;
+    /** URL of the log service. */
+    log: string;
+    basedOn: number;
+    author: string;
+    waitMs: number;
+  },
+): Promise<void> {
   const id = `primrosectl/${randomUUID()}`;
-  const baseOffset = basedOn ?? inForce;
   await appendRecord(log, {
     type: "config",
     basedOn: baseOffset,
--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -4,6 +4,9 @@
  * @module
  */
 import type { EventOf } from "../event/types.ts";
+import { allowedRegionsOf } from "../placement/regions.ts";
+import { placementRefusal } from "../placement/refusal.ts";
+import { countHedgeableRequest } from "../hedging/mod.ts";
 import { crashSuspectsOf } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
@@ -11,7 +14,6 @@
 import {
   MAX_WAIT_SHARE,
   MIN_REMAINING_MS,
-  RETRY_AFTER_MS,
   STOP_MARGIN_MS,
   STOP_STREAMS_MS,
 } from "./constants.ts";
@@ -19,12 +21,15 @@
 import { ageOf } from "./freshness.ts";
 import { quarantineRefusal, tryHeldPart } from "./held_requests.ts";
 import { lookUp, NOT_READY, type Refusal } from "./lookup.ts";
+import { capacityRetryAfter } from "./retry_after.ts";
 import { retryBudgetOf, retryLimitsOf } from "./retry_allowance.ts";
 import { countRequest } from "./retry_budget.ts";
 import { isStream, pickService } from "./routes.ts";
 import { hasCandidates } from "./runner_index.ts";
 import { backoffRefusal, isHopeless } from "./runner_backoff.ts";
 import { joinQueue, leaveQueue, sendToRunner } from "./send.ts";
+import { admitShared } from "./shared_admission.ts";
+import { isShared } from "./capacity_policy.ts";
 import { hastenSweep } from "./sweep_schedule.ts";
 import type { Gateway, Route, RoutedRequest, Team } from "./types.ts";
 
@@ -103,6 +108,7 @@
     return yield* refuseArrival(id, TOO_LATE, { age });
   }
   gateway.requests.set(id, request);
+  countHedgeableRequest(gateway, request);
   countRequest(
     retryBudgetOf(gateway, request.service),
     now,
@@ -128,6 +134,7 @@
     model: engine === undefined ? undefined : event.model ?? "",
     team: team?.name,
     priority: team?.priority ?? route.priority,
+    allowedRegions: allowedRegionsOf(route, team),
     arrivedAt: event.at,
     expiresAt: event.at + timeoutMs,
     promptTokens: event.promptTokens,
@@ -144,6 +151,8 @@
     triedForwarders: new Set(),
     failedConnects: 0,
     currentAttempt: undefined,
+    parallelAttempt: undefined,
+    isHedgeDecided: false,
     attempts: 0,
     mayHaveRun: false,
     isRelaying: false,
@@ -167,9 +176,16 @@
     return yield* failRequest(state, gateway, request, {
       code: "no_capacity",
       message: "The request is larger than the memory of any runner",
-      retryAfterMs: RETRY_AFTER_MS,
+      retryAfterMs: capacityRetryAfter(state, request),
     });
   }
+  const unplaced = placementRefusal(state, request);
+  if (unplaced !== undefined) {
+    return yield* failRequest(state, gateway, request, unplaced);
+  }
+  if (isShared(gateway, request) && hasCandidates(gateway, request)) {
+    return yield* admitShared(state, request);
+  }
   const destination = chooseDestination(state, gateway, request, {
     canUseReserved: request.mayHaveRun,
   });
@@ -181,7 +197,7 @@
     return yield* failRequest(state, gateway, request, {
       code: "no_capacity",
       message: "No runner serves this at the moment; try again",
-      retryAfterMs: RETRY_AFTER_MS,
+      retryAfterMs: capacityRetryAfter(state, request),
     });
   }
   if (isHopeless(state, request)) {
@@ -192,5 +208,5 @@
       backoffRefusal(state, request),
     );
   }
-  joinQueue(gateway, request);
+  joinQueue(state, request);
 }
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -52,6 +52,8 @@
 export const MAX_AVOID_MS = 4_000;
 /** Time constant with which the weight of a runner's load report decays, ms; a stream lasts about as long. */
 export const LOAD_DECAY_MS = 1_600;
+/** Age up to which a shared load report counts in full, ms; a stream lasts about as long. */
+export const SHARED_REPORT_FRESH_MS = 3_000;
 /** Time constant with which the mean load of a kind of runners decays without new reports, ms. */
 export const MEAN_LOAD_DECAY_MS = 10_000;
 /** Weight of the newest report in the mean load of the runners of one kind. */
@@ -64,8 +66,14 @@
 export const URGENT_QUEUE_REQUESTS = 2;
 /** Slots kept free for more urgent requests, for each step of priority. */
 export const RESERVED_SLOTS = 1;
-/** Rate at which a runner that names a lower limit is still asked, so that the end of the limit is noticed, 1/s. */
-export const MIN_REQUESTS_PER_SECOND = 0.1;
+/** Share of a request's slack that its wait in a runner's queue may take, where capacity is shared. */
+export const QUEUE_SLACK_SHARE = 0.25;
+/** Slots of a group that requests leave free for each share that they exceed, where capacity is shared. */
+export const OVER_SHARE_RESERVED_SLOTS = 1;
+/** Shares that a request can exceed: that of its route, and that of its team. */
+export const SHARES = 2;
+/** Slots of a group that late requests leave free for those that can still be in time, where capacity is shared. */
+export const LATE_RESERVED_SLOTS = 2;
 /** Time for which the limit of a runner whose entry is gone is kept, since the entry may come back, ms. */
 export const LIMIT_MEMORY_MS = 30_000;
 /** Runners that are remembered as leaving; the ones that said so first are forgotten beyond it. */
@@ -76,9 +84,6 @@
 export const BACKOFF_TRIAL_MS = 500;
 /** Part by which daemons and callers spread their return after a back-off. */
 export const BACKOFF_JITTER = 0.1;
-/** Smallest and largest share of a runner's limit that a daemon takes, as a multiple of an equal one. */
-export const MIN_LIMIT_SHARE_FACTOR = 0.5;
-export const MAX_LIMIT_SHARE_FACTOR = 1.25;
 /** Daemons among which the slack of the retry budget is divided where their number is not known. */
 export const MIN_RETRY_DAEMONS = 12;
 /** Share of the slack that is used; the rest covers daemons that are not known yet, and delays on the way to runners. */
@@ -97,3 +102,6 @@
 export const STOP_STREAMS_MS = 2_500;
 /** Remaining grace time at which the last requests are ended, ms. */
 export const STOP_MARGIN_MS = 600;
+
+/** Time for which a response is left unread after which its runner may cut it without being blamed, ms. */
+export const MIN_UNREAD_MS = 1_000;
--- a/packages/core/src/gateway/effect_types.ts
+++ b/packages/core/src/gateway/effect_types.ts
@@ -5,6 +5,7 @@
  */
 import type { ForwardingEffect } from "../forwarding/effect_types.ts";
 import type { Forwarder } from "../forwarding/types.ts";
+import type { FirstEventTimes } from "../load/types.ts";
 import type { RunnerOrder } from "../formation/types.ts";
 import type { TimelineEffect } from "../store_timeline/effect_types.ts";
 import type { ReadSharingEffect } from "../read_sharing/effect_types.ts";
@@ -30,13 +31,21 @@
     isStream: boolean;
     /** True where the request is a trial of a quarantined part of its prompt. */
     isTrial: boolean;
+    /** True where another attempt of the request is in flight, and the first answer of the two wins. */
+    isHedge: boolean;
     /** The daemon through which it is sent; undefined where it goes to the runner directly. */
     forwarder: Forwarder | undefined;
   }
   /** Relays the response of an attempt to the caller. */
   | { kind: "relay"; request: string; attempt: number }
   /** Reports that a stream's first event was relayed `ms` after the request arrived. */
-  | { kind: "first_event"; priority: number; ms: number }
+  | {
+    kind: "first_event";
+    priority: number;
+    ms: number;
+    /** Undefined for services whose load is not shared. */
+    attemptTimes: FirstEventTimes | undefined;
+  }
   | { kind: "begin_term" }
   | {
     kind: "order_runner";
--- a/packages/core/src/gateway/finish.ts
+++ b/packages/core/src/gateway/finish.ts
@@ -4,8 +4,10 @@
  * @module
  */
 import type { EventOf } from "../event/types.ts";
+import { release } from "../admission/shares.ts";
 import { forwarderStatsOf } from "../forwarding/forwarders.ts";
 import { isStranded } from "../forwarding/stranded.ts";
+import { recordInFlight } from "../load/runner_loads.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
@@ -15,11 +17,20 @@
 import type { Gateway, RoutedRequest } from "./types.ts";
 
 /** Ends the current attempt and releases its runner's slot. */
-export function releaseAttempt(gateway: Gateway, request: RoutedRequest): void {
+export function releaseAttempt(
+  state: State,
+  gateway: Gateway,
+  request: RoutedRequest,
+): void {
   const { currentAttempt: attempt } = request;
   if (attempt === undefined) return;
   const stats = runnerStatsOf(gateway, attempt.runner);
   stats.inFlight -= 1;
+  recordInFlight(state, attempt.runner, -1);
+  // The other attempt of a hedged request still holds its place.
+  if (request.parallelAttempt === undefined) {
+    release(gateway.admission, request.id);
+  }
   if (attempt.forwarder !== undefined) {
     forwarderStatsOf(gateway, attempt.forwarder).inFlight -= 1;
   }
@@ -31,13 +42,29 @@
   request.currentAttempt = undefined;
 }
 
+/** Ends the other attempt of a hedged request, which has lost; nothing is held against its runner. */
+export function* cancelParallelAttempt(
+  state: State,
+  gateway: Gateway,
+  request: RoutedRequest,
+): Effects {
+  const { currentAttempt, parallelAttempt: loser } = request;
+  if (loser === undefined) return;
+  yield { kind: "cancel", request: request.id, attempt: loser.number };
+  request.currentAttempt = loser;
+  releaseAttempt(state, gateway, request);
+  request.currentAttempt = currentAttempt;
+  request.parallelAttempt = undefined;
+}
+
 /** Removes a request that has its final response, and gives its slot to waiting requests. */
 export function* endRequest(
   state: State,
   gateway: Gateway,
   request: RoutedRequest,
 ): Effects {
-  releaseAttempt(gateway, request);
+  yield* cancelParallelAttempt(state, gateway, request);
+  releaseAttempt(state, gateway, request);
   leaveQueue(gateway, request);
   gateway.requests.delete(request.id);
   yield* serveWaiting(state, gateway, workKey(request));
@@ -79,7 +106,8 @@
   request: RoutedRequest,
   refusal: Refusal,
 ): Effects {
-  const { id, currentAttempt: attempt } = request;
+  const { id, currentAttempt: attempt, parallelAttempt } = request;
+  if (parallelAttempt?.isSent) request.mayHaveRun = true;
   if (attempt !== undefined) {
     // The runner may already have begun.
     if (attempt.isSent) request.mayHaveRun = true;
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import { createAdmission } from "../admission/waiting_queue.ts";
+import { sweepColdRunners } from "../cold_start/mod.ts";
 import { advanceNode } from "../drain/drain.ts";
 import type { EventOf } from "../event/types.ts";
 import {
@@ -13,10 +15,14 @@
 } from "../forwarding/mod.ts";
 import { createGroupPlanner } from "../formation/leadership.ts";
 import { planGroups } from "../formation/plan.ts";
+import { createPlacement, sweepEvacuations } from "../placement/mod.ts";
+import { createPacing } from "../pacing/mod.ts";
 import { pruneSuspects } from "../quarantine/mod.ts";
+import { createLoadSharing } from "../load/runner_loads.ts";
 import { passOnLimits } from "../read_sharing/limits.ts";
 import { passOnSuspects } from "../read_sharing/suspects.ts";
 import { createReadSharing, updateSource } from "../read_sharing/upstream.ts";
+import { createHedgingState } from "../hedging/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import { probeLostPaths, pruneServicePaths } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
@@ -56,11 +62,17 @@
     leavingRunners: new Map(),
     unreachableRunners: new Set(),
     servicePaths: new Map(),
+    coldRunners: new Map(),
+    pacing: createPacing(),
     forwarding: createForwarding(),
+    placement: createPlacement(),
     requests: new Map(),
     waitingRequests: new Map(),
+    admission: createAdmission(),
     retryBudgets: new Map(),
+    hedging: createHedgingState(),
     meanLoads: new Map(),
+    loadSharing: createLoadSharing(now),
     servingCount: 0,
     workShare: createAverage(1 / MIN_RETRY_DAEMONS),
     workShareMeasuredAt: now,
@@ -89,6 +101,7 @@
   // A sooner sweep has taken the place of this one.
   if (state.now < gateway.nextSweepAt) return;
   recordLateness(gateway, state.now - gateway.nextSweepAt);
+  yield* sweepColdRunners(state);
   yield* sweepRequests(state, gateway);
   if (state.now - gateway.workShareMeasuredAt >= WORK_SHARE_INTERVAL_MS) {
     gateway.workShareMeasuredAt = state.now;
@@ -99,6 +112,7 @@
   pruneForwarders(gateway);
   yield* updateSource(state);
   yield* sweepTimeline(state);
+  yield* sweepEvacuations(state);
   yield* passOnSuspects(state);
   yield* passOnLimits(state);
   yield* pruneSuspects(state);
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -5,6 +5,14 @@
  */
 import { forwarderStatsOf } from "../forwarding/forwarders.ts";
 import type { EventOf } from "../event/types.ts";
+import { observeFirstEvent } from "../load/attempts.ts";
+import { recordReport } from "../load/reports.ts";
+import { hearLimit } from "../pacing/mod.ts";
+import {
+  makeCurrent,
+  recordFirstResponse,
+  settleHedge,
+} from "../hedging/mod.ts";
 import { isCut } from "../quarantine/mod.ts";
 import { type Effects, noEffects } from "../reduce_types.ts";
 import { proveLost } from "../service_path/mod.ts";
@@ -19,9 +27,10 @@
 import { hearLeaving } from "./leaving.ts";
 import { recordLoad } from "./occupancy.ts";
 import { failAttempt } from "./retry.ts";
-import { hearLimit } from "./request_limit.ts";
+import { isLeftUnread } from "./unread.ts";
 import { isStream } from "./routes.ts";
 import { endBackoff, hearBackoff } from "./runner_backoff.ts";
+import { recordFirstEvent, recordServiceTimes } from "./service_times.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 
 function findByAttempt(
@@ -29,7 +38,9 @@
   { request: id, attempt }: { request: string; attempt: number },
 ): RoutedRequest | undefined {
   const request = gateway.requests.get(id);
-  return request?.currentAttempt?.number === attempt ? request : undefined;
+  if (request === undefined) return undefined;
+  makeCurrent(request, attempt);
+  return request.currentAttempt?.number === attempt ? request : undefined;
 }
 
 /** Handles a request that leaves on a connection to its runner. */
@@ -80,16 +91,25 @@
       localInFlight: stats.inFlight,
     };
     const runner = gateway.runners.get(attempt.runner);
-    if (runner !== undefined) recordLoad(gateway, runner, stats.load);
+    if (runner !== undefined) {
+      recordLoad(gateway, runner, stats.load);
+      recordReport(state, runner, stats.load);
+    }
   }
   if (!isStream(request.route) || event.verdict !== "ran") return;
   stats.failures = 0;
   stats.streaming += 1;
   attempt.isStreaming = true;
-  if (request.isRelaying) return;
   request.mayHaveRun = true;
+  // Of two attempts, the one with the first event is relayed.
+  if (request.parallelAttempt === undefined) yield* beginRelay(request);
+}
+
+function* beginRelay(request: RoutedRequest): Effects {
+  if (request.isRelaying) return;
   request.isRelaying = true;
-  yield { kind: "relay", request: request.id, attempt: event.attempt };
+  const { id, currentAttempt } = request;
+  yield { kind: "relay", request: id, attempt: currentAttempt!.number };
 }
 
 /** Handles whole events of a stream that were relayed to the caller. */
@@ -104,11 +124,17 @@
   request.currentAttempt!.progressCount += 1;
   runnerStatsOf(gateway, request.currentAttempt!.runner).lastSeenAt = state.now;
   request.lastEvent = event.lastEvent ?? request.lastEvent;
+  yield* settleHedge(state, request);
+  yield* beginRelay(request);
   yield* reportProgress(state, request);
+  const attemptTimes = yield* observeFirstEvent(state, request);
   if (request.hasEvents) return;
   request.hasEvents = true;
+  recordFirstResponse(state, request);
+  recordFirstEvent(state, request);
   const { priority, arrivedAt } = request;
-  yield { kind: "first_event", priority, ms: state.now - arrivedAt };
+  const ms = state.now - arrivedAt;
+  yield { kind: "first_event", priority, ms, attemptTimes };
 }
 
 /** Handles a caller that reads more slowly than its runner sends, which is no stall of the runner. */
@@ -117,10 +143,12 @@
   event: EventOf<"relay_blocked">,
 ): Effects {
   const request = findByAttempt(state.gateway!, event);
-  if (request !== undefined) {
-    request.currentAttempt!.isBlocked = event.isBlocked;
-    request.currentAttempt!.lastByteAt = state.now;
-  }
+  if (request === undefined) return noEffects();
+  const attempt = request.currentAttempt!;
+  if (event.isBlocked) attempt.blockedAt = state.now;
+  else if (isLeftUnread(state, attempt)) attempt.wasLeftUnread = true;
+  attempt.isBlocked = event.isBlocked;
+  attempt.lastByteAt = state.now;
   return noEffects();
 }
 
@@ -147,6 +175,9 @@
     });
   }
   stats.failures = 0;
+  yield* settleHedge(state, request);
+  if (!isStream(request.route)) recordFirstResponse(state, request);
+  recordServiceTimes(state, request);
   yield* reportCompletion(state, request);
   yield logEnd(state, request, { status, runner, verdict: "ran" });
   if (!request.isRelaying) {
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -6,7 +6,9 @@
 import { BLAME_AFTER_FORWARDERS } from "../forwarding/constants.ts";
 import { recordForwarderFailure } from "../forwarding/forwarders.ts";
 import type { FailureSide, ForwardRefusal } from "../forwarding/types.ts";
+import { recordFailureEvidence } from "../load/ejection.ts";
 import { recordSuspect } from "../read_sharing/suspects.ts";
+import { continueParallel } from "../hedging/mod.ts";
 import { findHeld } from "../quarantine/mod.ts";
 import type { Effects } from "../reduce_types.ts";
 import { isOwnFault, recordConnectionFailure } from "../service_path/mod.ts";
@@ -24,13 +26,21 @@
   RESUME_WAIT_MS,
 } from "./constants.ts";
 import { endRequest, failRequest, logEnd, releaseAttempt } from "./finish.ts";
+import {
+  BLAMELESS_OUTCOMES,
+  PATH_OUTCOMES,
+  SUSPICIOUS_OUTCOMES,
+  UNSENT_OUTCOMES,
+} from "./outcome_sets.ts";
 import { retryBudgetOf, retryLimitsOf } from "./retry_allowance.ts";
 import { hasRetry, retriesLeft, takeRetry } from "./retry_budget.ts";
-import { retryAfter } from "./runner_backoff.ts";
+import { retryAfterOf } from "./retry_after.ts";
 import { canRepeat } from "./routes.ts";
 import { joinQueue, sendToRunner } from "./send.ts";
+import { mayReturn, readmitShared } from "./shared_admission.ts";
 import { hastenSweep } from "./sweep_schedule.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
+import { isCutUnread } from "./unread.ts";
 
 /** A failed attempt of a request. */
 export interface FailedAttempt {
@@ -61,7 +71,9 @@
   yield* recordFailure(state, gateway, failure);
   if (verdict !== "not_run") request.mayHaveRun = true;
   if (isUncounted(failure)) request.countedAttempts -= 1;
-  const { next, charge } = nextStep(state, gateway, failure);
+  const { next, charge } = request.parallelAttempt === undefined
+    ? nextStep(state, gateway, failure)
+    : { next: { kind: "continue" } as const };
   yield {
     kind: "log",
     event: "attempt_failed",
@@ -85,14 +97,15 @@
       ...describeBudget(state, gateway, request),
     },
   };
-  releaseAttempt(gateway, request);
+  releaseAttempt(state, gateway, request);
+  if (next.kind === "continue") return continueParallel(request);
   if (next.kind === "send") {
     return yield* sendToRunner(state, gateway, {
       request,
       ...next.destination,
     });
   }
-  if (next.kind === "wait") return yield* waitToResume(state, gateway, request);
+  if (next.kind === "wait") return yield* waitAgain(state, request);
   if (isRelayable && !request.isRelaying) {
     yield logEnd(state, request, { runner, verdict, outcome });
     yield { kind: "relay", request: request.id, attempt };
@@ -102,7 +115,7 @@
   yield* failRequest(state, gateway, request, {
     code: request.mayHaveRun ? "backend_failed" : "overloaded",
     message: `The last runner failed: ${outcome}`,
-    retryAfterMs: retryAfter(state, request),
+    retryAfterMs: retryAfterOf(state, request),
   });
 }
 
@@ -121,6 +134,7 @@
   const { request, outcome, isRelayable, side, refusal, isDisconnect } =
     failure;
   if (isRelayable || BLAMELESS_OUTCOMES.has(outcome)) return;
+  if (isCutUnread(state, request.currentAttempt!, { outcome })) return;
   const { runner, forwarder } = request.currentAttempt!;
   const { service } = request;
   if (neverArrived(failure)) request.unreachedRunners.add(runner);
@@ -154,6 +168,7 @@
   const isBlamed = !isInDoubt && !(isOwnPath && isOwnFault(gateway, runner));
   if (isBlamed && SUSPICIOUS_OUTCOMES.has(outcome)) {
     recordSuspect(gateway.readSharing, runner);
+    yield* recordFailureEvidence(state, runner);
     hastenSweep(state);
   }
   stats.failures += 1;
@@ -162,35 +177,6 @@
   if (!isOwnPath) stats.avoidForwardedUntil = stats.avoidUntil;
 }
 
-/** Outcomes that tell nothing of a runner or of the path to it. */
-const BLAMELESS_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  "cancelled",
-  "request_unwritable",
-]);
-
-/** Outcomes of attempts whose request never left. */
-const UNSENT_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  "connect_refused",
-  "connect_timeout",
-  "reset_before_send",
-]);
-
-/** Outcomes that a dead or silent runner causes, which others would meet too. */
-const SUSPICIOUS_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  "connect_refused",
-  "connect_timeout",
-  "response_timeout",
-  "body_cut_off",
-]);
-
-/** Outcomes that a fault of the network between this daemon and a runner causes, among other things. */
-const PATH_OUTCOMES: ReadonlySet<Outcome> = new Set([
-  ...UNSENT_OUTCOMES,
-  "reset_after_send",
-  "response_timeout",
-  "body_cut_off",
-]);
-
 /** Returns whether an attempt certainly did not reach its runner. */
 function neverArrived({ outcome, side }: FailedAttempt): boolean {
   return UNSENT_OUTCOMES.has(outcome) ||
@@ -208,8 +194,10 @@
 
 /** What follows a failed attempt. */
 type NextStep =
+  /** The other attempt of a hedged request goes on. */
+  | { kind: "continue" }
   | { kind: "send"; destination: Destination }
-  /** A stream waits for a free slot. */
+  /** A stream that broke off, or a request that was turned away, waits for a free slot. */
   | { kind: "wait" }
   | { kind: "end" };
 
@@ -220,7 +208,7 @@
   | "free"
   | "denied";
 
-/** Decides whether the request is sent again, waits for a slot, or ends. */
+/** Decides whether the request is sent again, waits, or ends. */
 function nextStep(
   state: State,
   gateway: Gateway,
@@ -239,9 +227,8 @@
   const destination = chooseDestination(state, gateway, request, {
     canUseReserved: true,
   });
-  if (destination === undefined && !request.isRelaying) {
-    return { next: { kind: "end" } };
-  }
+  const mayWait = request.isRelaying || mayReturn(state, request, outcome);
+  if (destination === undefined && !mayWait) return { next: { kind: "end" } };
   const charge = chargeRetry(state, gateway, failure);
   if (charge === "denied") return { next: { kind: "end" }, charge };
   const next: NextStep = destination === undefined
@@ -258,8 +245,7 @@
 ): RetryCharge {
   if (neverArrived(failure)) return "free";
   const budget = retryBudgetOf(gateway, failure.request.service);
-  const isTaken = takeRetry(budget, now, retryLimitsOf(gateway));
-  return isTaken ? "charged" : "denied";
+  return takeRetry(budget, now, retryLimitsOf(gateway)) ? "charged" : "denied";
 }
 
 /** Returns what the budget holds for a log line. */
@@ -294,14 +280,11 @@
   return destination !== undefined;
 }
 
-/** Queues a stream that broke off until a slot is free in which it can be resumed. */
-function* waitToResume(
-  state: State,
-  gateway: Gateway,
-  request: RoutedRequest,
-): Effects {
+/** Queues a request that was turned away, or a stream that broke off until a slot is free in which it can be resumed. */
+function* waitAgain(state: State, request: RoutedRequest): Effects {
+  if (!request.isRelaying) return yield* readmitShared(state, request);
   request.waitUntil = state.now + RESUME_WAIT_MS;
-  joinQueue(gateway, request);
+  joinQueue(state, request);
   hastenSweep(state);
   yield {
     kind: "log",
--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -3,9 +3,11 @@
  *
  * @module
  */
+import { recordEntry } from "../cold_start/mod.ts";
 import type { EventOf } from "../event/types.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
+import { forgetEvidence } from "../load/ejection.ts";
 import { publishRunners } from "../read_sharing/publish.ts";
 import { laterOf } from "../store_timeline/position.ts";
 import { confirm } from "./freshness.ts";
@@ -143,15 +145,20 @@
     return;
   }
   indexRunner(gateway, runner);
+  yield* recordEntry(state, { known, read: runner });
   const stats = gateway.runnerStats.get(runner.id);
   if (stats !== undefined) forgetBackoff(stats, runner);
   const isRestarted = known !== undefined &&
     known.startedUnixMs !== runner.startedUnixMs;
   if (isRestarted && stats !== undefined) {
     stats.load = undefined;
+    gateway.loadSharing.runnerLoads.delete(runner.id);
     stats.requestsPerSecond = undefined;
   }
   const { membership } = runner;
+  const isSameGroup = known !== undefined && !isRestarted &&
+    known.membership?.epoch === membership?.epoch;
+  if (!isSameGroup) forgetEvidence(state, runner.id);
   if (isSame) return;
   yield {
     kind: "log",
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -3,12 +3,18 @@
  *
  * @module
  */
+import type { Admission } from "../admission/types.ts";
 import type { Average } from "../util/ewma.ts";
+import type { ColdRunner } from "../cold_start/types.ts";
 import type { Forwarding } from "../forwarding/types.ts";
 import type { GroupPlanner } from "../formation/types.ts";
+import type { Placement } from "../placement/types.ts";
+import type { Pacing } from "../pacing/types.ts";
 import type { KnownChains } from "../quarantine/types.ts";
 import type { StoreTimeline } from "../store_timeline/types.ts";
 import type { DaemonEntry, ReadSharing } from "../read_sharing/types.ts";
+import type { FirstEventExpectation, LoadSharing } from "../load/types.ts";
+import type { HedgingLimits, HedgingState } from "../hedging/types.ts";
 import type { ServicePath } from "../service_path/types.ts";
 import type {
   Route,
@@ -22,12 +28,32 @@
 
 export type * from "./fleet_types.ts";
 
+/**
+ * How the capacity of a service is shared: `local` where each daemon decides by what it has seen itself, `shared` where
+ * the daemons of an availability zone share their load reports and divide the capacity fairly.
+ */
+export type CapacityPolicy = "local" | "shared";
+
+/** What the routes that lead to a service ask of it. */
+export interface ServiceLevels {
+  /** Priorities of these routes and of all teams, most urgent first, each once. */
+  priorities: readonly number[];
+  /** Longest objective, ms. */
+  maxObjectiveMs: number;
+  /** Names of the routes. */
+  routes: ReadonlySet<string>;
+}
+
 /** The configuration in force, indexed for look-ups. */
 export interface RoutingTable {
   document: RoutingDocument;
   /** Routes of each host, longest prefix first. */
   byHost: Map<string, Route[]>;
   services: Map<string, Service>;
+  /** How the capacity of each service is shared, by service. */
+  capacityPolicies: Map<string, CapacityPolicy>;
+  /** Priorities and objectives of each service, by service. */
+  serviceLevels: Map<string, ServiceLevels>;
   teamByKey: Map<string, Team>;
 }
 
@@ -35,7 +61,7 @@
 export interface LoadSample {
   running: number;
   waiting: number;
-  /** Time at which the report arrived, ms. */
+  /** Time at which the report arrived here, or at the daemon that passed it on, ms. */
   at: number;
   /** Requests of this daemon at that runner when it reported. */
   localInFlight: number;
@@ -61,7 +87,7 @@
   load: LoadSample | undefined;
   /** Requests a second that the runner takes from all daemons together; undefined where it names no limit. */
   requestsPerSecond: number | undefined;
-  /** Time before which a runner with a limit gets no request from this daemon, ms. */
+  /** Time before which a runner with a limit or a cold start gets no request from this daemon, ms. */
   nextSendAt: number;
   /** Back-off that the runner asked for; undefined where it has answered since. */
   backoff: Backoff | undefined;
@@ -90,6 +116,8 @@
   lastByteAt: number;
   /** True once the request was handed to a connection; before, it cannot have run. */
   isSent: boolean;
+  /** What was expected at the send; undefined for services whose load is not shared. */
+  expectation: FirstEventExpectation | undefined;
   /** True once the response headers have arrived. */
   hasHeaders: boolean;
   /** True once a stream has begun. */
@@ -104,6 +132,10 @@
   chains: KnownChains;
   /** True while the caller does not read what it was sent, so that the runner's response is paused. */
   isBlocked: boolean;
+  /** Time at which that last began, ms. */
+  blockedAt: number;
+  /** True once the response was left unread for so long that its runner may have cut it. */
+  wasLeftUnread: boolean;
 }
 
 /** A caller's request while the gateway handles it. */
@@ -114,6 +146,8 @@
   model: string | undefined;
   team: string | undefined;
   priority: number;
+  /** Regions whose runners may serve it; undefined where any may. */
+  allowedRegions: readonly string[] | undefined;
   arrivedAt: number;
   /** Time by which the final response is due, ms. */
   expiresAt: number;
@@ -135,6 +169,10 @@
   /** Connections to runners that failed since one last succeeded. */
   failedConnects: number;
   currentAttempt: Attempt | undefined;
+  /** The other attempt of a hedged request, until one of the two has won. */
+  parallelAttempt: Attempt | undefined;
+  /** True once it was decided that the request is not hedged. */
+  isHedgeDecided: boolean;
   attempts: number;
   /** True once a runner may have run the request in any attempt. */
   mayHaveRun: boolean;
@@ -181,13 +219,21 @@
   unreachableRunners: Set<string>;
   /** Paths to services to which a connection has failed since one last succeeded, by service. */
   servicePaths: Map<string, ServicePath>;
+  /** Runners that are cold or have just turned warm, by id. */
+  coldRunners: Map<string, ColdRunner>;
+  pacing: Pacing;
   forwarding: Forwarding;
+  placement: Placement;
   requests: Map<string, RoutedRequest>;
   /** Ids of the requests that wait for a free slot, by service and model. */
   waitingRequests: Map<string, Set<string>>;
+  /** What waits for, and is in flight at, the services whose capacity is shared. */
+  admission: Admission;
   retryBudgets: Map<string, RetryBudget>;
+  hedging: HedgingState;
   /** Mean loads by kind of runner: service, model and availability zone. */
   meanLoads: Map<string, MeanLoad>;
+  loadSharing: LoadSharing;
   /** Number of known runners that can serve requests. */
   servingCount: number;
   /** This daemon's share of the requests at all runners, 0 to 1. */
@@ -217,6 +263,16 @@
   graceMs: number;
   /** Time for which a group that lost a member stalls before it breaks, ms. */
   stallMs: number;
+  /** Factor on a cold runner's limit within which the requests of all daemons must stay in any second. */
+  coldOverage: number;
+  /** Requests beyond that which a cold runner may get in any second. */
+  coldSlack: number;
+  /** Time after which nothing reaches the runners of an evacuated availability zone any more, ms. */
+  evacuateMs: number;
+  /** Undefined where requests are not hedged. */
+  hedging?: HedgingLimits | undefined;
+  /** Regions by availability zone; empty where the deployment names none. */
+  regions: Readonly<Record<string, string>>;
   /** True only where the whole system starts for the first time. */
   firstStart: boolean;
   /** This daemon as its followers see it; undefined where every daemon reads the store itself. */
--- a/packages/core/src/read_sharing/types.ts
+++ b/packages/core/src/read_sharing/types.ts
@@ -3,12 +3,15 @@
  *
  * @module
  */
+import type { HoldingsReport } from "../admission/types.ts";
+import type { Evacuations } from "../placement/types.ts";
 import type { PartReading } from "../quarantine/types.ts";
 import type {
   LeavingRunner,
   RoutingDocument,
   Runner,
 } from "../gateway/fleet_types.ts";
+import type { LoadReport, RunnerEvidence } from "../load/types.ts";
 import type { LogPosition } from "../store_timeline/position.ts";
 
 /** A daemon as it registered itself in the store. */
@@ -118,6 +121,12 @@
   limits: RunnerLimit[];
   /** Daemons of an earlier version neither send nor read it. */
   leaving?: LeavingRunner[] | undefined;
+  /** Load that runners have reported; daemons of an earlier version neither send nor read it. */
+  loads?: LoadReport[] | undefined;
+  /** What daemons have observed against runners; daemons of an earlier version neither send nor read it. */
+  evidence?: RunnerEvidence[] | undefined;
+  /** Requests by route and team: a follower's own, or the sum of the zone; daemons of an earlier version ignore it. */
+  holdings?: HoldingsReport | undefined;
 }
 
 /** Message from a daemon to its followers. */
@@ -129,6 +138,8 @@
     runnersPosition: LogPosition;
     daemons: DaemonEntry[];
     parts: PartReading[];
+    /** Undefined where none were read yet, or the daemon is of an earlier version. */
+    evacuations?: Evacuations | undefined;
   }
   | { kind: "routing"; document: RoutingDocument }
   | {
@@ -158,6 +169,8 @@
     routingAgeMs: number | undefined;
     /** Time since the list of runners was confirmed as current, ms; undefined where it is not. */
     runnersAgeMs: number | undefined;
+    /** Undefined where none were read yet, or the daemon is of an earlier version. */
+    evacuations?: Evacuations | undefined;
   };
 
 /** Message from a follower. */
--- a/packages/core/src/state/dump.ts
+++ b/packages/core/src/state/dump.ts
@@ -18,6 +18,7 @@
   "fold",
   "byHost",
   "teamByKey",
+  "observed",
 ]);
 /** Largest number of entries dumped of a map or list; a map's dump also counts the omitted ones. */
 const MAX_ENTRIES = 1_000;
@@ -64,7 +65,7 @@
     : String(value);
 }
 
-function dumpQueue(node: FairNode): Json {
+function dumpQueue<T>(node: FairNode<T>): Json {
   return {
     name: node.name,
     weight: node.weight,
--- a/packages/daemon/src/gateway/forward_listener.ts
+++ b/packages/daemon/src/gateway/forward_listener.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { timingSafeEqual } from "node:crypto";
+import { randomBytes, timingSafeEqual } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type {
   Effect,
@@ -21,6 +21,7 @@
 } from "../backend/transport.ts";
 import { onConnectionEnd } from "../http/connection_end.ts";
 import { readBody } from "../http/body.ts";
+import { GivenUpError, type IntakeGate } from "../intake/intake_gate.ts";
 import { findUnwritable } from "../http/header_bytes.ts";
 import { fingerprintOf } from "../http/fingerprint.ts";
 import type { HeaderCodec, ResponseHeaders } from "./adapters.ts";
@@ -41,6 +42,7 @@
   agents: Agents;
   /** Key that a daemon must know for its requests to be forwarded. */
   forwardKey: string;
+  gate: IntakeGate;
   /** Returns the largest body that callers may send, bytes. */
   maxBodyBytes(): number;
   dispatch(event: EventBody): void;
@@ -68,6 +70,7 @@
 /** Requests whose bodies are read at once. */
 const MAX_READING = 64;
 const MISSING_STATUS = 404;
+const FORWARD_KEY_BYTES = 18;
 const NOTHING = Buffer.alloc(0);
 
 function hasSameBytes(left: string, right: string): boolean {
@@ -83,9 +86,14 @@
   response.end();
 }
 
+/** Creates the key that a daemon's requests to forward have to name. */
+export function createForwardKey(): string {
+  return randomBytes(FORWARD_KEY_BYTES).toString("base64url");
+}
+
 /** Creates the listener. */
 export function createForwardListener(
-  { headerCodec, agents, forwardKey, maxBodyBytes, dispatch, log }:
+  { headerCodec, agents, forwardKey, gate, maxBodyBytes, dispatch, log }:
     ForwardListenerOptions,
 ): ForwardListener {
   /** Requests that are open, by name. */
@@ -117,17 +125,22 @@
     { order, request, response }: Omit<ForwardedRequest, "body">,
   ): Promise<void> {
     let body: Buffer;
+    const { id, promptParts, deadlineMs } = headerCodec.readRequest(
+      request.headers,
+    );
+    const held = gate.admit(request, response, { deadlineMs });
     readingCount += 1;
     try {
-      body = await readBody(request, { maxBytes: maxBodyBytes() });
+      body = await readBody(request, { maxBytes: maxBodyBytes(), held });
     } catch (error) {
+      if (error instanceof GivenUpError) return refuseAtOnce(response, "busy");
       log("forward_refused", { cause: (error as Error).message });
       return void response.destroy();
     } finally {
       readingCount -= 1;
     }
     if (response.destroyed) return;
-    const { id, promptParts } = headerCodec.readRequest(request.headers);
+    held.setStage("kept");
     count += 1;
     const name = `${id ?? "unnamed"}#forward${count}`;
     const host = request.headers.host ?? "";
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -3,35 +3,28 @@
  *
  * @module
  */
-import {
-  ageOf,
-  isBackingOff,
-  isGatewayReady,
-  isHeld,
-  isLeader,
-  isLeaving,
-  isPathLost,
-  isStoreReader,
-  type LogEventName,
-  type State,
-} from "@primroseshed/core";
+import type { Effect, LogEventName, State } from "@primroseshed/core";
 import {
   collectDefaultMetrics,
   Counter,
-  Gauge,
   Histogram,
   Registry,
 } from "prom-client";
-import { createGaugeAdder } from "../observe/gauges.ts";
 import type { LogFields } from "../observe/logger.ts";
+import { createAdmissionCounters } from "./admission_metrics.ts";
+import { createGauges } from "./gateway_gauges.ts";
+import { createLoadMetrics } from "./load_metrics.ts";
+import { createPacingMetrics } from "./pacing_metrics.ts";
+
+type FirstEvent = Extract<Effect, { kind: "first_event" }>;
 
 /** Metrics of one gateway. */
 export interface GatewayMetrics {
   registry: Registry;
   /** Counts a decision by its log event. */
   count(event: LogEventName, fields: LogFields): void;
-  /** Records the time from a request's arrival to its first event, ms. */
-  observeFirstEvent(ms: number, options: { priority: number }): void;
+  /** Records the time from a request's arrival to its first event, and that from its send against the expected one. */
+  observeFirstEvent(event: FirstEvent): void;
   /** Counts bytes that were handed to the connections of followers. */
   countFollowerBytes(kind: string, bytes: number): void;
 }
@@ -118,6 +111,16 @@
     "Orders that failed or got no response, by outcome",
     ["outcome"],
   );
+  const settledHedges = counter(
+    "primrose_hedges_settled_total",
+    "Hedged requests by whether the second copy won",
+    ["outcome"],
+  );
+  const deniedHedges = counter(
+    "primrose_hedges_denied_total",
+    "Slow requests that were not hedged, by cause",
+    ["cause"],
+  );
   const followerBytes = counter(
     "primrose_follower_bytes_total",
     "Bytes sent to the daemons that follow this one, by kind of message",
@@ -134,8 +137,11 @@
     ["priority"],
   );
   createGauges(state, { registers, now, droppedLines });
+  const loadMetrics = createLoadMetrics(state, { registers, now });
+  createPacingMetrics(state, { registers });
 
   const counters: EventCounters = {
+    ...createAdmissionCounters(state.gateway!, registers),
     request_refused: ({ code }) => refusals.inc({ code: label(code) }),
     request_ended: ({ verdict, code, tookMs }) => {
       const labels = { verdict: label(verdict) };
@@ -147,6 +153,9 @@
       if (charge === undefined) return;
       retries.inc({ charge: label(charge), outcome: label(outcome) });
     },
+    hedge_settled: ({ outcome }) =>
+      settledHedges.inc({ outcome: label(outcome) }),
+    hedge_denied: ({ cause }) => deniedHedges.inc({ cause: label(cause) }),
     order_sent: ({ action }) => orders.inc({ action: label(action) }),
     order_failed: ({ outcome }) =>
       failedOrders.inc({ outcome: label(outcome) }),
@@ -159,126 +168,9 @@
       counters[event]?.(fields);
     },
     countFollowerBytes: (kind, bytes) => followerBytes.inc({ kind }, bytes),
-    observeFirstEvent: (ms, { priority }) =>
-      firstEvent.observe({ priority }, ms / MS_PER_SECOND),
-  };
-}
-
-function createGauges(
-  state: State,
-  { registers, now, droppedLines }: {
-    registers: Registry[];
-    now: () => number;
-    droppedLines: () => number;
-  },
-): void {
-  const gateway = state.gateway!;
-  const addGauge = createGaugeAdder(registers);
-  addGauge(
-    "primrose_log_lines_left_out",
-    "Log lines dropped since the start",
-    droppedLines,
-  );
-  const ageInSeconds = (freshness: typeof gateway.routingFreshness) =>
-    ageOf(freshness, now()) / MS_PER_SECOND;
-  addGauge(
-    "primrose_routing_age_seconds",
-    "Time since the configuration of routes and keys was last confirmed as current",
-    () => ageInSeconds(gateway.routingFreshness),
-  );
-  addGauge(
-    "primrose_runners_age_seconds",
-    "Time since the list of runners was last confirmed as current",
-    () => ageInSeconds(gateway.runnersFreshness),
-  );
-  addGauge(
-    "primrose_routing_version",
-    "Version of the configuration in force",
-    () => gateway.routing?.document.version ?? -1,
-  );
-  addGauge(
-    "primrose_gateway_ready",
-    "1 while the load balancer should send connections here",
-    () => isGatewayReady(state, now()) ? 1 : 0,
-  );
-  addGauge(
-    "primrose_gateway_in_flight",
-    "Requests known to this daemon",
-    () => gateway.requests.size,
-  );
-  addGauge(
-    "primrose_store_reader",
-    "1 while this daemon reads the store itself, with success",
-    () => isStoreReader(state) ? 1 : 0,
-  );
-  addGauge(
-    "primrose_followers",
-    "Daemons that follow this one",
-    () => gateway.readSharing.followers.size,
-  );
-  addGauge(
-    "primrose_suspected_runners",
-    "Runners that are avoided since another daemon could not reach them",
-    () =>
-      [...gateway.readSharing.suspectedUntil.values()].filter((until) =>
-        until > now()
-      ).length,
-  );
-  addGauge(
-    "primrose_backoff_runners",
-    "Runners that have turned a request away and want none for a while",
-    () =>
-      [...gateway.runnerStats.values()].filter((stats) =>
-        isBackingOff(stats, now())
-      ).length,
-  );
-  addGauge(
-    "primrose_leaving_runners",
-    "Known runners that have said in an answer that they leave",
-    () =>
-      [...gateway.runners.values()].filter((runner) =>
-        isLeaving(gateway, runner)
-      ).length,
-  );
-  addGauge(
-    "primrose_lost_paths",
-    "Services whose runners this daemon does not reach",
-    () =>
-      [...gateway.servicePaths.keys()].filter((service) =>
-        isPathLost(gateway, service)
-      ).length,
-  );
-  addGauge(
-    "primrose_quarantined_parts",
-    "Parts of prompts that are held back since runners crashed on them",
-    () =>
-      [...state.quarantine.suspects.values()].filter(({ record }) =>
-        isHeld(record)
-      ).length,
-  );
-  addGauge(
-    "primrose_planner_duty",
-    "1 while this daemon plans replica groups",
-    () => isLeader(gateway.groupPlanner.leadership, now()) ? 1 : 0,
-  );
-  addGauge(
-    "primrose_orders_in_doubt",
-    "Orders without a response that a runner may still execute",
-    () =>
-      [...gateway.groupPlanner.pendingOrders.values()].filter(({ outcome }) =>
-        outcome === "unknown"
-      ).length,
-  );
-  new Gauge({
-    name: "primrose_runners",
-    help: "Known runners, by service and state of their group membership",
-    labelNames: ["service", "place"],
-    registers,
-    collect() {
-      this.reset();
-      for (const { service, state, membership } of gateway.runners.values()) {
-        this.inc({ service, place: membership?.state ?? state });
-      }
+    observeFirstEvent({ priority, ms, attemptTimes }) {
+      firstEvent.observe({ priority }, ms / MS_PER_SECOND);
+      loadMetrics.observe(attemptTimes);
     },
-  });
+  };
 }
--- a/packages/daemon/src/gateway/sharing_frames.ts
+++ b/packages/daemon/src/gateway/sharing_frames.ts
@@ -39,6 +39,7 @@
   backends: z.array(z.object({ service: z.string(), weight: z.number() })),
   maxAttempts: z.number(),
   isPublic: z.boolean(),
+  allowedRegions: optional(z.array(z.string())),
 });
 
 const model = z.object({
@@ -49,25 +50,43 @@
   loadMs: z.number(),
 });
 
+const speed = z.object({
+  stepMs: count,
+  stepMsPerRequest: count,
+  stepMsPerContextKiloToken: count,
+  stepsPerPass: count,
+  prefillTokensPerSecond: count,
+  prefillChunkTokens: count,
+  usual: optional(z.object({ promptTokens: count, outputTokens: count })),
+});
+
 const engine = z.object({
   slots: z.number(),
   kvTokens: z.number(),
   models: z.array(model),
   loadsPerSecond: z.number(),
   loadsAtOnce: z.number(),
+  speed: optional(speed),
 });
 
+const coldStart = z.object({ durationMs: count, requestsPerSecond: count });
+
 const team = z.object({
   name: z.string(),
   keys: z.array(z.string()),
   priority: optional(z.number()),
+  allowedRegions: optional(z.array(z.string())),
 });
 
 const routing = z.object({
   version: z.number(),
   routes: z.array(route),
   services: z.array(
-    z.object({ name: z.string(), engine: optional(engine) }),
+    z.object({
+      name: z.string(),
+      engine: optional(engine),
+      coldStart: optional(coldStart),
+    }),
   ),
   teams: optional(z.array(team)),
   limits: z.object({
@@ -94,6 +113,7 @@
   state: z.enum(["ready", "draining"]),
   startedUnixMs: z.number(),
   writeCount: optional(count),
+  coldForMs: optional(count),
   domain: optional(z.string()),
   staged: z.array(z.string()),
   model: optional(z.string()),
@@ -124,6 +144,19 @@
   runners: z.array(z.string()),
 });
 
+const holdings = z.object({
+  zone: z.string(),
+  ids: z.array(count),
+  ageMs: count,
+  rows: z.array(z.object({
+    route: z.string(),
+    team: optional(z.string()),
+    requests: count,
+    tokens: count,
+    waiting: count,
+  })),
+});
+
 const limits = z.object({
   kind: z.literal("limits"),
   limits: z.array(
@@ -132,8 +165,23 @@
   leaving: optional(
     z.array(z.object({ id: z.string(), startedUnixMs: z.number() })),
   ),
+  loads: optional(z.array(z.object({
+    runner: z.string(),
+    running: count,
+    waiting: count,
+    ageMs: count,
+    slowness: optional(count),
+  }))),
+  evidence: optional(z.array(
+    z.object({ runner: z.string(), node: z.string(), ageMs: count }),
+  )),
+  holdings: optional(holdings),
 });
 
+const evacuations = optional(
+  z.object({ zones: z.array(z.string()), position }),
+);
+
 const upstreamMessage = z.discriminatedUnion("kind", [
   z.object({
     kind: z.literal("snapshot"),
@@ -142,6 +190,7 @@
     runnersPosition: position,
     daemons: z.array(daemon),
     parts: partReadings,
+    evacuations,
   }),
   z.object({ kind: z.literal("routing"), document: routing }),
   z.object({
@@ -162,6 +211,7 @@
     timeline: optional(count),
     routingAgeMs: optional(count),
     runnersAgeMs: optional(count),
+    evacuations,
   }),
 ]);
 
--- a/packages/daemon/src/gateway/upstream_client.ts
+++ b/packages/daemon/src/gateway/upstream_client.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {
+  type Evacuations,
   type EventBody,
   type FollowerMessage,
   type LogEventName,
@@ -81,9 +82,17 @@
       ) => void;
     } = {
       snapshot(
-        { routing, runners, runnersPosition: position, daemons, parts },
+        {
+          routing,
+          runners,
+          runnersPosition: position,
+          daemons,
+          parts,
+          ...rest
+        },
       ) {
         dispatch({ kind: "upstream_began", node });
+        passEvacuations(rest.evacuations);
         if (routing !== undefined) passRouting(routing);
         passRunners({ runners, removedIds: [], isWhole: true, position });
         passDaemons(daemons);
@@ -104,14 +113,15 @@
       parts: ({ readings }) => passParts(readings),
       suspects: ({ runners }) =>
         dispatch({ kind: "suspects_reported", runners }),
-      limits: ({ limits, leaving }) =>
-        dispatch({ kind: "limits_reported", limits, leaving }),
+      limits: ({ kind: _, ...reports }) =>
+        dispatch({ kind: "limits_reported", ...reports }),
       poll_answer({ poll: answered, ...answer }) {
         const pollSentAt = sentAt.get(answered);
         if (pollSentAt === undefined) return;
         for (const each of sentAt.keys()) {
           if (each <= answered) sentAt.delete(each);
         }
+        passEvacuations(answer.evacuations);
         dispatch({
           kind: "upstream_answered",
           node,
@@ -159,6 +169,11 @@
     socket.on("close", () => lose("closed"));
   }
 
+  function passEvacuations(evacuations: Evacuations | undefined): void {
+    if (evacuations === undefined) return;
+    dispatch({ kind: "evacuations_read", ...evacuations });
+  }
+
   function passRouting(
     document: Extract<EventBody, { kind: "routing_read" }>["document"],
   ): void {
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -3,13 +3,10 @@
  *
  * @module
  */
-import { randomBytes } from "node:crypto";
-import { createServer, type Server } from "node:http";
 import {
   createState,
   type Effect,
   type EventBody,
-  isGatewayReady,
   isLeaderCandidate,
   type State,
 } from "@primroseshed/core";
@@ -27,14 +24,17 @@
 import { createLoopWatch } from "../observe/loop_watch.ts";
 import { createErrorReport } from "../observe/error_report.ts";
 import { createLogger, type Logger } from "../observe/logger.ts";
+import { createIdentity } from "../startup.ts";
 import type { Adapters, HealthCheckResult } from "./adapters.ts";
-import { createCallerListener } from "./caller_listener.ts";
+import { createCallerListener, INITIAL_LIMITS } from "./caller_listener.ts";
+import { createDaemonIntake } from "../intake/daemon_intake.ts";
+import { createReadyListener, listen } from "./ready_listener.ts";
 import { createLeadershipRenewal } from "./leadership_renewal.ts";
 import { createGatewayMetrics } from "./metrics.ts";
 import { createOperatorListener } from "./operator_listener.ts";
 import type { Relay } from "./relay.ts";
 import type { GatewaySettingsFile } from "./settings.ts";
-import { createForwardListener } from "./forward_listener.ts";
+import { createForwardKey, createForwardListener } from "./forward_listener.ts";
 import { startFollowerListener } from "./follower_listener.ts";
 import { startPartSharing } from "./part_sharing.ts";
 import { startStoreReads } from "./store_reads.ts";
@@ -63,22 +63,9 @@
   connect?: Connect;
 }
 
-const INCARNATION_BYTES = 4;
-const FORWARD_KEY_BYTES = 18;
 const MS_PER_SECOND = 1_000;
 /** Remaining grace time at which the last connections are closed, ms. */
 const EXIT_MARGIN_MS = 200;
-const SEED_RANGE = 2 ** 31;
-/** Length of the operating system's queue of new connections; a burst of callers must not lose its first packets. */
-const BACKLOG = 1_024;
-
-function listen(server: Server, address: string): Promise<void> {
-  const [host, port] = address.split(":");
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen({ host, port: Number(port), backlog: BACKLOG }, resolve);
-  });
-}
 
 /**
  * Creates and starts a gateway.
@@ -94,9 +81,9 @@
   settings: GatewaySettingsFile,
   { adapters, logger: givenLogger, connect }: GatewayDaemonOptions,
 ): Promise<GatewayDaemon> {
-  const { node, store, timing, bounds } = settings;
-  const incarnation = randomBytes(INCARNATION_BYTES).toString("hex");
-  const forwardKey = randomBytes(FORWARD_KEY_BYTES).toString("base64url");
+  const { node, store, timing, bounds, regions, hedging } = settings;
+  const { incarnation, seed } = createIdentity();
+  const forwardKey = createForwardKey();
   const { followers: followersAddress } = settings.listen;
   const state = createState(
     {
@@ -107,10 +94,12 @@
       balancerLagMs: 0,
     },
     {
-      seed: randomBytes(INCARNATION_BYTES).readUInt32LE() % SEED_RANGE,
+      seed,
       now: monotonicNow(),
       gateway: {
         ...bounds,
+        regions,
+        hedging,
         retryWindowMs: bounds.retryWindowS * MS_PER_SECOND,
         graceMs: bounds.graceS * MS_PER_SECOND,
         self: followersAddress === undefined ? undefined : {
@@ -137,6 +126,7 @@
     now: monotonicNow,
     droppedLines: () => logger.droppedLines(),
   });
+  const intake = createDaemonIntake({ node, limits: INITIAL_LIMITS, log });
   const dispatch = (event: EventBody) => driver.dispatch(event);
   let resolveStopped: (interruptedRequests: number) => void;
   const stopped = new Promise<number>((resolve) => resolveStopped = resolve);
@@ -209,12 +199,14 @@
     order_runner: (effect) => runDetached(sendOrder(effect)),
     check_runner: ({ runner, address }) =>
       runDetached(checkHealth(runner, address)),
-    limits_in_force: ({ limits }) => callers.setLimits(limits),
+    limits_in_force({ limits }) {
+      callers.setLimits(limits);
+      intake.setLimits(limits);
+    },
     probe_path: ({ runner, address }) => runDetached(probe(runner, address)),
     forward: (effect) => forwards.forward(effect),
     refuse_forward: (effect) => forwards.refuse(effect),
-    first_event: ({ ms, priority }) =>
-      metrics.observeFirstEvent(ms, { priority }),
+    first_event: (effect) => metrics.observeFirstEvent(effect),
     log({ event, fields }) {
       log(event, fields);
       metrics.count(event, fields);
@@ -264,6 +256,8 @@
     headerCodec: adapters.headerCodec,
     agents,
     relays,
+    gate: intake.gate,
+    buffers: intake.buffers,
     isStopping: () => state.phase !== "serving",
     dispatch,
     log,
@@ -272,24 +266,29 @@
     headerCodec: adapters.headerCodec,
     agents,
     forwardKey,
+    gate: intake.gate,
     maxBodyBytes: () => callers.limits().maxBodyBytes,
     dispatch,
     log,
   });
-  const ready = createServer((request, response) => {
-    const isReady = request.url === adapters.headerCodec.readyPath &&
-      isGatewayReady(state, monotonicNow());
-    response.statusCode = isReady ? 200 : 503;
-    response.end();
+  const ready = createReadyListener({
+    state,
+    path: adapters.headerCodec.readyPath,
+    now: monotonicNow,
   });
-
   const operators = createOperatorListener({
     state,
     metrics,
     now: monotonicNow,
   });
 
+  intake.attach(callers.server, {
+    registry: metrics.registry,
+    internal: [ready, operators],
+  });
+
   function shutDown(interruptedRequests: number): void {
+    intake.stop();
     storeReads.stop();
     partSharing.stop();
     upstream.unfollow();
@@ -317,6 +316,7 @@
     ? undefined
     : await startFollowerListener({
       address: followersAddress,
+      maxConnections: intake.maxDaemons,
       onRequest: forwards.handle,
       dispatch,
       log,
