--- a/packages/core/src/gateway/capacity_policy.ts
+++ b/packages/core/src/gateway/capacity_policy.ts
@@ -47,8 +47,9 @@
 
 /** Returns the capacity policy of a service; `local` where no configuration is in force. */
 export function capacityPolicyOf(
-  { routing }: Gateway,
+  { routing, settings }: Gateway,
   service: string,
 ): CapacityPolicy {
+  if (settings.isCapacityShared === false) return "local";
   return routing?.capacityPolicies.get(service) ?? "local";
 }
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -269,6 +269,8 @@
   coldSlack: number;
   /** Time after which nothing reaches the runners of an evacuated availability zone any more, ms. */
   evacuateMs: number;
+  /** False where no capacity is shared, whatever the configuration says of its services. */
+  isCapacityShared?: boolean | undefined;
   /** Undefined where requests are not hedged. */
   hedging?: HedgingLimits | undefined;
   /** Regions by availability zone; empty where the deployment names none. */
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -79,6 +79,8 @@
   }),
   /** Regions by availability zone, for routes and teams that may be served in some regions only. */
   regions: z.record(z.string(), z.string()).default({}),
+  /** True where daemons share load reports and capacity at services that start cold or that equal streams compete for. */
+  isCapacityShared: z.boolean().default(false),
   /** Second copies of slow requests that may be repeated; none are sent where it is unset. */
   hedging: z.strictObject({
     /** Hedged requests as a share of the requests to a service. */
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -81,7 +81,8 @@
   settings: GatewaySettingsFile,
   { adapters, logger: givenLogger, connect }: GatewayDaemonOptions,
 ): Promise<GatewayDaemon> {
-  const { node, store, timing, bounds, regions, hedging } = settings;
+  const { node, store, timing, bounds, regions, hedging, isCapacityShared } =
+    settings;
   const { incarnation, seed } = createIdentity();
   const forwardKey = createForwardKey();
   const { followers: followersAddress } = settings.listen;
@@ -100,6 +101,7 @@
         ...bounds,
         regions,
         hedging,
+        isCapacityShared,
         retryWindowMs: bounds.retryWindowS * MS_PER_SECOND,
         graceMs: bounds.graceS * MS_PER_SECOND,
         self: followersAddress === undefined ? undefined : {
