--- a/review/stand_ins-2/daemon.mjs
+++ b/review/stand_ins-2/daemon.mjs
@@ -46,18 +46,28 @@
     });
 }
 
-/** Returns a free port of an address. */
-export function freePort(host) {
-  return new Promise((resolve, reject) => {
-    const server = createServer();
-    server.once("error", reject);
-    server.listen(0, host, () => {
-      const { port } = server.address();
-      server.close(() => resolve(port));
-    });
+/** Ports of daemons lie below those that outgoing connections get. */
+const FIRST_PORT = 20_000;
+const PORT_COUNT = 10_000;
+let portCount = process.pid * 97;
+
+function canListen(host, port) {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once("error", () => resolve(false));
+    server.listen(port, host, () => server.close(() => resolve(true)));
   });
 }
 
+/** Returns a free port of an address, another one with each call. */
+async function freePort(host) {
+  while (true) {
+    portCount += 1;
+    const port = FIRST_PORT + portCount % PORT_COUNT;
+    if (await canListen(host, port)) return port;
+  }
+}
+
 function deployCommand() {
   const text = readFileSync(join(ROOT, "deploy/system.toml"), "utf8");
   return /^run = "([^"]+)"/m.exec(text)[1].split(" ");
