--- a/review/stand_ins-2/lab.mjs
+++ b/review/stand_ins-2/lab.mjs
@@ -46,7 +46,7 @@
 /** Runs a case; `play` gets the lab and returns a list of what broke the rule. */
 export async function runCase(url, play) {
   const folder = dirname(fileURLToPath(url));
-  const file = join(folder, "record.txt");
+  const file = join(folder, process.argv[2] ?? "record.txt");
   writeFileSync(file, "");
   const startedAt = performance.now();
   const cleanups = [];
@@ -62,6 +62,33 @@
       appendFileSync(file, `${ms} ${what}\n`);
     },
   };
+  /** Writes a line for each request of the callers: what was sent, answered and run. */
+  lab.noteRequests = (daemons, runners, isWanted = () => true) => {
+    const runs = new Map();
+    for (const { id: runner, arrivals } of runners) {
+      for (const { id, at, hasRun = true } of arrivals) {
+        const what = hasRun ? "run by" : "reached";
+        const line = `${what} ${runner} at ${(at - startedAt).toFixed(1)}`;
+        runs.set(id, [...runs.get(id) ?? [], line]);
+      }
+    }
+    const lines = daemons.flatMap(({ callers }) => callers.sent)
+      .filter(isWanted)
+      .sort((left, right) => left.sentAt - right.sentAt)
+      .map((each) => {
+        const ms = (each.sentAt - startedAt).toFixed(1).padStart(9);
+        const { id, method, path, daemon, status, cause, endedAt } = each;
+        const ended = endedAt === undefined
+          ? "no answer"
+          : `${status ?? "no answer"}${
+            cause === undefined ? "" : ` (${cause})`
+          }` +
+            ` after ${(endedAt - each.sentAt).toFixed(1)}`;
+        const ran = runs.get(id)?.join(", ") ?? "reached no runner";
+        return `${ms} ${method} ${path} ${id} to ${daemon}: ${ended}; ${ran}\n`;
+      });
+    appendFileSync(file, lines.join(""));
+  };
   let code = COULD_NOT_RUN;
   const timer = setTimeout(() => {
     lab.note("the case took too long");
