--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -40,6 +40,7 @@
       services: ["desk"],
     }),
   );
+  const runners = [];
   let answers = 0;
   let spoilt = 0;
   for (const [index, zone] of ZONE_NAMES.entries()) {
@@ -50,6 +51,7 @@
       zone,
     });
     lab.onEnd(() => runner.stop());
+    runners.push(runner);
     if (index > 0 || !lab.hasTrouble) continue;
     runner.answer = (arrival, request) => {
       answers += 1;
@@ -71,6 +73,7 @@
   for (const { callers } of daemons) callers.stop();
   await sleep(3_000);
 
+  lab.noteRequests(daemons, runners);
   const faults = [];
   lab.note(`${answers} answers of the faulty runner, ${spoilt} spoilt`);
   for (const { name, callers: { sent }, exit } of daemons) {
