--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -96,6 +96,7 @@
     await reader.proxy.heal();
     await sleep(1_600);
 
+    lab.noteRequests(others, runners, (each) => each.path === path);
     const sent = new Map(
       others.flatMap(({ callers }) => callers.sent)
         .filter((record) => record.path === path)
