End requests whose answer breaks an assertion of the HTTP client

Cause: the HTTP client asserts that a status is 100 or more, that nobody changes the protocol unasked, and that no trailer has begun when a connection ends. A server's bytes reach all three; the last one fails in an event of the socket, where nothing catches it.

They abort a request with such a status before the client goes on, and make the end of a connection an error while an answer is open. This replaces the record of socket events that told cut answers before.

--- a/packages/cli/src/daemon_client.ts
+++ b/packages/cli/src/daemon_client.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { createAnswerAgent, createConnect } from "@primroseshed/daemon";
 import { request } from "undici";
 import { CommandError } from "./exit_codes.ts";
 
@@ -15,6 +16,10 @@
 
 const TIMEOUT_MS = 3_000;
 
+const dispatcher = createAnswerAgent({
+  connect: createConnect({ timeout: TIMEOUT_MS }),
+});
+
 function describeFailure(error: unknown): string {
   const { code, message } = error as { code?: string; message?: string };
   return code ?? message ?? String(error);
@@ -33,6 +38,7 @@
   let response: Awaited<ReturnType<typeof request>>;
   try {
     response = await request(`${daemon}${path}`, {
+      dispatcher,
       method: body === undefined ? "GET" : "POST",
       headers: { authorization: `Bearer ${key}` },
       body: body === undefined ? null : JSON.stringify(body),
--- /dev/null
+++ b/packages/daemon/src/backend/answer_agent.ts
@@ -0,0 +1,201 @@
+/**
+ * Creates HTTP agents that fail a request where what its server sends is no answer in HTTP.
+ *
+ * The HTTP client checks its own state with assertions that bytes of a server can break: a status that HTTP does not
+ * define, a switch of protocols that nobody asked for, or a chunked body that ends within the name of a trailer. Each
+ * would leave the request without an end, or end the process. The agents end such requests before the client does.
+ *
+ * @module
+ */
+import type { Socket } from "node:net";
+import { Agent, buildConnector, type Dispatcher } from "undici";
+import VError from "verror";
+import { decodeHeaders } from "../http/header_bytes.ts";
+
+/** Name of the error of an answer with a status that HTTP does not define, or that nobody has asked for. */
+export const STATUS_UNDEFINED = "StatusUndefinedError";
+/** Name of the error of an answer whose connection ended before it was complete. */
+export const ANSWER_CUT_OFF = "AnswerCutOffError";
+
+/** Opens a connection. It returns the socket that is connecting, which the type of the client's connectors leaves out. */
+export type Connect = (...args: Parameters<buildConnector.connector>) => Socket;
+
+/** Options of {@link createAnswerAgent}. */
+export interface AnswerAgentOptions extends Omit<Agent.Options, "connect"> {
+  /** Opens connections; sockets of the operating system by default. */
+  connect?: buildConnector.connector;
+}
+
+const FIRST_STATUS = 100;
+const SWITCHING_PROTOCOLS = 101;
+const FIRST_FINAL_STATUS = 200;
+const RESET_CODE = "ECONNRESET";
+
+/**
+ * Returns whether an answer may have this status where no change of protocol was asked for.
+ *
+ * @example
+ * ```ts
+ * isAnswerStatus(503); // true
+ * isAnswerStatus(101); // false
+ * ```
+ */
+export function isAnswerStatus(status: number): boolean {
+  return status >= FIRST_STATUS && status !== SWITCHING_PROTOCOLS;
+}
+
+/** A final answer that has begun on a connection and is not complete. */
+interface OpenAnswer {
+  /** True where its end is known without the end of its connection. */
+  isFramed: boolean;
+}
+
+const openAnswers = new WeakMap<Socket, OpenAnswer>();
+/** The connection whose bytes the client is reading at this moment. */
+let readSocket: Socket | undefined;
+
+/** Headers that tell the end of a body without the end of its connection. */
+const FRAMING_HEADERS = ["transfer-encoding", "content-length"] as const;
+
+/** Returns true if the end of a body is known without the end of its connection. */
+export function isFramed(headers: Record<string, unknown>): boolean {
+  return FRAMING_HEADERS.some((name) => headers[name] !== undefined);
+}
+
+function createCutError(cause?: Error): Error {
+  const message = "Connection ended before the answer was complete";
+  return cause === undefined
+    ? new VError({ name: ANSWER_CUT_OFF }, message)
+    : new VError({ name: ANSWER_CUT_OFF, cause }, message);
+}
+
+/** Passes the client's events on, and ends the request where an answer has an undefined status. */
+function watchAnswer(
+  handler: Dispatcher.DispatchHandler,
+): Dispatcher.DispatchHandler {
+  let abort: ((reason: Error) => void) | undefined;
+  let socket: Socket | undefined;
+
+  function close(): void {
+    if (socket !== undefined) openAnswers.delete(socket);
+    socket = undefined;
+  }
+
+  return {
+    onConnect(abortRequest) {
+      abort = abortRequest;
+      handler.onConnect?.(abortRequest);
+    },
+    onUpgrade: (...args) => handler.onUpgrade?.(...args),
+    onResponseStarted: () => handler.onResponseStarted?.(),
+    onBodySent: (...args) => handler.onBodySent?.(...args),
+    onHeaders(status, headers, resume, text) {
+      if (!isAnswerStatus(status)) {
+        abort?.(
+          new VError(
+            { name: STATUS_UNDEFINED, info: { status } },
+            "Answer has the status %d, which HTTP does not define",
+            status,
+          ),
+        );
+        return false;
+      }
+      if (status >= FIRST_FINAL_STATUS && readSocket !== undefined) {
+        socket = readSocket;
+        openAnswers.set(socket, { isFramed: isFramed(decodeHeaders(headers)) });
+      }
+      return handler.onHeaders?.(status, headers, resume, text) ?? true;
+    },
+    onData: (chunk) => handler.onData?.(chunk) ?? true,
+    onComplete(trailers) {
+      close();
+      handler.onComplete?.(trailers);
+    },
+    onError(error) {
+      close();
+      handler.onError?.(error);
+    },
+  };
+}
+
+/**
+ * Makes the end of a connection an error while an answer is not complete.
+ *
+ * The client takes an answer for complete where its connection is reset, or closed although the answer names its framing,
+ * and asserts that no trailer has begun.
+ */
+function watchEnd(socket: Socket): void {
+  const emit = socket.emit.bind(socket) as (
+    event: string,
+    ...args: unknown[]
+  ) => boolean;
+
+  function emitReadable(): boolean {
+    const outer = readSocket;
+    readSocket = socket;
+    try {
+      return emit("readable");
+    } finally {
+      readSocket = outer;
+    }
+  }
+
+  function emitEnd(): boolean {
+    if (openAnswers.get(socket)?.isFramed !== true) return emit("end");
+    socket.destroy(createCutError());
+    return true;
+  }
+
+  function emitError(error: unknown): boolean {
+    const isReset = (error as NodeJS.ErrnoException).code === RESET_CODE;
+    const isCut = isReset && openAnswers.has(socket);
+    return emit("error", isCut ? createCutError(error as Error) : error);
+  }
+
+  const emitters = new Map<string, (argument: unknown) => boolean>([
+    ["readable", emitReadable],
+    ["end", emitEnd],
+    ["error", emitError],
+  ]);
+  socket.emit = (event: string, ...args: unknown[]) =>
+    emitters.get(event)?.(args[0]) ?? emit(event, ...args);
+}
+
+class AnswerAgent extends Agent {
+  override dispatch(
+    options: Agent.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): boolean {
+    return super.dispatch(options, watchAnswer(handler));
+  }
+}
+
+/**
+ * Creates an agent whose requests fail where an answer has an undefined status, or ends before it is complete.
+ *
+ * @example
+ * ```ts
+ * const agent = createAnswerAgent({ pipelining: 1, connect: createConnect() });
+ * ```
+ */
+export function createAnswerAgent(
+  { connect = createConnect(), ...options }: AnswerAgentOptions,
+): Agent {
+  return new AnswerAgent({
+    ...options,
+    connect(target, callback) {
+      connect(target, (...result) => {
+        const [, socket] = result;
+        if (socket) watchEnd(socket);
+        callback(...result);
+      });
+    },
+  });
+}
+
+/** Creates the function that opens sockets of the operating system; by default it waits for a connection without limit. */
+export function createConnect(
+  options: buildConnector.BuildOptions = {},
+): Connect {
+  return buildConnector({ timeout: 0, ...options }) as Connect;
+}
--- a/packages/daemon/src/backend/path_probe.ts
+++ b/packages/daemon/src/backend/path_probe.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { startPatientTimer } from "../driver/patient_timer.ts";
-import type { Connect } from "./transport.ts";
+import type { Connect } from "./answer_agent.ts";
 
 /**
  * Opens a connection to `address`, `IP:PORT`, and closes it; resolves to whether it was established in time.
--- a/packages/daemon/src/backend/status_poll.ts
+++ b/packages/daemon/src/backend/status_poll.ts
@@ -11,6 +11,7 @@
 } from "@primroseshed/core";
 import { type Agent, request } from "undici";
 import { patientSignal } from "../driver/patient_timer.ts";
+import { STATUS_UNDEFINED } from "./answer_agent.ts";
 import { decodeStatus } from "./fleet_decoder.ts";
 import { BODY_TOO_LONG, readLimited } from "./limited_body.ts";
 import { outcomeOfError } from "./transport.ts";
@@ -36,10 +37,11 @@
 const MAX_STATUS_BYTES = 64 * 1024;
 const HEADERS_TOO_LONG = "UND_ERR_HEADERS_OVERFLOW";
 
-/** Returns true where the error shows that the VM answers, with more than can be read. */
+/** Returns true where the error shows that the VM answers, with more than can be read or with no answer. */
 function isAnswer(error: unknown): boolean {
   const { name, code } = error as { name?: string; code?: string };
-  return name === BODY_TOO_LONG || code === HEADERS_TOO_LONG;
+  return name === BODY_TOO_LONG || name === STATUS_UNDEFINED ||
+    code === HEADERS_TOO_LONG;
 }
 
 /** Starts to poll each VM once per interval, spread evenly over it. */
--- a/packages/daemon/src/backend/transport.ts
+++ b/packages/daemon/src/backend/transport.ts
@@ -4,13 +4,23 @@
  * @module
  */
 import type { Outcome } from "@primroseshed/core";
-import type { Socket } from "node:net";
-import { Agent, buildConnector, type Dispatcher, errors } from "undici";
+import {
+  type Agent,
+  type buildConnector,
+  type Dispatcher,
+  errors,
+} from "undici";
 import {
   type PatientTimer,
   startPatientTimer,
 } from "../driver/patient_timer.ts";
 import { decodeHeaders, type HeaderMap } from "../http/header_bytes.ts";
+import {
+  type Connect,
+  createAnswerAgent,
+  createConnect,
+  STATUS_UNDEFINED,
+} from "./answer_agent.ts";
 
 /** Outcomes by the codes of errors that arise only before a connection exists. */
 const CONNECT_OUTCOMES: Readonly<Record<string, Outcome>> = {
@@ -54,6 +64,7 @@
   if (!sent && UNWRITABLE_CODES.has(code)) return "request_unwritable";
   if (!sent) return CONNECT_OUTCOMES[code] ?? "reset_before_send";
   if (TIMEOUT_CODES.has(code)) return "response_timeout";
+  if ((error as Error).name === STATUS_UNDEFINED) return "broken_frame";
   return hasResponse ? "body_cut_off" : "reset_after_send";
 }
 
@@ -95,22 +106,7 @@
   fresh: Agent;
 }
 
-/** Event that a socket is emitting at this moment. */
-let currentSocketEvent: "nothing" | "end" | "error" = "nothing";
-
-function recordSocketEvent(event: "end" | "error"): void {
-  currentSocketEvent = event;
-  queueMicrotask(() => {
-    currentSocketEvent = "nothing";
-  });
-}
-
-/**
- * Creates a connector that records the end or error of a socket before the HTTP client handles it.
- *
- * The client reports a response as complete if its connection is reset before the end of a body without a length, or
- * closed within a chunked body with the header `connection: close`, so {@link startAttempt} checks the recorded event.
- */
+/** Creates a connector that gives up in time, and reports each new connection. */
 function createConnector(
   { connectTimeoutMs, onConnect, connect = createConnect() }: AgentOptions,
 ): buildConnector.connector {
@@ -119,8 +115,6 @@
       timer.clear();
       const [, socket] = result;
       if (socket) onConnect?.(`${options.hostname}:${options.port}`);
-      socket?.prependListener("error", () => recordSocketEvent("error"));
-      socket?.prependListener("end", () => recordSocketEvent("end"));
       callback(...result);
     });
     // The connector's own timeout is up to a second late.
@@ -131,27 +125,13 @@
   };
 }
 
-/** Opens a connection. It returns the socket that is connecting, which the type of the client's connectors leaves out. */
-export type Connect = (...args: Parameters<buildConnector.connector>) => Socket;
-
-/** Returns true if the end of a body is known without the end of its connection. */
-export function isFramed(headers: Record<string, unknown>): boolean {
-  return headers["transfer-encoding"] !== undefined ||
-    headers["content-length"] !== undefined;
-}
-
-/** Creates the function that opens sockets of the operating system. */
-export function createConnect(): Connect {
-  return buildConnector({ timeout: 0 }) as Connect;
-}
-
 /** Creates the connection pools. */
 export function createAgents(options: AgentOptions): Agents {
   const connect = createConnector(options);
   const shared = { connect, connections: null, bodyTimeout: 0 };
   return {
-    reusing: new Agent({ ...shared, pipelining: 1 }),
-    fresh: new Agent({ ...shared, pipelining: 0 }),
+    reusing: createAnswerAgent({ ...shared, pipelining: 1 }),
+    fresh: createAnswerAgent({ ...shared, pipelining: 0 }),
   };
 }
 
@@ -166,7 +146,6 @@
   let isOver = false;
   let isPaused = false;
   let hasResponse = false;
-  let framed = false;
   let headersTimer: PatientTimer | undefined;
   const headersTimeoutMs = request.headersTimeout ?? 0;
 
@@ -189,7 +168,6 @@
       headersTimer?.clear();
       hasResponse = true;
       const headers = decodeHeaders(rawHeaders);
-      framed = isFramed(headers);
       events.onHeaders(status, headers);
       return !isPaused;
     },
@@ -200,9 +178,6 @@
     onComplete(rawTrailers) {
       if (isOver) return;
       isOver = true;
-      const isCut = currentSocketEvent === "error" ||
-        (currentSocketEvent === "end" && framed);
-      if (isCut) return events.onFailure("body_cut_off");
       events.onEnd(decodeHeaders((rawTrailers ?? []) as unknown as Buffer[]));
     },
     onError(error) {
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -7,7 +7,8 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Effect, EventBody, LogEventName } from "@primroseshed/core";
-import { type Agents, isFramed, startAttempt } from "../backend/transport.ts";
+import { isFramed } from "../backend/answer_agent.ts";
+import { type Agents, startAttempt } from "../backend/transport.ts";
 import type { CallerConnections } from "../http/caller_connections.ts";
 import { findUnwritable } from "../http/header_bytes.ts";
 import type { HeldRequest } from "../intake/intake_gate.ts";
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -10,12 +10,9 @@
   isLeaderCandidate,
   type State,
 } from "@primroseshed/core";
+import { type Connect, createConnect } from "../backend/answer_agent.ts";
 import { probePath } from "../backend/path_probe.ts";
-import {
-  type Connect,
-  createAgents,
-  createConnect,
-} from "../backend/transport.ts";
+import { createAgents } from "../backend/transport.ts";
 import {
   createDriver,
   type EffectHandlers,
--- a/packages/daemon/src/http/peer_relay.ts
+++ b/packages/daemon/src/http/peer_relay.ts
@@ -16,7 +16,7 @@
   type Verdict,
   verdictOf,
 } from "@primroseshed/core";
-import { Agent } from "undici";
+import { createAnswerAgent, createConnect } from "../backend/answer_agent.ts";
 import { type Attempt, startAttempt } from "../backend/transport.ts";
 import type { IntakeGate } from "../intake/intake_gate.ts";
 import { readBody } from "./body.ts";
@@ -63,9 +63,9 @@
 /** Creates the relay. */
 export function createPeerRelay(options: PeerRelayOptions): PeerRelay {
   const { state, tls, connectTimeoutMs, log } = options;
-  const agent = new Agent({
+  const agent = createAnswerAgent({
     pipelining: 1,
-    connect: { ...tls, timeout: connectTimeoutMs },
+    connect: createConnect({ ...tls, timeout: connectTimeoutMs }),
   });
   let turn = 0;
 
--- a/packages/daemon/src/log_service/log_client.ts
+++ b/packages/daemon/src/log_service/log_client.ts
@@ -6,6 +6,7 @@
 import type { LogRecord, StoredRecord } from "@primroseshed/core";
 import { type Dispatcher, request } from "undici";
 import VError from "verror";
+import { createAnswerAgent, createConnect } from "../backend/answer_agent.ts";
 import { readLimitedJson } from "../backend/limited_body.ts";
 
 /** Stream of the records that all daemons fold into the shared state. */
@@ -60,6 +61,9 @@
 
 /** Creates a client of the log service at `address`. */
 export function createLogClient(address: string): LogClient {
+  const dispatcher = createAnswerAgent({
+    connect: createConnect({ timeout: REQUEST_TIMEOUT_MS }),
+  });
   const urlOf = (stream: string) => `${address}/v1/streams/${stream}/records`;
   return {
     async read(stream, { from, limit = READ_LIMIT_RECORDS, waitMs = 0 }) {
@@ -68,6 +72,7 @@
       }?from=${from}&limit=${limit}&wait_ms=${waitMs}`;
       const headersTimeout = waitMs + REQUEST_TIMEOUT_MS;
       const response = await request(url, {
+        dispatcher,
         headersTimeout,
         bodyTimeout: REQUEST_TIMEOUT_MS,
       });
@@ -76,6 +81,7 @@
     async append(stream, records) {
       const response = await request(urlOf(stream), {
         method: "POST",
+        dispatcher,
         headers: { "content-type": "application/json" },
         body: JSON.stringify({ records }),
         headersTimeout: REQUEST_TIMEOUT_MS,
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -35,10 +35,11 @@
 export { createLogger, type Logger } from "./observe/logger.ts";
 export {
   type Connect,
-  createAgents,
+  createAnswerAgent,
   createConnect,
-  startAttempt,
-} from "./backend/transport.ts";
+  STATUS_UNDEFINED,
+} from "./backend/answer_agent.ts";
+export { createAgents, startAttempt } from "./backend/transport.ts";
 export {
   type ConnectionEvents,
   type ConnectionOptions,
--- a/packages/daemon/src/peers/vm_list.ts
+++ b/packages/daemon/src/peers/vm_list.ts
@@ -5,6 +5,7 @@
  */
 import type { EventBody, LogEventName } from "@primroseshed/core";
 import { request } from "undici";
+import { createAnswerAgent, createConnect } from "../backend/answer_agent.ts";
 import { decodeVmList } from "../backend/fleet_decoder.ts";
 import { readLimitedJson } from "../backend/limited_body.ts";
 
@@ -24,9 +25,13 @@
 export function createVmListPoll(
   { address, everyMs, dispatch, log }: VmListPollOptions,
 ): () => void {
+  const dispatcher = createAnswerAgent({
+    connect: createConnect({ timeout: REQUEST_TIMEOUT_MS }),
+  });
   async function poll(): Promise<void> {
     try {
       const response = await request(`${address}/v1/vms`, {
+        dispatcher,
         headersTimeout: REQUEST_TIMEOUT_MS,
         bodyTimeout: REQUEST_TIMEOUT_MS,
       });
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -6,7 +6,8 @@
 import { createCacheFeed } from "./backend/cache_feed.ts";
 import { createOrderSender } from "./backend/orders.ts";
 import { createStatusPoll } from "./backend/status_poll.ts";
-import { type Connect, createAgents } from "./backend/transport.ts";
+import type { Connect } from "./backend/answer_agent.ts";
+import { createAgents } from "./backend/transport.ts";
 import {
   createDriver,
   type Driver,
