Take a status above 599 for a failure, not for an answer

HTTP defines 100 to 599 (RFC 9110, section 15); anything else is no answer. A request that may run once now gets 502, which promises nothing, one that may be repeated goes to another runner, and an order has no known outcome.

--- a/packages/daemon/src/backend/answer_agent.ts
+++ b/packages/daemon/src/backend/answer_agent.ts
@@ -29,6 +29,7 @@
 const FIRST_STATUS = 100;
 const SWITCHING_PROTOCOLS = 101;
 const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
 const RESET_CODE = "ECONNRESET";
 
 /**
@@ -37,11 +38,12 @@
  * @example
  * ```ts
  * isAnswerStatus(503); // true
- * isAnswerStatus(101); // false
+ * isAnswerStatus(700); // false
  * ```
  */
 export function isAnswerStatus(status: number): boolean {
-  return status >= FIRST_STATUS && status !== SWITCHING_PROTOCOLS;
+  return status >= FIRST_STATUS && status <= LAST_STATUS &&
+    status !== SWITCHING_PROTOCOLS;
 }
 
 /** A final answer that has begun on a connection and is not complete. */
