Leave an upstream whose data grows old in time for a read of the store

Cause: a follower kept to its upstream until that said that it reads no more (2,000 ms and one poll), or until its configuration was 1,900 ms to 2,500 ms old, whatever the bound; nothing limited the age of its list of runners. A poll every 400 ms let a follower know data of 1,450 ms as a rule, so that there was no room to leave sooner.

The ages now follow from `configApplyMs` and `drainMs`, which the settings bring: the usual age, the change of the source and one read stay within the smaller of them. Polls come once the next confirmation is due. The next daemon by rank reads at once, the others follow it and read only if that takes too long. Slow answers and batching shorten the wait of the next read, so that a slow store does not send followers away.

Ruled out: forwarded requests; a lost change.

--- a/packages/core/src/gateway/lookup.ts
+++ b/packages/core/src/gateway/lookup.ts
@@ -55,7 +55,8 @@
     now: number;
   },
 ): Lookup {
-  const isFresh = ageOf(gateway.routingFreshness, now) < STALE_LOOKUP_MS;
+  const staleMs = Math.min(STALE_LOOKUP_MS, gateway.settings.configApplyMs);
+  const isFresh = ageOf(gateway.routingFreshness, now) < staleMs;
   const route = findRoute(table, event.host, { path: event.path });
   if (route === undefined) {
     return refused(
--- a/packages/core/src/gateway/sweep_schedule.ts
+++ b/packages/core/src/gateway/sweep_schedule.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { sourceDueAt } from "../read_sharing/upstream.ts";
 import type { State } from "../state/types.ts";
 import { schedule } from "../util/timer_queue.ts";
 import {
@@ -33,7 +34,10 @@
 
 /** Schedules the next sweep. */
 export function scheduleSweep(state: State): void {
-  const at = state.now + sweepIntervalOf(state);
+  const at = Math.min(
+    state.now + sweepIntervalOf(state),
+    sourceDueAt(state),
+  );
   state.gateway!.nextSweepAt = at;
   schedule(state.timers, at, { timer: { kind: "gateway_sweep" } });
 }
--- a/packages/core/src/gateway/test_fixture.ts
+++ b/packages/core/src/gateway/test_fixture.ts
@@ -6,6 +6,7 @@
 import type { Effect } from "../effect/types.ts";
 import type { EventBody } from "../event/types.ts";
 import type { Membership } from "../formation/types.ts";
+import { readTimesOf } from "../read_sharing/read_times.ts";
 import { reduce } from "../reduce.ts";
 import { createState } from "../state/create_state.ts";
 import type { State } from "../state/types.ts";
@@ -40,6 +41,13 @@
 /** Settings as in a current deployment. */
 export const SETTINGS: GatewaySettings = {
   revokeMs: 5_000,
+  configApplyMs: 2_000,
+  readTimes: readTimesOf({
+    configApplyMs: 2_000,
+    drainMs: 2_000,
+    routingWaitMs: 1_000,
+    runnersWaitMs: 1_500,
+  }),
   retryRatio: 0.2,
   retrySlack: 109,
   retryWindowMs: 10_000,
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -12,6 +12,7 @@
 import type { Pacing } from "../pacing/types.ts";
 import type { KnownChains } from "../quarantine/types.ts";
 import type { StoreTimeline } from "../store_timeline/types.ts";
+import type { ReadTimes } from "../read_sharing/read_times.ts";
 import type { DaemonEntry, ReadSharing } from "../read_sharing/types.ts";
 import type { FirstEventExpectation, LoadSharing } from "../load/types.ts";
 import type { HedgingLimits, HedgingState } from "../hedging/types.ts";
@@ -254,6 +255,10 @@
 export interface GatewaySettings {
   /** Revoked keys must have no effect after this time, ms. */
   revokeMs: number;
+  /** Time within which a new configuration must be in force, ms. */
+  configApplyMs: number;
+  /** Times of the reads of the store, and of what other daemons have read. */
+  readTimes: ReadTimes;
   /** Retries allowed, as a share of the requests. */
   retryRatio: number;
   /** Retries allowed beyond that share in each window, summed over all daemons. */
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -39,6 +39,7 @@
 export { READ_SHARING_VERSION } from "./read_sharing/constants.ts";
 export * from "./read_sharing/effect_types.ts";
 export * from "./read_sharing/event_types.ts";
+export * from "./read_sharing/read_times.ts";
 export { isLeaderCandidate, isStoreReader } from "./read_sharing/reader.ts";
 export type * from "./read_sharing/types.ts";
 export { isLeader } from "./formation/leadership.ts";
--- a/packages/core/src/read_sharing/constants.ts
+++ b/packages/core/src/read_sharing/constants.ts
@@ -12,14 +12,10 @@
 export const UPSTREAM_START_MS = 1_000;
 /** An upstream that says that it does not read the store is left after this time, in which it may begin to, ms. */
 export const NOT_READING_MS = 400;
-/** A daemon that cannot confirm the configuration for this long reads the store itself, ms. */
-export const STORE_FALLBACK_MS = 1_900;
-/** Range over which daemons spread their first reads after a loss of their upstream, ms. */
-export const FALLBACK_JITTER_MS = 600;
+/** Range over which starting daemons spread their first reads of the store, ms. */
+export const START_JITTER_MS = 600;
 /** A starting daemon waits this long for its upstream before it reads the store itself, ms. */
 export const START_PATIENCE_MS = 500;
-/** A reader without a confirmation by the store for this long is no longer followed, ms. */
-export const STORE_FAILING_MS = 2_000;
 /** Daemons of each availability zone that may lead the group planner. */
 export const CANDIDATES_PER_ZONE = 2;
 /** A daemon that has read the store for this long may lead the group planner, whatever its rank, ms. */
--- a/packages/core/src/read_sharing/reader.ts
+++ b/packages/core/src/read_sharing/reader.ts
@@ -4,17 +4,13 @@
  * @module
  */
 import type { State } from "../state/types.ts";
-import {
-  CANDIDATES_PER_ZONE,
-  STEADY_READER_MS,
-  STORE_FAILING_MS,
-} from "./constants.ts";
+import { CANDIDATES_PER_ZONE, STEADY_READER_MS } from "./constants.ts";
 
 /** Returns whether this daemon's own reads of the store succeed, so that others may follow it. */
 export function isStoreReader({ gateway, phase, now }: State): boolean {
-  const { isReading, storeConfirmedAt } = gateway!.readSharing;
+  const { readSharing: { isReading, storeConfirmedAt }, settings } = gateway!;
   return phase === "serving" && isReading &&
-    now - storeConfirmedAt < STORE_FAILING_MS;
+    now - storeConfirmedAt < settings.readTimes.upstreamAgeMs;
 }
 
 /**
--- a/packages/core/src/read_sharing/test_fleet.ts
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -13,6 +13,14 @@
   type GatewayHarness,
 } from "../gateway/test_fixture.ts";
 import type { LogPosition } from "../store_timeline/position.ts";
+import {
+  LATE_POLL_INTERVAL_MS,
+  nextWaitOf,
+  POLL_INTERVAL_MS,
+  pollDelayOf,
+  type ReadTimes,
+  TRUSTED_WAIT_SHARE,
+} from "./read_times.ts";
 import type { DaemonEntry, RunnerReports } from "./types.ts";
 
 /** A simulated daemon. */
@@ -28,6 +36,16 @@
   /** Time from which on its connections deliver nothing, ms; it does not know. */
   silentSince: number;
   reads: number;
+  /** Read in progress, where reads wait for a change. */
+  read: SimulatedRead | undefined;
+  nextPollAt: number;
+}
+
+/** A read of the store that waits for a change, or of all data. */
+interface SimulatedRead {
+  sentAt: number;
+  /** 0 where it reads all data. */
+  waitMs: number;
 }
 
 type LimitsEvent = Extract<EventBody, { kind: "limits_reported" }>;
@@ -41,6 +59,8 @@
     runners: Runner[];
     evacuatedZones: string[];
     position: LogPosition;
+    /** Time of the last change, ms. */
+    changedAt: number;
   };
   /** Returns what arrives of a message of the kind `limits`, each time: nothing where it is lost. */
   limitsArriving(event: LimitsEvent): LimitsEvent[];
@@ -56,14 +76,16 @@
 
 const STEP_MS = 50;
 const READ_INTERVAL_MS = 1_000;
-const POLL_INTERVAL_MS = 400;
 
 /** Creates a fleet whose daemons start together. */
 export function createFleet(
   zones: Readonly<Record<string, number>>,
-  { stepMs = STEP_MS, evacuatedZones = [] }: {
+  { stepMs = STEP_MS, evacuatedZones = [], answerMs, readTimes }: {
     stepMs?: number;
     evacuatedZones?: string[];
+    /** Time that the store takes for an answer, ms; undefined where each reader reads once a second, without a wait. */
+    answerMs?: number;
+    readTimes?: ReadTimes;
   } = {},
 ): SimulatedFleet {
   const store = {
@@ -71,9 +93,13 @@
     runners: [createRunner("desk-0")],
     evacuatedZones,
     position: { timeline: 1, offset: 1 },
+    changedAt: 0,
   };
   const daemons = Object.entries(zones).flatMap(([zone, count]) =>
-    Array.from({ length: count }, (_, index) => createDaemon(zone, index))
+    Array.from(
+      { length: count },
+      (_, index) => createDaemon(zone, { index, readTimes }),
+    )
   );
   const entries = daemons.map(({ entry }) => entry);
   let now = 0;
@@ -94,11 +120,12 @@
   }
 
   function carryOut(from: SimulatedDaemon, effect: Effect): void {
-    if (effect.kind === "read_store" && effect.isEnabled) readStore(from);
-    if (effect.kind === "reread_runners") readStore(from);
+    if (effect.kind === "read_store") beginReads(from, effect);
+    if (effect.kind === "reread_runners") beginReads(from, { isEnabled: true });
     if (effect.kind === "unfollow_daemon") endFollowing(from);
     if (effect.kind === "follow_daemon") {
       from.upstream = { node: effect.node, isOpen: false };
+      from.nextPollAt = now;
     }
     if (effect.kind === "send_to_upstream" && from.upstream !== undefined) {
       const { message } = effect;
@@ -183,10 +210,45 @@
       feed(to, { kind: "routing_read", document, confirmedAt: undefined });
     }
     if (message.kind !== "poll_answer") return;
+    const { readTimes: times } = to.harness.state.gateway!.settings;
+    to.nextPollAt = now +
+      (message.isReader ? pollDelayOf(message, times) : LATE_POLL_INTERVAL_MS);
     feed(to, { ...message, kind: "upstream_answered", node, sentAt: now });
   }
 
-  function readStore(by: SimulatedDaemon): void {
+  function beginReads(
+    by: SimulatedDaemon,
+    { isEnabled }: { isEnabled: boolean },
+  ): void {
+    by.read = undefined;
+    if (!isEnabled) return;
+    if (answerMs === undefined) return readStore(by);
+    by.reads += 1;
+    by.read = { sentAt: now, waitMs: 0 };
+  }
+
+  /** Ends a read that waits for a change once there is one, or its wait is over; that of a daemon without a path hangs. */
+  function advanceRead(by: SimulatedDaemon, answerTakesMs: number): void {
+    if (by.read === undefined || by.isCutFromStore) return;
+    const { sentAt, waitMs } = by.read;
+    const isChanged = store.changedAt > sentAt;
+    const waitEndsAt = isChanged
+      ? Math.min(sentAt + waitMs, store.changedAt)
+      : sentAt + waitMs;
+    if (now < waitEndsAt + answerTakesMs) return;
+    const trustedMs = isChanged ? 0 : waitMs * TRUSTED_WAIT_SHARE;
+    const { readTimes: times } = by.harness.state.gateway!.settings;
+    by.read = {
+      sentAt: now,
+      waitMs: nextWaitOf(times.routingWaitMs, {
+        answerMs: answerTakesMs,
+        pausedMs: 0,
+      }),
+    };
+    readStore(by, sentAt + trustedMs);
+  }
+
+  function readStore(by: SimulatedDaemon, confirmedAt = now): void {
     by.reads += 1;
     if (by.isCutFromStore || now >= by.silentSince) return;
     const { document, runners, evacuatedZones: zones, position } = store;
@@ -197,14 +259,15 @@
       removedIds: [],
       isWhole: true,
       position,
-      confirmedAt: now,
+      confirmedAt,
     });
-    feed(by, { kind: "routing_read", document, confirmedAt: now });
+    feed(by, { kind: "routing_read", document, confirmedAt });
   }
 
   function poll(by: SimulatedDaemon): void {
     const { upstream, entry } = by;
     if (upstream === undefined) return;
+    by.nextPollAt = now + POLL_INTERVAL_MS;
     const target = daemon(upstream.node);
     if (!target.isUp) {
       by.upstream = undefined;
@@ -229,9 +292,9 @@
     for (const each of living) deliver(each, each.harness.advance(stepMs));
     for (const each of living) {
       const { isReading } = each.harness.state.gateway!.readSharing;
-      if (isReading && now % READ_INTERVAL_MS === 0) readStore(each);
-      const isNew = each.upstream?.isOpen === false;
-      if (isNew || now % POLL_INTERVAL_MS === 0) poll(each);
+      if (answerMs !== undefined) advanceRead(each, answerMs);
+      else if (isReading && now % READ_INTERVAL_MS === 0) readStore(each);
+      if (now >= each.nextPollAt) poll(each);
       if (each.upstream !== undefined) each.upstream.isOpen = true;
     }
   }
@@ -278,7 +341,10 @@
     : { kind, limits, leaving, loads, evidence, holdings };
 }
 
-function createDaemon(zone: string, index: number): SimulatedDaemon {
+function createDaemon(
+  zone: string,
+  { index, readTimes }: { index: number; readTimes: ReadTimes | undefined },
+): SimulatedDaemon {
   const node = `${zone}-${index}`;
   const entry = {
     node,
@@ -289,12 +355,18 @@
   };
   return {
     entry,
-    harness: createHarness({ self: entry }),
+    harness: createHarness(
+      { self: entry, ...readTimes && { readTimes } },
+      // Daemons with the same times of reads would change their source together.
+      readTimes && { seed: index + 1 },
+    ),
     isUp: true,
     isCutFromStore: false,
     isEarlierBuild: false,
     upstream: undefined,
     silentSince: Infinity,
     reads: 0,
+    read: undefined,
+    nextPollAt: 0,
   };
 }
--- a/packages/core/src/read_sharing/types.ts
+++ b/packages/core/src/read_sharing/types.ts
@@ -93,7 +93,7 @@
   runnersPosition: LogPosition;
   upstream: Upstream | undefined;
   avoided: Map<string, Avoidance>;
-  /** Share of {@link FALLBACK_JITTER_MS} that this daemon waits longer than others before it reads the store, 0 to 1. */
+  /** Share of the allowed range that this daemon waits longer than others before it reads the store, 0 to 1. */
   patience: number;
   followers: Map<string, Follower>;
   /** Runners that this daemon failed to reach, or heard so of, and has not passed on yet. */
--- a/packages/core/src/read_sharing/upstream.ts
+++ b/packages/core/src/read_sharing/upstream.ts
@@ -18,14 +18,12 @@
 import { isRewriting } from "../store_timeline/timeline.ts";
 import {
   AVOID_UPSTREAM_MS,
-  FALLBACK_JITTER_MS,
   FLEET_SIZE_MEMORY_MS,
   MAX_AVOID_UPSTREAM_MS,
   NOT_READING_MS,
   START_AVOID_MS,
+  START_JITTER_MS,
   START_PATIENCE_MS,
-  STORE_FAILING_MS,
-  STORE_FALLBACK_MS,
   UPSTREAM_SILENCE_MS,
   UPSTREAM_START_MS,
 } from "./constants.ts";
@@ -222,17 +220,28 @@
   if (isLeading) return "leading";
   if (upstream.isTemporary && isStoreReader(state)) return "store_regained";
   if (now - upstream.heardAt > UPSTREAM_SILENCE_MS) return "silent";
+  if (upstream.hasData && isOutdated(state)) return "outdated";
   const isLate = !upstream.hasData && now - upstream.since > UPSTREAM_START_MS;
   return isLate ? "no_data" : undefined;
 }
 
+/** Returns whether the data of this daemon is so old that those from whom it has it cannot read the store. */
+function isOutdated({ gateway, now }: State): boolean {
+  const { routingFreshness, runnersFreshness, settings } = gateway!;
+  const { upstreamAgeMs } = settings.readTimes;
+  return [routingFreshness, runnersFreshness].some((freshness) => {
+    const age = ageOf(freshness, now);
+    return Number.isFinite(age) && age > upstreamAgeMs;
+  });
+}
+
 function* followNext(state: State): Effects {
-  const { readSharing } = state.gateway!;
+  const { readSharing, settings } = state.gateway!;
   const { ranked: { ahead, others }, avoided, isReading } = readSharing;
   const isUsable = ({ node }: DaemonEntry) =>
     (avoided.get(node)?.until ?? -Infinity) <= state.now;
   const isFailing = isReading && !isStoreReader(state) &&
-    configurationAge(state) > STORE_FAILING_MS;
+    dataAge(state) > settings.readTimes.upstreamAgeMs;
   const preferred = ahead.find(isUsable);
   const next = preferred ?? (isFailing ? others.find(isUsable) : undefined);
   if (next === undefined) return;
@@ -262,24 +271,46 @@
   return Number.isFinite(age) ? Math.round(age) : undefined;
 }
 
-/** Returns the age of the configuration, ms; before the first confirmation, the time since the start. */
-function configurationAge({ gateway, now }: State): number {
-  const { routingFreshness, readSharing } = gateway!;
-  const age = ageOf(routingFreshness, now);
+/** Returns the age of the older of configuration and list of runners, ms; before the first confirmation, the time since the start. */
+function dataAge({ gateway, now }: State): number {
+  const { routingFreshness, runnersFreshness, readSharing } = gateway!;
+  const age = Math.max(
+    ageOf(routingFreshness, now),
+    ageOf(runnersFreshness, now),
+  );
   return Number.isFinite(age) ? age : now - readSharing.startedAt;
 }
 
 /** Returns whether this daemon has to read the store itself. */
 function mustRead(state: State): boolean {
-  const { readSharing, routingFreshness } = state.gateway!;
+  const { readSharing, routingFreshness, settings } = state.gateway!;
   const { ranked: { ahead }, upstream, patience, daemons } = readSharing;
   const isStarting = routingFreshness.confirmedAt === undefined;
   if (upstream === undefined && daemons !== undefined) {
     // After a common start, those ahead may not listen yet.
     if (ahead.length === 0 || !isStarting) return true;
   }
-  const limit = isStarting ? START_PATIENCE_MS : STORE_FALLBACK_MS;
-  return configurationAge(state) > limit + patience * FALLBACK_JITTER_MS;
+  const { ownReadAgeMs, ownReadSpreadMs } = settings.readTimes;
+  const limit = isStarting
+    ? START_PATIENCE_MS + patience * START_JITTER_MS
+    : ownReadAgeMs + patience * ownReadSpreadMs;
+  return dataAge(state) > limit;
+}
+
+/** Returns the time at which this daemon may next have to change its source, ms; infinite while it reads the store. */
+export function sourceDueAt({ gateway, now }: State): number {
+  const { readSharing, routingFreshness, runnersFreshness, settings } =
+    gateway!;
+  const { self, isReading, patience } = readSharing;
+  if (self === undefined || isReading) return Infinity;
+  const { upstreamAgeMs, ownReadAgeMs, ownReadSpreadMs } = settings.readTimes;
+  const confirmedAt = Math.min(
+    routingFreshness.confirmedAt ?? Infinity,
+    runnersFreshness.confirmedAt ?? Infinity,
+  );
+  const limits = [upstreamAgeMs, ownReadAgeMs + patience * ownReadSpreadMs];
+  const due = limits.map((age) => confirmedAt + age + 1);
+  return Math.min(...due.filter((at) => at > now), Infinity);
 }
 
 /** Makes every follower get all data again, since it is not told of what changes from now on. */
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -64,6 +64,10 @@
   }),
   bounds: z.strictObject({
     revokeMs: milliseconds,
+    /** Time within which a new configuration must be in force. */
+    configApplyMs: milliseconds.default(2_000),
+    /** Time after which a runner that leaves must get no requests. */
+    drainMs: milliseconds.default(2_000),
     retryRatio: z.number(),
     retrySlack: z.number(),
     retryWindowS: z.number().positive(),
--- a/packages/daemon/src/gateway/store_reads.ts
+++ b/packages/daemon/src/gateway/store_reads.ts
@@ -90,7 +90,8 @@
     state.gateway!;
   const { self } = readSharing;
   const { isReading: isEnabled } = readSharing;
-  const { firstStart } = state.gateway!.settings;
+  const { firstStart, readTimes } = state.gateway!.settings;
+  const maxGatherMs = Math.min(settings.maxGatherMs, readTimes.runnersWaitMs);
 
   function deliver(
     { position }: TopicUpdate<unknown>,
@@ -105,7 +106,7 @@
   const routing = subscribeToTopic({
     name: "routing",
     topic: adapters.operatorRecords,
-    waitMs: settings.routingWaitMs,
+    waitMs: readTimes.routingWaitMs,
     isConfirmed: () => routingFreshness.confirmedAt !== undefined,
     batchDelayMs: () => 0,
     lateMs,
@@ -115,10 +116,10 @@
   const runners = subscribeToTopic({
     name: "runners",
     topic: adapters.runners,
-    waitMs: settings.runnersWaitMs,
+    waitMs: readTimes.runnersWaitMs,
     isConfirmed: () => runnersFreshness.confirmedAt !== undefined,
     batchDelayMs: () =>
-      batchDelayOf(settings, {
+      batchDelayOf({ ...settings, maxGatherMs }, {
         runners: state.gateway!.runners.size,
         isPlanner: isLeader(groupPlanner.leadership, monotonicNow()),
       }),
--- a/packages/daemon/src/gateway/topic_subscription.ts
+++ b/packages/daemon/src/gateway/topic_subscription.ts
@@ -6,7 +6,12 @@
  *
  * @module
  */
-import type { LogEventName, LogPosition } from "@primroseshed/core";
+import {
+  type LogEventName,
+  type LogPosition,
+  nextWaitOf,
+  TRUSTED_WAIT_SHARE,
+} from "@primroseshed/core";
 import { monotonicNow } from "../driver/driver.ts";
 import type { KeyedRecord, KeyedTopic } from "./adapters.ts";
 
@@ -44,9 +49,6 @@
 /** Pause after a read that found nothing and returned without waiting, ms. */
 const MIN_PAUSE_MS = 100;
 
-/** Share of a wait that counts for a confirmation, since the store's clock may run faster than the daemon's. */
-const TRUSTED_WAIT_SHARE = 0.95;
-
 /**
  * Returns the time up to which a read without records confirms that there were none, monotonic ms.
  *
@@ -103,6 +105,10 @@
   let pass = 0;
   let next: LogPosition | undefined;
   let failures = 0;
+  /** Time that the last answer took beyond its wait, ms. */
+  let answerMs = 0;
+  /** Pause before the next read, ms. */
+  let pausedMs = 0;
   let wake: (() => void) | undefined;
 
   async function readOnce(current: number): Promise<number> {
@@ -118,7 +124,9 @@
       return 0;
     }
     // After a failure or a suspension the last confirmation is old; a read that does not wait renews it at once.
-    const allowedMs = failures > 0 || !isConfirmed() ? 0 : waitMs;
+    const allowedMs = failures > 0 || !isConfirmed()
+      ? 0
+      : nextWaitOf(waitMs, { answerMs, pausedMs });
     const read = await topic.readFrom(next, { waitMs: allowedMs });
     if (current !== pass) return 0;
     if (read.kind !== "records") {
@@ -137,6 +145,7 @@
     }
     const { records, next: position } = read;
     const waitedMs = monotonicNow() - sentAt - lateMs();
+    if (waitedMs >= allowedMs) answerMs = waitedMs - allowedMs;
     const confirmedAt = records.length > 0
       ? sentAt
       : confirmedAtOf({ sentAt, waitedMs, allowedMs });
@@ -171,6 +180,7 @@
         const pauseMs = await readOnce(current);
         if (failures > 0) log("belief_regained", { topic: name, failures });
         failures = 0;
+        pausedMs = pauseMs;
         if (pauseMs > 0 && current === pass) await pause(pauseMs);
       } catch (error) {
         if (current !== pass) return;
--- a/packages/daemon/src/gateway/upstream_client.ts
+++ b/packages/daemon/src/gateway/upstream_client.ts
@@ -7,10 +7,14 @@
   type Evacuations,
   type EventBody,
   type FollowerMessage,
+  LATE_POLL_INTERVAL_MS,
   type LogEventName,
   type LogPosition,
   type PartReading,
+  POLL_INTERVAL_MS,
+  pollDelayOf,
   READ_SHARING_VERSION,
+  type ReadTimes,
   type UpstreamMessage,
 } from "@primroseshed/core";
 import { type RawData, WebSocket } from "ws";
@@ -28,6 +32,7 @@
   connectTimeoutMs: number;
   /** Returns the position in the store up to which changes of runners are known. */
   runnersPosition(): LogPosition;
+  readTimes: ReadTimes;
   dispatch(event: EventBody): void;
   log(event: LogEventName, fields?: Record<string, unknown>): void;
 }
@@ -41,12 +46,10 @@
   send(message: FollowerMessage): void;
 }
 
-/** Interval between two polls, ms. */
-const POLL_INTERVAL_MS = 400;
-
 /** Creates the client. */
 export function createUpstreamClient(
-  { connectTimeoutMs, runnersPosition, dispatch, log }: UpstreamClientOptions,
+  { connectTimeoutMs, runnersPosition, readTimes, dispatch, log }:
+    UpstreamClientOptions,
 ): UpstreamClient {
   let current: WebSocket | undefined;
 
@@ -65,7 +68,13 @@
       () => lose("Opening handshake has timed out"),
     );
 
+    function schedulePoll(delayMs: number): void {
+      clearTimeout(timer);
+      timer = setTimeout(poll, delayMs);
+    }
+
     function poll(): void {
+      schedulePoll(POLL_INTERVAL_MS);
       pollCount += 1;
       sentAt.set(pollCount, monotonicNow());
       socket.send(encodeFrame({
@@ -121,6 +130,11 @@
         for (const each of sentAt.keys()) {
           if (each <= answered) sentAt.delete(each);
         }
+        schedulePoll(
+          answer.isReader
+            ? pollDelayOf(answer, readTimes)
+            : LATE_POLL_INTERVAL_MS,
+        );
         passEvacuations(answer.evacuations);
         dispatch({
           kind: "upstream_answered",
@@ -151,7 +165,7 @@
 
     function lose(cause: string): void {
       handshake.clear();
-      clearInterval(timer);
+      clearTimeout(timer);
       socket.terminate();
       if (current !== socket) return;
       current = undefined;
@@ -162,7 +176,6 @@
       handshake.clear();
       if (current !== socket) return socket.terminate();
       poll();
-      timer = setInterval(poll, POLL_INTERVAL_MS);
     });
     socket.on("message", handleFrame);
     socket.on("error", (error) => lose(error.message));
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -8,6 +8,7 @@
   type Effect,
   type EventBody,
   isLeaderCandidate,
+  readTimesOf,
   type State,
 } from "@primroseshed/core";
 import { type Connect, createConnect } from "../backend/answer_agent.ts";
@@ -96,6 +97,7 @@
       now: monotonicNow(),
       gateway: {
         ...bounds,
+        readTimes: readTimesOf({ ...bounds, ...store }),
         regions,
         hedging,
         isCapacityShared,
@@ -308,6 +310,7 @@
   const upstream = createUpstreamClient({
     connectTimeoutMs: timing.connectTimeoutMs,
     runnersPosition: () => state.gateway!.readSharing.runnersPosition,
+    readTimes: state.gateway!.settings.readTimes,
     dispatch,
     log,
   });
