Leave connections to the store as soon as one is silent

Cause: a waiting read was given up only 1.2 s after its wait, and the next call could take another connection that was silent, too. A read must now be answered within 300 ms after its wait and twice what the last answer took; each failure doubles that.

Ruled out: the batching pause alone (with shorter waits the case failed still).

--- a/packages/core/src/read_sharing/read_times.ts
+++ b/packages/core/src/read_sharing/read_times.ts
@@ -128,6 +128,24 @@
   );
 }
 
+/** Time after the wait of a read within which the store must have answered, where it was fast before, ms. */
+const ANSWER_LIMIT_MS = 300;
+
+/**
+ * Returns the time after its wait within which a read must be answered, ms. A silent connection is left as soon as an
+ * answer is late by what the store has usually taken; each failure doubles the time.
+ *
+ * @example
+ * ```ts
+ * answerLimitOf({ answerMs: 8, failures: 0 }); // 316
+ * ```
+ */
+export function answerLimitOf(
+  { answerMs, failures }: { answerMs: number; failures: number },
+): number {
+  return ANSWER_LIMIT_MS * 2 ** failures + 2 * answerMs;
+}
+
 /** An answer of the store within this time costs a read nothing of its wait, ms. */
 const USUAL_ANSWER_MS = 50;
 
--- a/packages/daemon/src/gateway/adapters.ts
+++ b/packages/daemon/src/gateway/adapters.ts
@@ -110,10 +110,13 @@
 export interface KeyedTopic<T> {
   /** Reads the newest record of every key and returns the position to continue from. */
   readAll(): Promise<{ records: KeyedRecord<T>[]; next: LogPosition }>;
-  /** Reads the records from a position on, waiting up to `waitMs` for the first one. */
+  /**
+   * Reads the records from a position on, waiting up to `waitMs` for the first one; the answer must come within
+   * `answerMs` after that.
+   */
   readFrom(
     position: LogPosition,
-    options: { waitMs: number },
+    options: { waitMs: number; answerMs: number },
   ): Promise<KeyedRead<T>>;
 }
 
--- a/packages/daemon/src/gateway/topic_subscription.ts
+++ b/packages/daemon/src/gateway/topic_subscription.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import {
+  answerLimitOf,
   type LogEventName,
   type LogPosition,
   nextWaitOf,
@@ -127,7 +128,10 @@
     const allowedMs = failures > 0 || !isConfirmed()
       ? 0
       : nextWaitOf(waitMs, { answerMs, pausedMs });
-    const read = await topic.readFrom(next, { waitMs: allowedMs });
+    const read = await topic.readFrom(next, {
+      waitMs: allowedMs,
+      answerMs: answerLimitOf({ answerMs, failures }),
+    });
     if (current !== pass) return 0;
     if (read.kind !== "records") {
       const { timeline, offset } = next;
--- a/packages/daemon/src/gateway/topic_subscription_test.ts
+++ b/packages/daemon/src/gateway/topic_subscription_test.ts
@@ -130,6 +130,18 @@
     expect(waits.slice(0, 2)).to.deep.equal([1_000, 0]);
   });
 
+  // Guards against review case 8: a read on a connection that had fallen silent was given up only after 3.3 s.
+  it("gives up an answer that is late, and allows more time after each failure", async () => {
+    const limits: number[] = [];
+    const { topic } = createTopic([]);
+    topic.readFrom = (_position, { answerMs }) => {
+      limits.push(answerMs);
+      return Promise.reject(new Error("no response"));
+    };
+    await collectUpdates(topic, 500);
+    expect(limits.slice(0, 3)).to.deep.equal([300, 600, 1_200]);
+  });
+
   it("does not read in a tight loop if the store does not wait", async () => {
     const { topic, calls } = createTopic([]);
     await collectUpdates(topic, 350);
