Plan no groups by the list of a store that has just come back from an older copy

Cause: a daemon that had followed another one knew only runners that serve requests, so it took the copy's entries of all others for current, and the planner did not wait until the runners had written again.

Ruled out: fencing (all orders were of the newest term); a daemon that starts after the restoration has no configuration for that time.

--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -151,6 +151,11 @@
   lease_released: event(1406, "info", "lease released"),
   duty_taken: event(1407, "info", "group planner leadership acquired"),
   duty_lost: event(1408, "warn", "group planner leadership lost"),
+  planning_paused: event(
+    1410,
+    "warn",
+    "groups not planned, store came back from an older copy",
+  ),
   order_sent: event(1409, "info", "order sent to a runner"),
   order_dropped: event(1403, "warn", "order dropped, lease no longer held"),
   group_planned: event(1404, "info", "replica group change planned"),
--- a/packages/core/src/formation/leadership.ts
+++ b/packages/core/src/formation/leadership.ts
@@ -40,6 +40,7 @@
     groupCount: 0,
     startedAt: now,
     lastPlannedAt: -Infinity,
+    isPaused: false,
   };
 }
 
--- a/packages/core/src/formation/plan.ts
+++ b/packages/core/src/formation/plan.ts
@@ -14,9 +14,11 @@
   Runner,
   Service,
 } from "../gateway/types.ts";
+import type { Effect } from "../effect/types.ts";
 import type { Effects } from "../reduce_types.ts";
 import { isPathLost } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
+import { isRewriting } from "../store_timeline/timeline.ts";
 import {
   MAX_DEAD_SHARE,
   MAX_STABILIZATION_MS,
@@ -56,12 +58,29 @@
   if (!gateway.readSharing.hasWholeList) return;
   if (!(yield* ensureTerm(state))) return;
   pruneOrders(state);
+  if (yield* isListUnsettled(state)) return;
   for (const service of gateway.routing?.services.values() ?? []) {
     if (service.engine === undefined) continue;
     yield* planService(state, service, service.engine);
   }
 }
 
+/** Returns whether members of groups may seem to be free runners, since the store's list may be an older copy. */
+function* isListUnsettled(
+  state: State,
+): Generator<Effect, boolean, void> {
+  const { groupPlanner, storeTimeline } = state.gateway!;
+  const wasPaused = groupPlanner.isPaused;
+  groupPlanner.isPaused = isRewriting(storeTimeline, state.now);
+  if (groupPlanner.isPaused && !wasPaused) {
+    const { current: timeline, restoredAt } = storeTimeline;
+    const restoredMs = Math.round(state.now - restoredAt);
+    const fields = { timeline, restoredMs };
+    yield { kind: "log", event: "planning_paused", fields };
+  }
+  return groupPlanner.isPaused;
+}
+
 function* planService(
   state: State,
   service: Service,
--- a/packages/core/src/formation/types.ts
+++ b/packages/core/src/formation/types.ts
@@ -137,4 +137,6 @@
   startedAt: number;
   /** Time of the last round of planning, ms. */
   lastPlannedAt: number;
+  /** True while the store's list may lack what runners have reported, so that nothing is ordered. */
+  isPaused: boolean;
 }
