Confirm the daemons' data in the load test of a zone that returns

The simulated daemons got their configuration once and nothing confirmed it, so that all of them turned to reading the store in the middle of the play and swept at other times. Real daemons' data is confirmed all the time; the simulation does so now, too.

--- a/packages/core/src/cold_start/test_zone_return.ts
+++ b/packages/core/src/cold_start/test_zone_return.ts
@@ -60,6 +60,8 @@
   act(): void;
 }
 
+const CONFIRMATION_INTERVAL_MS = 500;
+
 function createHeads(zone: string, changes: Partial<Runner>): Runner[] {
   return Array.from(
     { length: HEADS_PER_ZONE },
@@ -206,6 +208,19 @@
     });
   }
 
+  /** Confirms the data of all daemons, as their reads of the store do all the time. */
+  function confirmAll(): void {
+    for (const harness of daemons) {
+      for (const topic of ["routing", "runners"] as const) {
+        harness.feed({
+          kind: "freshness_confirmed",
+          topic,
+          confirmedAt: harness.state.now,
+        });
+      }
+    }
+  }
+
   const home = createHeads(ZONES[0]!, {});
   tellAll(ZONES.flatMap((zone) => createHeads(zone, {})), []);
   let called = 0;
@@ -217,6 +232,7 @@
       tellAll(createHeads(ZONES[0]!, back), []);
     }
     for (const harness of daemons) harness.advance(STEP_MS);
+    if (now % CONFIRMATION_INTERVAL_MS === 0) confirmAll();
     const due = pending.filter(({ at }) => at <= now);
     pending = pending.filter(({ at }) => at > now);
     for (const { act } of due) act();
