--- a/packages/core/src/gateway/handlers.ts
+++ b/packages/core/src/gateway/handlers.ts
@@ -30,9 +30,9 @@
 import { answerPoll, removeFollower } from "../read_sharing/publish.ts";
 import { applyLimits } from "../read_sharing/limits.ts";
 import { applySuspects } from "../read_sharing/suspects.ts";
+import { applyDaemons } from "../read_sharing/daemon_list.ts";
 import {
   acceptUpstream,
-  applyDaemons,
   confirmUpstream,
   loseUpstream,
 } from "../read_sharing/upstream.ts";
--- a/packages/core/src/gateway/sweep_schedule.ts
+++ b/packages/core/src/gateway/sweep_schedule.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { sourceDueAt } from "../read_sharing/upstream.ts";
+import { sourceDueAt } from "../read_sharing/data_age.ts";
 import type { State } from "../state/types.ts";
 import { schedule } from "../util/timer_queue.ts";
 import {
--- a/packages/core/src/read_sharing/upstream.ts
+++ b/packages/core/src/read_sharing/upstream.ts
@@ -10,15 +10,12 @@
  */
 import type { EventOf } from "../event/types.ts";
 import { isLeader } from "../formation/leadership.ts";
-import { ageOf, confirm } from "../gateway/freshness.ts";
+import { confirm } from "../gateway/freshness.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { applyTimeline } from "../store_timeline/handlers.ts";
-import { LOG_START } from "../store_timeline/position.ts";
-import { isRewriting } from "../store_timeline/timeline.ts";
 import {
   AVOID_UPSTREAM_MS,
-  FLEET_SIZE_MEMORY_MS,
   MAX_AVOID_UPSTREAM_MS,
   NOT_READING_MS,
   START_AVOID_MS,
@@ -27,81 +24,9 @@
   UPSTREAM_SILENCE_MS,
   UPSTREAM_START_MS,
 } from "./constants.ts";
-import { publishDaemons } from "./publish.ts";
-import { measureFleet, rankDaemons } from "./ranking.ts";
+import { dataAge, isOutdated, knownAge } from "./data_age.ts";
 import { isStoreReader } from "./reader.ts";
-import type { DaemonEntry, FleetSize, ReadSharing, Upstream } from "./types.ts";
-
-/** Creates the state of read sharing; without an own entry the daemon always reads the store. */
-export function createReadSharing(
-  self: DaemonEntry | undefined,
-  { now, patience }: { now: number; patience: number },
-): ReadSharing {
-  return {
-    self,
-    daemons: undefined,
-    fleetSize: undefined,
-    fleetSizeAt: now,
-    ranked: { ahead: [], others: [] },
-    startedAt: now,
-    isReading: self === undefined,
-    readingSince: now,
-    storeConfirmedAt: -Infinity,
-    hasWholeList: false,
-    runnersPosition: LOG_START,
-    upstream: undefined,
-    avoided: new Map(),
-    patience,
-    followers: new Map(),
-    suspects: new Set(),
-    limitChanges: new Map(),
-    newlyLeaving: [],
-    suspectedUntil: new Map(),
-    published: new Map(),
-  };
-}
-
-/** Handles a list of the registered daemons. */
-export function* applyDaemons(
-  state: State,
-  { daemons, isWhole, isPassedOn }: EventOf<"daemons_read">,
-): Effects {
-  const { readSharing, storeTimeline } = state.gateway!;
-  const { self } = readSharing;
-  const isComplete = isWhole && !isRewriting(storeTimeline, state.now);
-  const known = isComplete || readSharing.daemons === undefined
-    ? new Map<string, DaemonEntry>()
-    : readSharing.daemons;
-  for (const daemon of daemons) {
-    if (daemon.node === self?.node) continue;
-    const before = readSharing.daemons?.get(daemon.node);
-    if (before?.incarnation !== daemon.incarnation) {
-      readSharing.avoided.delete(daemon.node);
-    }
-    known.set(daemon.node, daemon);
-  }
-  readSharing.daemons = known;
-  if (self !== undefined) {
-    readSharing.ranked = rankDaemons(self, { daemons: known.values() });
-    const size = measureFleet(self, { daemons: known.values() });
-    recordFleetSize(readSharing, size, state.now);
-  }
-  if (!isPassedOn) yield* publishDaemons(state, daemons);
-  yield* updateSource(state);
-}
-
-/** Records the number of daemons; a smaller one only after a while, since a list from a store may lack some. */
-function recordFleetSize(
-  readSharing: ReadSharing,
-  size: FleetSize,
-  now: number,
-): void {
-  const { fleetSize, fleetSizeAt } = readSharing;
-  const isSmaller = fleetSize !== undefined && size.count < fleetSize.count;
-  if (isSmaller && now - fleetSizeAt < FLEET_SIZE_MEMORY_MS) return;
-  readSharing.fleetSize = size;
-  readSharing.fleetSizeAt = now;
-}
+import type { DaemonEntry, ReadSharing, Upstream } from "./types.ts";
 
 /** Handles the answer of the upstream to a poll. */
 export function* confirmUpstream(
@@ -225,16 +150,6 @@
   return isLate ? "no_data" : undefined;
 }
 
-/** Returns whether the data of this daemon is so old that those from whom it has it cannot read the store. */
-function isOutdated({ gateway, now }: State): boolean {
-  const { routingFreshness, runnersFreshness, settings } = gateway!;
-  const { upstreamAgeMs } = settings.readTimes;
-  return [routingFreshness, runnersFreshness].some((freshness) => {
-    const age = ageOf(freshness, now);
-    return Number.isFinite(age) && age > upstreamAgeMs;
-  });
-}
-
 function* followNext(state: State): Effects {
   const { readSharing, settings } = state.gateway!;
   const { ranked: { ahead, others }, avoided, isReading } = readSharing;
@@ -265,22 +180,6 @@
   yield { kind: "follow_daemon", node, address };
 }
 
-/** Returns the age of the configuration for a log line, ms; undefined while it is not confirmed. */
-function knownAge({ gateway, now }: State): number | undefined {
-  const age = ageOf(gateway!.routingFreshness, now);
-  return Number.isFinite(age) ? Math.round(age) : undefined;
-}
-
-/** Returns the age of the older of configuration and list of runners, ms; before the first confirmation, the time since the start. */
-function dataAge({ gateway, now }: State): number {
-  const { routingFreshness, runnersFreshness, readSharing } = gateway!;
-  const age = Math.max(
-    ageOf(routingFreshness, now),
-    ageOf(runnersFreshness, now),
-  );
-  return Number.isFinite(age) ? age : now - readSharing.startedAt;
-}
-
 /** Returns whether this daemon has to read the store itself. */
 function mustRead(state: State): boolean {
   const { readSharing, routingFreshness, settings } = state.gateway!;
@@ -297,22 +196,6 @@
   return dataAge(state) > limit;
 }
 
-/** Returns the time at which this daemon may next have to change its source, ms; infinite while it reads the store. */
-export function sourceDueAt({ gateway, now }: State): number {
-  const { readSharing, routingFreshness, runnersFreshness, settings } =
-    gateway!;
-  const { self, isReading, patience } = readSharing;
-  if (self === undefined || isReading) return Infinity;
-  const { upstreamAgeMs, ownReadAgeMs, ownReadSpreadMs } = settings.readTimes;
-  const confirmedAt = Math.min(
-    routingFreshness.confirmedAt ?? Infinity,
-    runnersFreshness.confirmedAt ?? Infinity,
-  );
-  const limits = [upstreamAgeMs, ownReadAgeMs + patience * ownReadSpreadMs];
-  const due = limits.map((age) => confirmedAt + age + 1);
-  return Math.min(...due.filter((at) => at > now), Infinity);
-}
-
 /** Makes every follower get all data again, since it is not told of what changes from now on. */
 function forgetFollowers({ followers, published }: ReadSharing): void {
   published.clear();
--- a/packages/daemon/src/backend/answer_agent.ts
+++ b/packages/daemon/src/backend/answer_agent.ts
@@ -10,7 +10,6 @@
 import type { Socket } from "node:net";
 import { Agent, buildConnector, type Dispatcher } from "undici";
 import VError from "verror";
-import { decodeHeaders } from "../http/header_bytes.ts";
 
 /** Name of the error of an answer with a status that HTTP does not define, or that nobody has asked for. */
 export const STATUS_UNDEFINED = "StatusUndefinedError";
@@ -57,13 +56,24 @@
 let readSocket: Socket | undefined;
 
 /** Headers that tell the end of a body without the end of its connection. */
-const FRAMING_HEADERS = ["transfer-encoding", "content-length"] as const;
+const FRAMING_HEADERS = ["transfer-encoding", "content-length"];
 
 /** Returns true if the end of a body is known without the end of its connection. */
 export function isFramed(headers: Record<string, unknown>): boolean {
   return FRAMING_HEADERS.some((name) => headers[name] !== undefined);
 }
 
+/** As {@link isFramed}, for headers as they came: names and values alternating. */
+function hasFraming(received: readonly Buffer[]): boolean {
+  return received.some((name, index) =>
+    index % 2 === 0 &&
+    FRAMING_HEADERS.some((framing) =>
+      name.length === framing.length &&
+      name.toString("latin1").toLowerCase() === framing
+    )
+  );
+}
+
 function createCutError(cause?: Error): Error {
   const message = "Connection ended before the answer was complete";
   return cause === undefined
@@ -104,7 +114,7 @@
       }
       if (status >= FIRST_FINAL_STATUS && readSocket !== undefined) {
         socket = readSocket;
-        openAnswers.set(socket, { isFramed: isFramed(decodeHeaders(headers)) });
+        openAnswers.set(socket, { isFramed: hasFraming(headers) });
       }
       return handler.onHeaders?.(status, headers, resume, text) ?? true;
     },
