Judge an upstream by its data's age only once it has said how old that is

And a list of runners could be 2.33 s old at a sound reader: after a whole wait for a change came a whole batching pause. An upstream is now judged, and own reads end, once it has answered as a reader; the pause takes no longer than what is left of the wait.

--- a/packages/core/src/read_sharing/test_fleet.ts
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -156,6 +156,12 @@
         position: message.runnersPosition,
         confirmedAt: undefined,
       });
+      feed(to, {
+        kind: "daemons_read",
+        daemons: message.daemons,
+        isWhole: false,
+        isPassedOn: true,
+      });
     }
     if (message.kind === "suspects") {
       feed(to, { kind: "suspects_reported", runners: message.runners });
--- a/packages/core/src/read_sharing/types.ts
+++ b/packages/core/src/read_sharing/types.ts
@@ -51,6 +51,8 @@
   heardAt: number;
   /** True once it has sent its data. */
   hasData: boolean;
+  /** True once it has said how old its data is; the data comes first. */
+  hasConfirmed: boolean;
   /** True where it is followed only until this daemon can read the store again. */
   isTemporary: boolean;
 }
--- a/packages/core/src/read_sharing/upstream.ts
+++ b/packages/core/src/read_sharing/upstream.ts
@@ -55,6 +55,11 @@
     confirm(runnersFreshness, measuredAt - runnersAgeMs, { measuredAt });
   }
   readSharing.avoided.delete(event.node);
+  upstream.hasConfirmed = true;
+  // Until then its data may be older than what this daemon reads.
+  if (!upstream.isTemporary && !isOutdated(state)) {
+    yield* setReading(state, false);
+  }
 }
 
 /** Handles the loss of the connection to the upstream. */
@@ -86,7 +91,6 @@
   upstream.heardAt = state.now;
   readSharing.hasWholeList = false;
   forgetFollowers(readSharing);
-  if (!upstream.isTemporary) yield* setReading(state, false);
 }
 
 function* leaveUpstream(state: State, cause: string): Effects {
@@ -145,7 +149,7 @@
   if (isLeading) return "leading";
   if (upstream.isTemporary && isStoreReader(state)) return "store_regained";
   if (now - upstream.heardAt > UPSTREAM_SILENCE_MS) return "silent";
-  if (upstream.hasData && isOutdated(state)) return "outdated";
+  if (upstream.hasConfirmed && isOutdated(state)) return "outdated";
   const isLate = !upstream.hasData && now - upstream.since > UPSTREAM_START_MS;
   return isLate ? "no_data" : undefined;
 }
@@ -166,6 +170,7 @@
     since: state.now,
     heardAt: state.now,
     hasData: false,
+    hasConfirmed: false,
     isTemporary: preferred === undefined,
   };
   yield {
--- a/packages/daemon/src/gateway/topic_subscription.ts
+++ b/packages/daemon/src/gateway/topic_subscription.ts
@@ -154,7 +154,10 @@
       ? sentAt
       : confirmedAtOf({ sentAt, waitedMs, allowedMs });
     publish({ records, isWhole: false, position, confirmedAt });
-    if (records.length > 0) return batchDelayMs();
+    // This read confirms no more than what was so when it was sent.
+    if (records.length > 0) {
+      return Math.min(batchDelayMs(), Math.max(0, waitMs - waitedMs));
+    }
     // Prevents a tight loop if the store does not wait.
     return waitedMs < allowedMs / 2 ? MIN_PAUSE_MS : 0;
   }
--- a/packages/daemon/src/gateway/topic_subscription_test.ts
+++ b/packages/daemon/src/gateway/topic_subscription_test.ts
@@ -35,9 +35,10 @@
 async function collectUpdates(
   topic: KeyedTopic<string>,
   ms: number,
-  { isConfirmed = () => true, lateMs = () => 0 }: {
+  { isConfirmed = () => true, lateMs = () => 0, batchDelayMs = () => 0 }: {
     isConfirmed?: () => boolean;
     lateMs?: () => number;
+    batchDelayMs?: () => number;
   } = {},
 ) {
   const updates: TopicUpdate<string>[] = [];
@@ -47,7 +48,7 @@
     waitMs: 1_000,
     isConfirmed,
     lateMs,
-    batchDelayMs: () => 0,
+    batchDelayMs,
     onUpdate: (update) => updates.push(update),
     log: () => undefined,
   });
@@ -142,6 +143,21 @@
     expect(limits.slice(0, 3)).to.deep.equal([300, 600, 1_200]);
   });
 
+  // Guards against data that grows old by a whole wait and a whole batching pause, so that followers leave.
+  it("batches changes for no longer than is left of the wait", async () => {
+    const { topic } = createTopic([]);
+    const startedAt = performance.now();
+    const sentAt: number[] = [];
+    topic.readFrom = async (position) => {
+      sentAt.push(performance.now() - startedAt);
+      await new Promise((resolve) => setTimeout(resolve, 900));
+      const records = [{ key: "b", value: "2" }];
+      return { kind: "records", records, next: position };
+    };
+    await collectUpdates(topic, 1_500, { batchDelayMs: () => 800 });
+    expect(sentAt[1]! - sentAt[0]!).to.be.within(890, 1_200);
+  });
+
   it("does not read in a tight loop if the store does not wait", async () => {
     const { topic, calls } = createTopic([]);
     await collectUpdates(topic, 350);
