--- a/packages/core/src/read_sharing/upstream.ts
+++ b/packages/core/src/read_sharing/upstream.ts
@@ -11,7 +11,7 @@
 import type { EventOf } from "../event/types.ts";
 import { isLeader } from "../formation/leadership.ts";
 import { confirm } from "../gateway/freshness.ts";
-import type { Effects } from "../reduce_types.ts";
+import { type Effects, noEffects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { applyTimeline } from "../store_timeline/handlers.ts";
 import {
@@ -80,17 +80,18 @@
 }
 
 /** Handles the first data of the upstream, which replaces what this daemon knew. */
-export function* acceptUpstream(
+export function acceptUpstream(
   state: State,
   { node }: EventOf<"upstream_began">,
 ): Effects {
   const { readSharing } = state.gateway!;
   const upstream = followed(readSharing, node);
-  if (upstream === undefined) return;
+  if (upstream === undefined) return noEffects();
   upstream.hasData = true;
   upstream.heardAt = state.now;
   readSharing.hasWholeList = false;
   forgetFollowers(readSharing);
+  return noEffects();
 }
 
 function* leaveUpstream(state: State, cause: string): Effects {
