Let reads wait for no longer than keeps their data at its usual age

A read that a change has ended confirms only what was so when it was sent, so that the data of a sound reader could be as old as two waits and a pause where changes came only now and then, and its followers left it.

The next read now waits for no longer than keeps the data at the age that reads without changes give it.

--- a/packages/core/src/read_sharing/read_times.ts
+++ b/packages/core/src/read_sharing/read_times.ts
@@ -150,20 +150,23 @@
 const USUAL_ANSWER_MS = 50;
 
 /**
- * Returns for how long the next read of a topic may wait, ms. Slow answers and the pause before the read shorten the
- * wait, so that the data grows no older between two confirmations.
+ * Returns for how long the next read of a topic may wait, ms. Slow answers, and the age that the data has when the read is
+ * sent, shorten the wait, so that the data grows no older than usual until the next confirmation: a read that a change
+ * has ended confirms only what was so when it was sent.
  *
  * @example
  * ```ts
- * nextWaitOf(1_000, { answerMs: 250, pausedMs: 0 }); // 600
+ * nextWaitOf(1_000, { answerMs: 250, ageMs: 50 }); // 600
+ * nextWaitOf(1_000, { answerMs: 8, ageMs: 700 }); // 400
  * ```
  */
 export function nextWaitOf(
   waitMs: number,
-  { answerMs, pausedMs }: { answerMs: number; pausedMs: number },
+  { answerMs, ageMs }: { answerMs: number; ageMs: number },
 ): number {
   const lateMs = Math.max(0, answerMs - USUAL_ANSWER_MS);
+  const oldestMs = usualAgeOf(waitMs) + USUAL_ANSWER_MS;
   // Both this answer and the one before it arrive late.
-  const leftMs = waitMs - 2 * lateMs - pausedMs;
+  const leftMs = Math.min(waitMs - 2 * lateMs, oldestMs - ageMs);
   return Math.floor(Math.min(waitMs, Math.max(MIN_WAIT_MS, leftMs)));
 }
--- a/packages/core/src/read_sharing/read_times_test.ts
+++ b/packages/core/src/read_sharing/read_times_test.ts
@@ -52,11 +52,34 @@
     expect(delay(undefined)).to.equal(100);
   });
 
-  it("shorten the wait of a read by slow answers and by the pause before it", () => {
-    expect(nextWaitOf(1_000, { answerMs: 8, pausedMs: 0 })).to.equal(1_000);
-    expect(nextWaitOf(1_000, { answerMs: 250, pausedMs: 0 })).to.equal(600);
-    expect(nextWaitOf(1_000, { answerMs: 0, pausedMs: 515 })).to.equal(485);
-    expect(nextWaitOf(1_000, { answerMs: 9_000, pausedMs: 0 })).to.equal(50);
+  it("shorten the wait of a read by slow answers and by the age of the data", () => {
+    const wait = (answerMs: number, ageMs: number) =>
+      nextWaitOf(1_000, { answerMs, ageMs });
+    expect(wait(8, 58)).to.equal(1_000);
+    expect(wait(250, 50)).to.equal(600);
+    expect(wait(8, 700)).to.equal(400);
+    expect(wait(8, 1_500)).to.equal(50);
+    expect(wait(9_000, 50)).to.equal(50);
+  });
+
+  // Guards against followers that leave a sound reader: each read that a change ends confirms only when it was sent.
+  it("keep data at its usual age where changes come at any pace", () => {
+    for (let changeEveryMs = 10; changeEveryMs < 3_000; changeEveryMs += 10) {
+      let confirmedAt = 0;
+      let oldestMs = 0;
+      let nextChangeAt = changeEveryMs;
+      for (let now = 0; now < 30_000;) {
+        const sentAt = now;
+        const ageMs = sentAt - confirmedAt;
+        const waitMs = nextWaitOf(1_000, { answerMs: 5, ageMs });
+        const isChanged = nextChangeAt <= sentAt + waitMs;
+        now = Math.max(sentAt, isChanged ? nextChangeAt : sentAt + waitMs) + 5;
+        while (nextChangeAt <= now) nextChangeAt += changeEveryMs;
+        oldestMs = Math.max(oldestMs, now - confirmedAt);
+        confirmedAt = isChanged ? sentAt : sentAt + waitMs * 0.95;
+      }
+      expect(oldestMs).to.be.at.most(1_000 * 1.05 + 110);
+    }
   });
 });
 
--- a/packages/core/src/read_sharing/test_fleet.ts
+++ b/packages/core/src/read_sharing/test_fleet.ts
@@ -227,7 +227,7 @@
       sentAt: now,
       waitMs: nextWaitOf(times.routingWaitMs, {
         answerMs: answerTakesMs,
-        pausedMs: 0,
+        ageMs: now - sentAt - trustedMs,
       }),
     };
     readStore(by, sentAt + trustedMs);
--- a/packages/daemon/src/gateway/topic_subscription.ts
+++ b/packages/daemon/src/gateway/topic_subscription.ts
@@ -108,8 +108,8 @@
   let failures = 0;
   /** Time that the last answer took beyond its wait, ms. */
   let answerMs = 0;
-  /** Pause before the next read, ms. */
-  let pausedMs = 0;
+  /** Time up to which the last read has confirmed the known records, monotonic ms. */
+  let lastConfirmedAt = -Infinity;
   let wake: (() => void) | undefined;
 
   async function readOnce(current: number): Promise<number> {
@@ -117,6 +117,7 @@
     const publish = (update: TopicUpdate<T>) => {
       if (current !== pass) return;
       next = update.position;
+      lastConfirmedAt = update.confirmedAt;
       deliver(update);
     };
     if (next === undefined) {
@@ -127,7 +128,7 @@
     // After a failure or a suspension the last confirmation is old; a read that does not wait renews it at once.
     const allowedMs = failures > 0 || !isConfirmed()
       ? 0
-      : nextWaitOf(waitMs, { answerMs, pausedMs });
+      : nextWaitOf(waitMs, { answerMs, ageMs: sentAt - lastConfirmedAt });
     const read = await topic.readFrom(next, {
       waitMs: allowedMs,
       answerMs: answerLimitOf({ answerMs, failures }),
@@ -187,7 +188,6 @@
         const pauseMs = await readOnce(current);
         if (failures > 0) log("belief_regained", { topic: name, failures });
         failures = 0;
-        pausedMs = pauseMs;
         if (pauseMs > 0 && current === pass) await pause(pauseMs);
       } catch (error) {
         if (current !== pass) return;
