Let a daemon's answer that is cut fail only that daemon's call (primrosectl)

Where an answer was cut inside its body, or was no JSON, a command that calls several daemons ended with the error of the HTTP client or of the parser, and without the answers of the others: the body was read outside the place that turns errors into those of one call.

--- a/packages/cli/src/daemon_client.ts
+++ b/packages/cli/src/daemon_client.ts
@@ -25,25 +25,27 @@
   return code ?? message ?? String(error);
 }
 
-/**
- * Sends a request to one daemon and returns the JSON value of its response.
- *
- * @throws {CommandError} The daemon cannot be reached or responds with an error.
- */
-export async function callDaemon<T>(
+interface Answer {
+  status: number;
+  text: string;
+}
+
+async function readAnswer(
   daemon: string,
   path: string,
   { key, body }: { key: string; body?: unknown },
-): Promise<T> {
-  let response: Awaited<ReturnType<typeof request>>;
+): Promise<Answer> {
   try {
-    response = await request(`${daemon}${path}`, {
+    const response = await request(`${daemon}${path}`, {
       dispatcher,
       method: body === undefined ? "GET" : "POST",
       headers: { authorization: `Bearer ${key}` },
       body: body === undefined ? null : JSON.stringify(body),
       signal: AbortSignal.timeout(TIMEOUT_MS),
     });
+    // An answer may be cut inside its body.
+    const text = await response.body.text();
+    return { status: response.statusCode, text };
   } catch (error) {
     const hint = "check --daemon and that primrosed runs there";
     throw new CommandError(
@@ -53,14 +55,39 @@
       }); ${hint}`,
     );
   }
-  const text = await response.body.text();
-  if (response.statusCode >= 300) {
+}
+
+function parseAnswer<T>(daemon: string, path: string, text: string): T {
+  try {
+    return JSON.parse(text) as T;
+  } catch (error) {
+    throw new CommandError(
+      "failed",
+      `Cannot read the answer of ${daemon} to ${path}: ${
+        (error as Error).message
+      }`,
+    );
+  }
+}
+
+/**
+ * Sends a request to one daemon and returns the JSON value of its response.
+ *
+ * @throws {CommandError} The daemon cannot be reached, its answer is cut or no JSON, or it responds with an error.
+ */
+export async function callDaemon<T>(
+  daemon: string,
+  path: string,
+  options: { key: string; body?: unknown },
+): Promise<T> {
+  const { status, text } = await readAnswer(daemon, path, options);
+  if (status >= 300) {
     throw new CommandError(
       "failed",
       `Cannot call ${path} at ${daemon}: ${messageOf(text)}`,
     );
   }
-  return JSON.parse(text) as T;
+  return parseAnswer<T>(daemon, path, text);
 }
 
 function messageOf(text: string): string {
