--- a/packages/core/src/gateway/event_types.ts
+++ b/packages/core/src/gateway/event_types.ts
@@ -105,12 +105,16 @@
     verdict: Verdict;
     /** True where the runner's response may be relayed although it is a failure. */
     isRelayable: boolean;
+    /** What told the end of the response's body: its own framing, or the end of its connection alone. */
+    endedBy?: "framing" | "connection" | undefined;
   }
   | {
     kind: "response_failed";
     request: string;
     attempt: number;
     outcome: Outcome;
+    /** True where the connection was reset, false where it ended in order or nothing is known of it. */
+    wasReset?: boolean | undefined;
     /** Where an attempt through a forwarder failed; undefined where it went to the runner directly. */
     side?: FailureSide | undefined;
     /** Why the forwarder refused it, if it did. */
--- a/packages/core/src/gateway/response.ts
+++ b/packages/core/src/gateway/response.ts
@@ -179,7 +179,12 @@
   if (!isStream(request.route)) recordFirstResponse(state, request);
   recordServiceTimes(state, request);
   yield* reportCompletion(state, request);
-  yield logEnd(state, request, { status, runner, verdict: "ran" });
+  yield logEnd(state, request, {
+    status,
+    runner,
+    verdict: "ran",
+    endedBy: event.endedBy === "connection" ? event.endedBy : undefined,
+  });
   if (!request.isRelaying) {
     yield { kind: "relay", request: request.id, attempt: event.attempt };
   }
@@ -195,13 +200,14 @@
   const gateway = state.gateway!;
   const request = findByAttempt(gateway, event);
   if (request === undefined) return;
-  const { outcome, side, refusal } = event;
+  const { outcome, side, refusal, wasReset } = event;
   if (side !== "forwarder") yield* reportCut(state, request, outcome);
   yield* failAttempt(state, gateway, {
     request,
     outcome,
     isRelayable: false,
     isDisconnect: isCut(outcome),
+    wasReset,
     side,
     refusal,
   });
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -50,6 +50,8 @@
   isRelayable: boolean;
   /** True where its connection was closed or reset. */
   isDisconnect?: boolean;
+  /** True where its connection was reset. */
+  wasReset?: boolean | undefined;
   /** Where an attempt through a forwarder failed; undefined where it went to the runner directly, or was too slow. */
   side?: FailureSide | undefined;
   /** Why the forwarder refused it, if it did. */
@@ -85,6 +87,7 @@
       side,
       refusal,
       outcome,
+      reset: failure.wasReset || undefined,
       verdict,
       lastEvent: request.lastEvent,
       inFlight: stats.inFlight,
--- a/packages/daemon/src/backend/transport.ts
+++ b/packages/daemon/src/backend/transport.ts
@@ -44,6 +44,8 @@
   "UND_ERR_NOT_SUPPORTED",
 ]);
 
+const RESET_CODE = "ECONNRESET";
+
 const TIMEOUT_CODES: ReadonlySet<string> = new Set([
   "UND_ERR_HEADERS_TIMEOUT",
   "UND_ERR_BODY_TIMEOUT",
@@ -75,7 +77,13 @@
   onHeaders(status: number, headers: HeaderMap): void;
   onData(chunk: Buffer): void;
   onEnd(trailers: HeaderMap): void;
-  onFailure(outcome: Outcome): void;
+  onFailure(outcome: Outcome, connection: ConnectionEnd): void;
+}
+
+/** How the connection of a failed attempt ended. */
+export interface ConnectionEnd {
+  /** True where the server, or a device on the way, reset it. */
+  wasReset: boolean;
 }
 
 /** One attempt in progress. */
@@ -186,6 +194,7 @@
       isOver = true;
       events.onFailure(
         outcomeOfError(error, { sent: abort !== undefined, hasResponse }),
+        { wasReset: codeOf(error) === RESET_CODE },
       );
     },
   });
--- a/packages/daemon/src/gateway/caller_answer.ts
+++ b/packages/daemon/src/gateway/caller_answer.ts
@@ -47,7 +47,7 @@
 }
 
 /** Statuses of answers without a body. */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+export const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /**
  * Creates the answer to one request.
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -91,6 +91,15 @@
     "Requests ended, by verdict and code",
     ["verdict", "code"],
   );
+  const unframedAnswers = counter(
+    "primrose_answers_ended_by_connection_total",
+    "Answers that the end of their connection completed, since they had neither a length nor chunks",
+  );
+  const resets = counter(
+    "primrose_reset_attempts_total",
+    "Attempts whose connection was reset, by outcome",
+    ["outcome"],
+  );
   const failedAttempts = counter(
     "primrose_failed_tries_total",
     "Failed attempts, by outcome",
@@ -143,13 +152,15 @@
   const counters: EventCounters = {
     ...createAdmissionCounters(state.gateway!, registers),
     request_refused: ({ code }) => refusals.inc({ code: label(code) }),
-    request_ended: ({ verdict, code, tookMs }) => {
+    request_ended: ({ verdict, code, tookMs, endedBy }) => {
+      if (endedBy === "connection") unframedAnswers.inc();
       const labels = { verdict: label(verdict) };
       requests.inc({ ...labels, code: label(code) });
       duration.observe(labels, Number(tookMs) / MS_PER_SECOND);
     },
-    attempt_failed: ({ outcome, charge }) => {
+    attempt_failed: ({ outcome, charge, reset }) => {
       failedAttempts.inc({ outcome: label(outcome) });
+      if (reset) resets.inc({ outcome: label(outcome) });
       if (charge === undefined) return;
       retries.inc({ charge: label(charge), outcome: label(outcome) });
     },
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -8,13 +8,17 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Effect, EventBody, LogEventName } from "@primroseshed/core";
 import { isFramed } from "../backend/answer_agent.ts";
-import { type Agents, startAttempt } from "../backend/transport.ts";
+import {
+  type Agents,
+  type ConnectionEnd,
+  startAttempt,
+} from "../backend/transport.ts";
 import type { CallerConnections } from "../http/caller_connections.ts";
 import { findUnwritable } from "../http/header_bytes.ts";
 import type { HeldRequest } from "../intake/intake_gate.ts";
 import type { HeaderCodec, ResponseHeaders } from "./adapters.ts";
 import type { BufferBudget } from "./buffer_budget.ts";
-import { createCallerAnswer } from "./caller_answer.ts";
+import { BODILESS_STATUSES, createCallerAnswer } from "./caller_answer.ts";
 import { statusOfRefusal } from "./refusal_status.ts";
 import {
   decodeForwardedHeaders,
@@ -181,14 +185,15 @@
   function fail(
     upstream: UpstreamResponse,
     outcome: ResponseFailure["outcome"],
+    connection?: ConnectionEnd,
   ): void {
     const side = upstream.isForwarded ? "runner" : undefined;
-    reportFailure(upstream, { outcome, side });
+    reportFailure(upstream, { outcome, side, ...connection });
   }
 
   function reportFailure(
     upstream: UpstreamResponse,
-    failure: Pick<ResponseFailure, "outcome" | "side" | "refusal">,
+    failure: Pick<ResponseFailure, "outcome" | "side" | "refusal" | "wasReset">,
   ): void {
     upstream.attempt?.cancel();
     release(upstream);
@@ -244,6 +249,16 @@
     return isSuccess && !hasEvents && !isFramed(headers);
   }
 
+  /** Returns what told the end of a complete answer; undefined where it has no body. */
+  function endOf(
+    { headers, status }: UpstreamResponse,
+  ): "framing" | "connection" | undefined {
+    if (request.method === "HEAD" || BODILESS_STATUSES.has(status)) {
+      return undefined;
+    }
+    return isFramed(headers) ? "framing" : "connection";
+  }
+
   /** Returns the length of an answer's body; for a request without one, the length that the runner names. */
   function lengthOf(
     { headers }: UpstreamResponse,
@@ -270,6 +285,7 @@
       status,
       verdict: metadata!.verdict,
       isRelayable,
+      endedBy: endOf(upstream),
     });
   }
 
@@ -337,10 +353,14 @@
           onHeaders: (status, headers) => onHeaders(upstream, status, headers),
           onData: (chunk) => onData(upstream, chunk),
           onEnd: (trailers) => onEnd(upstream, trailers),
-          onFailure: (outcome) =>
+          onFailure: (outcome, connection) =>
             forwarder === undefined
-              ? fail(upstream, outcome)
-              : reportFailure(upstream, { outcome, side: "forwarder" }),
+              ? fail(upstream, outcome, connection)
+              : reportFailure(upstream, {
+                outcome,
+                side: "forwarder",
+                ...connection,
+              }),
         },
       });
     },
