--- a/packages/daemon/src/backend/answer_agent.ts
+++ b/packages/daemon/src/backend/answer_agent.ts
@@ -7,9 +7,11 @@
  *
  * @module
  */
+import { subscribe } from "node:diagnostics_channel";
 import type { Socket } from "node:net";
 import { Agent, buildConnector, type Dispatcher } from "undici";
 import VError from "verror";
+import { RESET_CODE, watchReset } from "./reset_watch.ts";
 
 /** Name of the error of an answer with a status that HTTP does not define, or that nobody has asked for. */
 export const STATUS_UNDEFINED = "StatusUndefinedError";
@@ -29,7 +31,6 @@
 const SWITCHING_PROTOCOLS = 101;
 const FIRST_FINAL_STATUS = 200;
 const LAST_STATUS = 599;
-const RESET_CODE = "ECONNRESET";
 
 /**
  * Returns whether an answer may have this status where no change of protocol was asked for.
@@ -45,15 +46,25 @@
     status !== SWITCHING_PROTOCOLS;
 }
 
-/** A final answer that has begun on a connection and is not complete. */
-interface OpenAnswer {
+/** Answer to a request that was sent on a connection. */
+interface Answer {
+  /** True from its final head until it is complete or has failed. */
+  isOpen: boolean;
   /** True where its end is known without the end of its connection. */
   isFramed: boolean;
 }
 
-const openAnswers = new WeakMap<Socket, OpenAnswer>();
-/** The connection whose bytes the client is reading at this moment. */
-let readSocket: Socket | undefined;
+/** Answer to the last request that was sent on each connection. */
+const answers = new WeakMap<Socket, Answer>();
+/** Answer to the request that the client writes at this moment. */
+let sending: Answer | undefined;
+
+// The client tells on this channel alone which connection a request takes.
+subscribe("undici:client:sendHeaders", (message) => {
+  if (sending === undefined) return;
+  answers.set((message as { socket: Socket }).socket, sending);
+  sending = undefined;
+});
 
 /** Headers that tell the end of a body without the end of its connection. */
 const FRAMING_HEADERS = ["transfer-encoding", "content-length"];
@@ -85,18 +96,16 @@
 function watchAnswer(
   handler: Dispatcher.DispatchHandler,
 ): Dispatcher.DispatchHandler {
+  const answer: Answer = { isOpen: false, isFramed: false };
   let abort: ((reason: Error) => void) | undefined;
-  let socket: Socket | undefined;
-
-  function close(): void {
-    if (socket !== undefined) openAnswers.delete(socket);
-    socket = undefined;
-  }
+  let hasFailed = false;
 
   return {
     onConnect(abortRequest) {
       abort = abortRequest;
+      // The handler may have other requests sent, so that this one is named last.
       handler.onConnect?.(abortRequest);
+      if (!hasFailed) sending = answer;
     },
     onUpgrade: (...args) => handler.onUpgrade?.(...args),
     onResponseStarted: () => handler.onResponseStarted?.(),
@@ -112,60 +121,52 @@
         );
         return false;
       }
-      if (status >= FIRST_FINAL_STATUS && readSocket !== undefined) {
-        socket = readSocket;
-        openAnswers.set(socket, { isFramed: hasFraming(headers) });
+      if (status >= FIRST_FINAL_STATUS) {
+        answer.isOpen = true;
+        answer.isFramed = hasFraming(headers);
       }
       return handler.onHeaders?.(status, headers, resume, text) ?? true;
     },
     onData: (chunk) => handler.onData?.(chunk) ?? true,
     onComplete(trailers) {
-      close();
+      answer.isOpen = false;
       handler.onComplete?.(trailers);
     },
     onError(error) {
-      close();
+      hasFailed = true;
+      answer.isOpen = false;
+      if (sending === answer) sending = undefined;
       handler.onError?.(error);
     },
   };
 }
 
 /**
- * Makes the end of a connection an error while an answer is not complete.
+ * Makes the end of a connection an error where it does not complete an answer.
  *
  * The client takes an answer for complete where its connection is reset, or closed although the answer names its framing,
  * and asserts that no trailer has begun.
  */
 function watchEnd(socket: Socket): void {
+  watchReset(socket);
   const emit = socket.emit.bind(socket) as (
     event: string,
     ...args: unknown[]
   ) => boolean;
 
-  function emitReadable(): boolean {
-    const outer = readSocket;
-    readSocket = socket;
-    try {
-      return emit("readable");
-    } finally {
-      readSocket = outer;
-    }
-  }
-
   function emitEnd(): boolean {
-    if (openAnswers.get(socket)?.isFramed !== true) return emit("end");
+    const answer = answers.get(socket);
+    if (!answer?.isOpen || !answer.isFramed) return emit("end");
     socket.destroy(createCutError());
     return true;
   }
 
   function emitError(error: unknown): boolean {
     const isReset = (error as NodeJS.ErrnoException).code === RESET_CODE;
-    const isCut = isReset && openAnswers.has(socket);
-    return emit("error", isCut ? createCutError(error as Error) : error);
+    return emit("error", isReset ? createCutError(error as Error) : error);
   }
 
   const emitters = new Map<string, (argument: unknown) => boolean>([
-    ["readable", emitReadable],
     ["end", emitEnd],
     ["error", emitError],
   ]);
--- a/packages/daemon/src/backend/transport.ts
+++ b/packages/daemon/src/backend/transport.ts
@@ -10,6 +10,7 @@
   type Dispatcher,
   errors,
 } from "undici";
+import VError from "verror";
 import {
   type PatientTimer,
   startPatientTimer,
@@ -21,6 +22,7 @@
   createConnect,
   STATUS_UNDEFINED,
 } from "./answer_agent.ts";
+import { RESET_CODE } from "./reset_watch.ts";
 
 /** Outcomes by the codes of errors that arise only before a connection exists. */
 const CONNECT_OUTCOMES: Readonly<Record<string, Outcome>> = {
@@ -44,17 +46,16 @@
   "UND_ERR_NOT_SUPPORTED",
 ]);
 
-const RESET_CODE = "ECONNRESET";
-
 const TIMEOUT_CODES: ReadonlySet<string> = new Set([
   "UND_ERR_HEADERS_TIMEOUT",
   "UND_ERR_BODY_TIMEOUT",
 ]);
 
 function codeOf(error: unknown): string {
-  const { code, cause } = (error ?? {}) as { code?: unknown; cause?: unknown };
+  if (!(error instanceof Error)) return "";
+  const { code } = error as NodeJS.ErrnoException;
   if (typeof code === "string") return code;
-  return cause === undefined ? "" : codeOf(cause);
+  return codeOf(error instanceof VError ? VError.cause(error) : error.cause);
 }
 
 /** Returns the outcome of a failed attempt; `sent` is true if sending of the request had begun. */
