--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -39,6 +39,7 @@
   createConnect,
   STATUS_UNDEFINED,
 } from "./backend/answer_agent.ts";
+export { watchReset } from "./backend/reset_watch.ts";
 export { createAgents, startAttempt } from "./backend/transport.ts";
 export {
   type ConnectionEvents,
--- a/packages/stand_ins/src/http/listener.ts
+++ b/packages/stand_ins/src/http/listener.ts
@@ -9,6 +9,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import polka, { type Polka } from "polka";
 import { writeEndlessly } from "../network/endless.ts";
@@ -25,6 +26,8 @@
   loseResponses: boolean;
   /** Requests of paths that begin so are answered with this head, and then bytes without end. */
   endless?: { path: string; head: string } | undefined;
+  /** Requests of paths that begin so are answered by this function, which writes to their connection. */
+  raw?: { path: string; answer(socket: Socket): void } | undefined;
   /** Headers that all responses have. */
   headers?: Record<string, string>;
 }
@@ -80,7 +83,10 @@
   } = {},
 ): Promise<Listener> {
   const server: Server = createServer((request, response) => {
-    const { endless } = faults;
+    const { endless, raw } = faults;
+    if (raw !== undefined && request.url?.startsWith(raw.path)) {
+      return raw.answer(request.socket);
+    }
     if (endless !== undefined && request.url?.startsWith(endless.path)) {
       return writeEndlessly(request.socket, endless.head);
     }
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -10,6 +10,8 @@
 export * from "./vms/vm_service.ts";
 export * from "./network/breakable_connect.ts";
 export * from "./network/endless.ts";
+export * from "./network/reset.ts";
+export * from "./network/resetting_server.ts";
 export * from "./engine/engine.ts";
 export * from "./engine/text.ts";
 export * from "./process/daemon_process.ts";
