--- a/packages/cli/src/daemon_client_test.ts
+++ b/packages/cli/src/daemon_client_test.ts
@@ -5,6 +5,7 @@
 const HEAD = "HTTP/1.1 200 OK\r\n";
 const WHOLE = `${HEAD}content-length: 14\r\n\r\n{"ready":true}`;
 const CUT_ANSWERS = [
+  `${HEAD}connection: close\r\n\r\n{"ready":true}`,
   `${HEAD}content-length: 100\r\n\r\n{"ready"`,
   `${HEAD}transfer-encoding: chunked\r\n\r\n8\r\n{"ready"\r\n`,
 ];
