--- a/packages/daemon/src/backend/reset_watch_test.ts
+++ b/packages/daemon/src/backend/reset_watch_test.ts
@@ -6,6 +6,8 @@
 /** Time for which the event loop is busy while bytes and the end of the connection arrive, ms. */
 const BUSY_MS = 5;
 
+const UPLOAD_BYTES = 1_000_000;
+
 function keepBusy(): void {
   const end = performance.now() + BUSY_MS;
   while (performance.now() < end);
@@ -18,9 +20,11 @@
   beforeEach(async () => {
     server = createServer((socket) => {
       socket.on("error", () => undefined);
-      socket.write("bytes");
-      finish(socket);
-      keepBusy();
+      socket.once("data", () => {
+        socket.write("bytes");
+        finish(socket);
+        keepBusy();
+      });
     });
     await new Promise<void>((resolve) =>
       server.listen(0, "127.0.0.1", resolve)
@@ -34,7 +38,7 @@
     return new Promise((resolve) => {
       const socket = connect({ port, host: "127.0.0.1" }, () => {
         watchReset(socket);
-        if (isUploading) socket.write(Buffer.alloc(1_000_000));
+        socket.write(Buffer.alloc(isUploading ? UPLOAD_BYTES : 1));
       });
       socket.on("data", () => undefined);
       socket.on("end", () => resolve("end"));
