Write the events of a response before it may be given up

Callers could get an event twice. The relay counted the bytes of an incomplete event against the budget of all responses before it wrote the whole events that came in the same read. Where that made the budget give up this very response, the next run was asked to go on after the event before, and then the events of the cancelled one were written all the same.

Now the whole events are written and counted first, and nothing is done for a response that has been released.

The test of the relay has one read with a whole event and an incomplete one that exceeds the budget: it reported the failure before the event on the code before, and the event first now.

--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -22,7 +22,7 @@
   encodeForwardOrder,
   withoutForwardHeaders,
 } from "./forward_headers.ts";
-import { createEventSplitter } from "./event_splitter.ts";
+import { type CompleteEvents, createEventSplitter } from "./event_splitter.ts";
 import { watchUnread } from "./unread_answer.ts";
 import type { UpstreamResponse } from "./upstream_response.ts";
 
@@ -140,15 +140,21 @@
     const isEvents = upstream.isStream && upstream.metadata?.verdict === "ran";
     if (!isEvents) return bufferChunk(upstream, chunk);
     const complete = upstream.splitter.push(chunk);
-    upstream.share.set(upstream.splitter.partialBytes());
-    if (upstream.splitter.partialBytes() > MAX_EVENT_BYTES) {
-      return fail(upstream, "broken_frame");
-    }
-    if (complete === undefined) return;
+    if (complete !== undefined) passOn(upstream, complete);
+    if (upstreams.get(upstream.number) !== upstream) return;
+    const partialBytes = upstream.splitter.partialBytes();
+    if (partialBytes > MAX_EVENT_BYTES) return fail(upstream, "broken_frame");
+    // It may be given up for this, so what it passes on comes before.
+    upstream.share.set(partialBytes);
+  }
+
+  function passOn(
+    upstream: UpstreamResponse,
+    { bytes, lastEvent }: CompleteEvents,
+  ): void {
     upstream.hasEvents = true;
     if (!answer.hasBegun()) beginStream(upstream);
-    writeEvents(upstream, complete.bytes);
-    const { lastEvent } = complete;
+    writeEvents(upstream, bytes);
     dispatch({
       kind: "response_progressed",
       request: name,
