Read the events of a stream one by one

A stream that ends with one empty line more counted as cut where that line came in a read of its own, and as whole where it came with the event before: its caller saw a complete stream broken off or resumed, as the reads fell. An event with an empty id made the position of the stream empty, so that the next run was asked to go on after nothing. A runner's comments counted as its first event, so that a stream without a length that ended after them seemed whole.

The splitter now reads line by line and returns each event with its id and whether it has data.

--- a/packages/daemon/src/gateway/event_splitter.ts
+++ b/packages/daemon/src/gateway/event_splitter.ts
@@ -3,15 +3,23 @@
  *
  * @module
  */
-
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
+/** A complete event of a stream. */
+export interface CompleteEvent {
+  /** Undefined where the event has none. */
+  id: string | undefined;
+  /** False for comments, which are no events to a caller. */
+  hasData: boolean;
+  /** Position of its end in the bytes of the events that came with it. */
+  end: number;
+}
+
 /** Complete events of a stream. */
 export interface CompleteEvents {
   bytes: Buffer;
-  /** Id of the last event that has one. */
-  lastEvent: string | undefined;
+  events: CompleteEvent[];
 }
 
 /** Splits a stream into complete events. */
@@ -22,22 +30,33 @@
   partialBytes(): number;
 }
 
-/** Returns the position after the last empty line, or 0. */
-function endOfLastEvent(bytes: Buffer): number {
-  for (let index = bytes.length - 1; index > 0; index -= 1) {
-    if (bytes[index] !== LINE_FEED) continue;
-    if (bytes[index - 1] === LINE_FEED) return index + 1;
-    const isPair = index > 1 && bytes[index - 1] === CARRIAGE_RETURN &&
-      bytes[index - 2] === LINE_FEED;
-    if (isPair) return index + 1;
-  }
-  return 0;
+const ID_LINE = /^id: ?([^ \r\n][^\r\n]*)/gm;
+const DATA_LINE = /^data[:\r\n]/m;
+
+function markOf(event: Buffer): Pick<CompleteEvent, "id" | "hasData"> {
+  const text = event.toString("latin1");
+  const id = [...text.matchAll(ID_LINE)].at(-1)?.[1];
+  return { id, hasData: DATA_LINE.test(text) };
 }
 
-function findLastEventId(bytes: Buffer): string | undefined {
-  const text = bytes.toString("latin1");
-  const matches = [...text.matchAll(/^id:[ ]?([^\r\n]*)/gm)];
-  return matches.at(-1)?.[1];
+/** Returns the events that end with an empty line, which only its line feed completes. */
+function readEvents(bytes: Buffer): CompleteEvent[] {
+  const events: CompleteEvent[] = [];
+  let start = 0;
+  let line = 0;
+  for (
+    let lineFeed = bytes.indexOf(LINE_FEED);
+    lineFeed >= 0;
+    lineFeed = bytes.indexOf(LINE_FEED, line)
+  ) {
+    const isEmpty = lineFeed === line ||
+      (lineFeed === line + 1 && bytes[line] === CARRIAGE_RETURN);
+    line = lineFeed + 1;
+    if (!isEmpty) continue;
+    events.push({ ...markOf(bytes.subarray(start, line)), end: line });
+    start = line;
+  }
+  return events;
 }
 
 /**
@@ -46,7 +65,7 @@
  * @example
  * ```ts
  * const splitter = createEventSplitter();
- * splitter.push(Buffer.from("id: 1\ndata: a\n\nid: 2\n"))?.lastEvent; // "1"
+ * splitter.push(Buffer.from("id: 1\ndata: a\n\nid: 2\n"))?.events.length; // 1
  * splitter.partialBytes(); // 6
  * ```
  */
@@ -57,11 +76,10 @@
       const bytes = partial.length === 0
         ? chunk
         : Buffer.concat([partial, chunk]);
-      const end = endOfLastEvent(bytes);
+      const events = readEvents(bytes);
+      const end = events.at(-1)?.end ?? 0;
       partial = bytes.subarray(end);
-      if (end === 0) return undefined;
-      const complete = bytes.subarray(0, end);
-      return { bytes: complete, lastEvent: findLastEventId(complete) };
+      return end === 0 ? undefined : { bytes: bytes.subarray(0, end), events };
     },
     partialBytes: () => partial.length,
   };
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -150,16 +150,18 @@
 
   function passOn(
     upstream: UpstreamResponse,
-    { bytes, lastEvent }: CompleteEvents,
+    { bytes, events }: CompleteEvents,
   ): void {
-    upstream.hasEvents = true;
+    upstream.hasEvents ||= events.some(({ id, hasData }) =>
+      id !== undefined || hasData
+    );
     if (!answer.hasBegun()) beginStream(upstream);
     writeEvents(upstream, bytes);
     dispatch({
       kind: "response_progressed",
       request: name,
       attempt: upstream.number,
-      lastEvent,
+      lastEvent: events.findLast(({ id }) => id !== undefined)?.id,
     });
   }
 
