Pass on no event whose id does not follow the last one

Callers got pieces of two runs in one answer where a runner did not go on at Last-Event-Id: one that began at the first event, repeated the last one or left one out was relayed as it came, and its stream ended as complete. So did a run whose ids went back, and one without ids was sent again from its start after a cut, with its events twice.

The order of a caller's stream over all runs is now kept in core. An event whose number is not above the last one fails the attempt as a broken frame, and so does a new run that leaves out an id where the ids of this stream have risen by one each so far; where they have risen otherwise, a gap cannot be told from the ids. After an event without an id no run can go on. The attempt fails rather than loses the repeated events, since nothing shows that a run which began elsewhere says the same from there on: its caller keeps what it has, and a further run or a visible cut follows. Each decision is logged as frame_broken.

--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -109,6 +109,7 @@
 export * from "./store_timeline/position.ts";
 export type * from "./store_timeline/types.ts";
 export * from "./stream/cursor.ts";
+export * from "./stream/event_order.ts";
 export * from "./usage/payload.ts";
 export * from "./util/hash.ts";
 export * from "./util/random.ts";
--- a/packages/daemon/src/gateway/event_splitter.ts
+++ b/packages/daemon/src/gateway/event_splitter.ts
@@ -3,15 +3,13 @@
  *
  * @module
  */
+import type { EventMark } from "@primroseshed/core";
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
 /** A complete event of a stream. */
-export interface CompleteEvent {
-  /** Undefined where the event has none. */
-  id: string | undefined;
-  /** False for comments, which are no events to a caller. */
-  hasData: boolean;
+export interface CompleteEvent extends EventMark {
   /** Position of its end in the bytes of the events that came with it. */
   end: number;
 }
@@ -33,7 +31,7 @@
 const ID_LINE = /^id: ?([^ \r\n][^\r\n]*)/gm;
 const DATA_LINE = /^data[:\r\n]/m;
 
-function markOf(event: Buffer): Pick<CompleteEvent, "id" | "hasData"> {
+function markOf(event: Buffer): EventMark {
   const text = event.toString("latin1");
   const id = [...text.matchAll(ID_LINE)].at(-1)?.[1];
   return { id, hasData: DATA_LINE.test(text) };
--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -6,7 +6,14 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Effect, EventBody, LogEventName } from "@primroseshed/core";
+import {
+  advanceOrder,
+  createEventOrder,
+  type Effect,
+  type EventBody,
+  type EventOrder,
+  type LogEventName,
+} from "@primroseshed/core";
 import { isFramed } from "../backend/answer_agent.ts";
 import { type Agents, startAttempt } from "../backend/transport.ts";
 import type { CallerConnections } from "../http/caller_connections.ts";
@@ -22,7 +29,7 @@
   encodeForwardOrder,
   withoutForwardHeaders,
 } from "./forward_headers.ts";
-import { type CompleteEvents, createEventSplitter } from "./event_splitter.ts";
+import { type CompleteEvent, createEventSplitter } from "./event_splitter.ts";
 import { watchUnread } from "./unread_answer.ts";
 import type { UpstreamResponse } from "./upstream_response.ts";
 
@@ -94,6 +101,8 @@
   const answer = createCallerAnswer(options);
   /** Attempts in flight by number; two where the request is hedged. */
   const upstreams = new Map<number, UpstreamResponse>();
+  /** Order of the caller's stream over all attempts; undefined before the first one. */
+  let order: EventOrder | undefined;
   const countUnread = watchUnread(response, {
     buffers,
     onGivenUp(bytes) {
@@ -140,7 +149,15 @@
     const isEvents = upstream.isStream && upstream.metadata?.verdict === "ran";
     if (!isEvents) return bufferChunk(upstream, chunk);
     const complete = upstream.splitter.push(chunk);
-    if (complete !== undefined) passOn(upstream, complete);
+    if (complete !== undefined) {
+      const { bytes, events } = complete;
+      const broken = events.find((event) =>
+        advanceOrder(order!, event) === "broken_frame"
+      );
+      const end = broken === undefined ? events.length : events.indexOf(broken);
+      passOn(upstream, bytes, events.slice(0, end));
+      if (broken !== undefined) return failDisordered(upstream, broken);
+    }
     if (upstreams.get(upstream.number) !== upstream) return;
     const partialBytes = upstream.splitter.partialBytes();
     if (partialBytes > MAX_EVENT_BYTES) return fail(upstream, "broken_frame");
@@ -150,13 +167,16 @@
 
   function passOn(
     upstream: UpstreamResponse,
-    { bytes, events }: CompleteEvents,
+    bytes: Buffer,
+    events: readonly CompleteEvent[],
   ): void {
+    const last = events.at(-1);
+    if (last === undefined) return;
     upstream.hasEvents ||= events.some(({ id, hasData }) =>
       id !== undefined || hasData
     );
     if (!answer.hasBegun()) beginStream(upstream);
-    writeEvents(upstream, bytes);
+    writeEvents(upstream, bytes.subarray(0, last.end));
     dispatch({
       kind: "response_progressed",
       request: name,
@@ -165,6 +185,18 @@
     });
   }
 
+  /** Ends an attempt whose next event does not follow the last one that the caller has. */
+  function failDisordered(
+    upstream: UpstreamResponse,
+    { id: event }: CompleteEvent,
+  ): void {
+    if (upstreams.get(upstream.number) !== upstream) return;
+    const { number: attempt } = upstream;
+    const last = order!.last?.toString();
+    log("frame_broken", { request: name, attempt, event, last });
+    fail(upstream, "broken_frame");
+  }
+
   function bufferChunk(upstream: UpstreamResponse, chunk: Buffer): void {
     upstream.chunks.push(chunk);
     upstream.size += chunk.length;
@@ -307,6 +339,8 @@
       held.setStage("kept");
       upstreams.set(effect.attempt, upstream);
       const { runner, remainingMs, team, resumeAfter } = effect;
+      order ??= createEventOrder(resumeAfter);
+      order.isNewRun = true;
       const urgency = effect.isStream ? effect.urgency : undefined;
       const agent = effect.isRepeatable ? agents.reusing : agents.fresh;
       const headers = headerCodec.requestHeaders(request.rawHeaders, {
