Deliver no token of a run that does not go on where it is told

Callers of chat completions got pieces of two runs in one answer where an engine ignored the offset of a resumed request: the tokens that the caller had were dropped as duplicates, and the rest of the new run was joined to the start of the first one, although nothing shows that both say the same.

The first chunk of each run must now carry the offset that the run was asked for; duplicates are dropped within a run only. A run that begins elsewhere ends as a broken frame, and another group goes on or the caller sees the stream lost.

The new test of chat completions lets every engine cut its stream after 5 tokens and begin resumed runs at their first token: the caller got the whole text as complete before, and gets the 5 tokens and the error stream_lost now.

--- a/packages/core/src/stream/cursor.ts
+++ b/packages/core/src/stream/cursor.ts
@@ -4,12 +4,14 @@
  * @module
  */
 
-/** Position in one attempt's stream of tokens. */
+/** Position in one caller's stream of tokens, over all runs that produce it. */
 export interface StreamCursor {
   /** Id that every chunk must carry. */
   id: string;
   /** Offset of the next token to deliver to the caller. */
   next: number;
+  /** True until the current run's first chunk, which must go on at the next token. */
+  isNewRun: boolean;
 }
 
 /** One chunk of an engine's stream. */
@@ -33,9 +35,9 @@
  *
  * @example
  * ```ts
- * const cursor = { id: "r1", next: 4 };
- * advanceCursor(cursor, { id: "r1", offset: 3, tokens: 1 }); // "drop_duplicate"
+ * const cursor = { id: "r1", next: 4, isNewRun: true };
  * advanceCursor(cursor, { id: "r1", offset: 4, tokens: 1 }); // "deliver"
+ * advanceCursor(cursor, { id: "r1", offset: 4, tokens: 1 }); // "drop_duplicate"
  * advanceCursor(cursor, { id: "r1", offset: 9, tokens: 1 }); // "broken_frame"
  * ```
  */
@@ -50,10 +52,12 @@
   ) {
     return "broken_frame";
   }
-  if (chunk.offset + chunk.tokens <= cursor.next && chunk.tokens > 0) {
+  const isBehind = chunk.offset + chunk.tokens <= cursor.next;
+  if (isBehind && chunk.tokens > 0 && !cursor.isNewRun) {
     return "drop_duplicate";
   }
   if (chunk.offset !== cursor.next) return "broken_frame";
   cursor.next += chunk.tokens;
+  cursor.isNewRun = false;
   return "deliver";
 }
--- a/packages/core/src/stream/cursor_test.ts
+++ b/packages/core/src/stream/cursor_test.ts
@@ -4,7 +4,7 @@
 
 describe("advanceCursor", () => {
   it("delivers chunks in order and drops duplicates", () => {
-    const cursor = { id: "r", next: 0 };
+    const cursor = { id: "r", next: 0, isNewRun: true };
     expect(advanceCursor(cursor, { id: "r", offset: 0, tokens: 2 })).to.equal(
       "deliver",
     );
@@ -18,7 +18,7 @@
   });
 
   it("rejects gaps, overlaps and chunks of other requests", () => {
-    const cursor = { id: "r", next: 4 };
+    const cursor = { id: "r", next: 4, isNewRun: false };
     expect(advanceCursor(cursor, { id: "r", offset: 6, tokens: 1 })).to.equal(
       "broken_frame",
     );
@@ -32,6 +32,15 @@
     expect(cursor.next).to.equal(4);
   });
 
+  it("rejects a new run that does not go on at the next token", () => {
+    for (const offset of [0, 3, 5]) {
+      const cursor = { id: "r", next: 4, isNewRun: true };
+      expect(advanceCursor(cursor, { id: "r", offset, tokens: 1 })).to.equal(
+        "broken_frame",
+      );
+    }
+  });
+
   it("never skips or repeats a token under any sequence of chunks", () => {
     const chunk = fc.record({
       id: fc.constantFrom("r", "other"),
@@ -40,7 +49,7 @@
     });
     fc.assert(
       fc.property(fc.array(chunk), (chunks: StreamChunk[]) => {
-        const cursor = { id: "r", next: 0 };
+        const cursor = { id: "r", next: 0, isNewRun: true };
         const delivered: number[] = [];
         for (const arrived of chunks) {
           if (advanceCursor(cursor, arrived) !== "deliver") continue;
--- a/packages/daemon/src/http/chat_exchange.ts
+++ b/packages/daemon/src/http/chat_exchange.ts
@@ -63,7 +63,7 @@
 /** Creates the exchange of one chat completion. */
 export function createChatExchange(options: ChatExchangeOptions): Exchange {
   const { id, chat, request, response, agents, dispatch, log } = options;
-  const cursor: StreamCursor = { id, next: 0 };
+  const cursor: StreamCursor = { id, next: 0, isNewRun: true };
   const maxTokens = chat.body.max_tokens ?? Infinity;
   const format = createChatFormat({
     id,
@@ -209,6 +209,7 @@
     }: SendEffect,
   ): void {
     current?.attempt.cancel();
+    cursor.isNewRun = true;
     let status = 0;
     let retryAfterMs: number | undefined;
     let isDone = false;
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -22,6 +22,8 @@
   ignoresFencing: boolean;
   /** Ends each response after this many tokens, without the final chunk. */
   cutAfterTokens: number | undefined;
+  /** Sends each resumed response whole, from its first token on. */
+  ignoresResume: boolean;
   /** Faulty chunk to send once in each stream, at the given token. */
   streamFault: StreamFault | undefined;
   /** Refuses every request with status 503 without running it. */
@@ -97,6 +99,7 @@
     loseResponses: false,
     ignoresFencing: false,
     cutAfterTokens: undefined,
+    ignoresResume: false,
     streamFault: undefined,
     refusesRequests: false,
     refusedAt: [],
@@ -263,12 +266,14 @@
         }\n\n`,
       );
     };
-    for (let offset = resumeFrom; offset < length; offset++) {
+    const restarts = faults.ignoresResume && resumeFrom > 0;
+    const first = restarts ? 0 : resumeFrom;
+    for (let offset = first; offset < length; offset++) {
       while (faults.paused && !isCancelled()) await sleep(stepMs);
       if (stepMs > 0) await sleep(stepMs);
       if (isCancelled()) return;
       if (
-        faults.cutAfterTokens !== undefined &&
+        faults.cutAfterTokens !== undefined && !restarts &&
         offset - resumeFrom >= faults.cutAfterTokens
       ) {
         return void response.end();
--- a/packages/system_tests/src/chat_test.ts
+++ b/packages/system_tests/src/chat_test.ts
@@ -99,6 +99,23 @@
     expect(content.done || content.error !== undefined).to.equal(true);
   });
 
+  // Guards against pieces of two runs in one answer, where an engine does not go on at the token that it is told (ORDER).
+  it("delivers nothing of a resumed run that begins at its first token", async () => {
+    for (const engine of system.engines) {
+      engine.faults.cutAfterTokens = 5;
+      engine.faults.ignoresResume = true;
+    }
+    const response = await chat(system.daemons[0]!, PROMPT, { stream: true });
+    const { text, done, error } = parseStream(await response.text());
+    const resumed = system.engines.flatMap(({ received }) => received).filter((
+      { resumeFrom },
+    ) => resumeFrom > 0);
+    expect(resumed.length).to.be.greaterThan(0);
+    expect(text).to.equal(responseText(enginePrompt(PROMPT), 5));
+    expect(done).to.equal(false);
+    expect(error).to.include({ code: "stream_lost" });
+  });
+
   it("moves a stream to another group as soon as a member of its group is gone", async () => {
     for (const engine of system.engines) engine.faults.slowMs = 0;
     const pending = chat(system.daemons[0]!, PROMPT, { stream: true }).then((
