--- a/packages/daemon/src/backend/answer_agent.ts
+++ b/packages/daemon/src/backend/answer_agent.ts
@@ -52,6 +52,8 @@
   isOpen: boolean;
   /** True where its end is known without the end of its connection. */
   isFramed: boolean;
+  /** Has the client read on where its reader has paused it. */
+  resume?(): void;
 }
 
 /** Answer to the last request that was sent on each connection. */
@@ -124,6 +126,7 @@
       if (status >= FIRST_FINAL_STATUS) {
         answer.isOpen = true;
         answer.isFramed = hasFraming(headers);
+        answer.resume = resume;
       }
       return handler.onHeaders?.(status, headers, resume, text) ?? true;
     },
@@ -156,6 +159,8 @@
 
   function emitEnd(): boolean {
     const answer = answers.get(socket);
+    // All bytes have been read; a client that was paused at the last ones has yet to find the answer complete.
+    if (answer?.isOpen && answer.isFramed) answer.resume?.();
     if (!answer?.isOpen || !answer.isFramed) return emit("end");
     socket.destroy(createCutError());
     return true;
--- a/packages/daemon/src/backend/reset_watch.ts
+++ b/packages/daemon/src/backend/reset_watch.ts
@@ -17,7 +17,9 @@
  * Returns true if the connection of a socket that has just read its end was reset.
  *
  * The operating system knows the other side of a connection that has ended in one direction only, and not of one that was
- * reset. A socket that has ended its own direction as well is not asked, since both ends look alike there.
+ * reset. An orderly end counts as a reset where a reset has followed it by now, as where the other side has closed the
+ * connection and bytes have reached it since. A socket that has ended its own direction as well is not asked, since both
+ * ends look alike there.
  */
 function wasReset(socket: Socket): boolean {
   return !socket.writableEnded && !socket.destroyed &&
@@ -35,7 +37,8 @@
 /**
  * Watches a socket: an end that is the reset of its connection becomes an error with the code {@link RESET_CODE}.
  *
- * It has to be called before anything has read the socket's `remoteAddress`, which the runtime keeps.
+ * It has to be called before anything has read the socket's `remoteAddress`, which the runtime keeps, and for sockets of TCP
+ * or TLS only, since others have none.
  *
  * @example
  * ```ts
--- a/packages/daemon/src/backend/transport.ts
+++ b/packages/daemon/src/backend/transport.ts
@@ -83,7 +83,7 @@
 
 /** How the connection of a failed attempt ended. */
 export interface ConnectionEnd {
-  /** True where the server, or a device on the way, reset it. */
+  /** True where it was reset, also by a server that had closed it as the request was written. */
   wasReset: boolean;
 }
 
--- a/packages/system_tests/src/early_answer_test.ts
+++ b/packages/system_tests/src/early_answer_test.ts
@@ -38,6 +38,7 @@
 const SMALL_BODY = Buffer.from("{}");
 const LONG_BODY = Buffer.alloc(400 * KIB, "x");
 const LONGER_BODY = Buffer.alloc(4 * KIB * KIB, "x");
+const LONG_ANSWER = Buffer.alloc(60 * KIB, "x");
 const PIECE = Buffer.alloc(16 * KIB, "x");
 
 /** A request's body, and what is written of it as the server resets the connection. */
@@ -306,6 +307,26 @@
     }
   }
 
+  // Guards against a whole answer that counts as cut since its reader was paused at its last bytes as its connection ended.
+  for (const framing of ["a length", "a length, connection: close"] as const) {
+    it(`are whole where their reader pauses at each piece: ${framing}`, async () => {
+      const head = WHOLE_ANSWERS[framing]
+        .replace("content-length: 4", `content-length: ${LONG_ANSWER.length}`)
+        .replace("full", "");
+      const plays = Object.fromEntries(
+        (["after a pause at the head", "after a pause"] as const).map((
+          reading,
+        ): [string, Play] => [reading, {
+          answer: Buffer.concat([Buffer.from(head), LONG_ANSWER]),
+          end: ordered,
+          upload: UPLOADS["a small body"],
+          reading,
+        }]),
+      );
+      expect(await listUnexpected(plays, ["ended"])).to.deep.equal({});
+    });
+  }
+
   for (const [framing, answer] of Object.entries(WHOLE_ANSWERS)) {
     for (const body of ["no body", "a small body"] as const) {
       it(`are whole where a reset follows: ${framing}, ${body}`, async () => {
