--- a/packages/daemon/src/gateway/event_splitter_test.ts
+++ b/packages/daemon/src/gateway/event_splitter_test.ts
@@ -57,7 +57,7 @@
   const stream: Stream = { text: "", ends: [], ids: [] };
   for (const { id, version, lines } of events) {
     const all = [
-      ...version ? ["primroseshed-weight-versions: 3"] : [],
+      ...version ? ["weights: 3"] : [],
       ...id === undefined ? [] : [`id: ${id}`],
       ...lines,
     ];
