--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -16,6 +16,7 @@
 import { compareConfigs } from "./commands/compare.ts";
 import { drainZone } from "./commands/drain_zone.ts";
 import { explain } from "./commands/explain.ts";
+import { showSizes } from "./commands/sizes.ts";
 import {
   drain,
   dumpStates,
@@ -142,6 +143,16 @@
           ),
       (argv) => explain(stdin, outputOf(argv), { id: argv.request }),
     )
+    .command(
+      "sizes",
+      "Show how often the requests of each route were served, by size, from log lines on standard input",
+      (inner) =>
+        inner.example(
+          "cat logs/*.jsonl | $0 sizes",
+          "Compare the largest requests of each route with the others",
+        ),
+      (argv) => showSizes(stdin, outputOf(argv)),
+    )
     .command(
       "config",
       "Manage the configuration",
--- a/packages/core/src/formation/constants.ts
+++ b/packages/core/src/formation/constants.ts
@@ -6,6 +6,8 @@
 
 /** Interval at which the planner reconciles all groups, ms. */
 export const PLAN_INTERVAL_MS = 100;
+/** Interval at which the capacity of each model is logged, ms. */
+export const CAPACITY_REPORT_INTERVAL_MS = 1_000;
 /** Leadership of the group planner lasts this long, counted from when the request for it was sent, ms. */
 export const LEADERSHIP_TTL_MS = 1_000;
 /** A new leader waits this long before its term, so that the former leader has learned of its loss, ms. */
--- a/packages/core/src/formation/plan.ts
+++ b/packages/core/src/formation/plan.ts
@@ -35,6 +35,7 @@
   isInEvacuatedZone,
   isPresumedDead,
 } from "./group_view.ts";
+import { reportCapacity } from "./capacity_report.ts";
 import { checkGroupMembers } from "./health_checks.ts";
 import { ensureTerm, yieldLeadership } from "./leadership.ts";
 import { orderRunner, pruneOrders } from "./orders.ts";
@@ -107,6 +108,8 @@
     domains,
   };
   for (const view of plannable) yield* reconcileGroup(state, round, view);
+  const demand = resolveDemand(state, round);
+  yield* reportCapacity(state, round, { demand });
   yield* formGroups(state, round);
   if (!isStabilizing(state)) yield* orderWeightLoads(state, round);
 }
--- a/packages/core/src/formation/types.ts
+++ b/packages/core/src/formation/types.ts
@@ -135,6 +135,8 @@
   groupCount: number;
   /** Time at which this daemon started, ms. */
   startedAt: number;
+  /** Times at which the capacity of each service was last logged, ms. */
+  capacityReportedAt: Map<string, number>;
   /** Time of the last round of planning, ms. */
   lastPlannedAt: number;
   /** True while the store's list may lack what runners have reported, so that nothing is ordered. */
--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -17,6 +17,7 @@
   STOP_MARGIN_MS,
   STOP_STREAMS_MS,
 } from "./constants.ts";
+import { describeSize } from "./describe_size.ts";
 import { failRequest } from "./finish.ts";
 import { ageOf } from "./freshness.ts";
 import { quarantineRefusal, tryHeldPart } from "./held_requests.ts";
@@ -55,17 +56,28 @@
   return now + route.timeoutMs > graceEndsAt - STOP_MARGIN_MS;
 }
 
+/** What a line about a refused arrival says beside the refusal. */
+interface ArrivalContext {
+  event: EventOf<"routed_request_arrived">;
+  /** Undefined where no route was found. */
+  route?: Route;
+  /** Age of the configuration, ms. */
+  age: number;
+}
+
 function* refuseArrival(
-  id: string,
   refusal: Refusal,
-  { age }: { age: number },
+  { event, route, age }: ArrivalContext,
 ): Effects {
   const { code, message, retryAfterMs } = refusal;
+  const { request: id } = event;
   yield {
     kind: "log",
     event: "request_refused",
     fields: {
       request: id,
+      route: route?.name,
+      ...describeSize(event),
       code,
       verdict: "not_run",
       retryAfterMs,
@@ -93,19 +105,20 @@
   const age = Math.round(ageOf(gateway.routingFreshness, now));
   const table = gateway.routing;
   if (table === undefined) {
-    return yield* refuseArrival(id, NOT_READY, { age });
+    return yield* refuseArrival(NOT_READY, { event, age });
   }
   const found = lookUp(gateway, table, { event, now });
-  if (!found.ok) return yield* refuseArrival(id, found.refusal, { age });
+  if (!found.ok) return yield* refuseArrival(found.refusal, { event, age });
+  const context = { event, route: found.route, age };
   if (outlivesStop(state, found.route)) {
-    return yield* refuseArrival(id, STOPPING, { age });
+    return yield* refuseArrival(STOPPING, context);
   }
   const request = createRoutedRequest(state, event, found);
   yield* tryHeldPart(state, request);
   const held = quarantineRefusal(state, request);
-  if (held !== undefined) return yield* refuseArrival(id, held, { age });
+  if (held !== undefined) return yield* refuseArrival(held, context);
   if (request.expiresAt - now < MIN_REMAINING_MS) {
-    return yield* refuseArrival(id, TOO_LATE, { age });
+    return yield* refuseArrival(TOO_LATE, context);
   }
   gateway.requests.set(id, request);
   countHedgeableRequest(gateway, request);
--- a/packages/core/src/gateway/finish.ts
+++ b/packages/core/src/gateway/finish.ts
@@ -10,6 +10,7 @@
 import { recordInFlight } from "../load/runner_loads.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
+import { describeSize } from "./describe_size.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
 import type { Refusal } from "./lookup.ts";
 import { workKey } from "./runner_index.ts";
@@ -91,6 +92,8 @@
     fields: {
       request: request.id,
       route: request.route.name,
+      ...describeSize(request),
+      deadlineMs: Math.round(request.expiresAt - request.arrivedAt),
       tries: request.attempts,
       lastEvent: request.lastEvent,
       tookMs: Math.round(state.now - request.arrivedAt),
@@ -116,7 +119,8 @@
   const verdict = request.mayHaveRun ? "may_have_run" : "not_run";
   const { code, message } = refusal;
   const retryAfterMs = request.mayHaveRun ? undefined : refusal.retryAfterMs;
-  yield logEnd(state, request, { verdict, code, retryAfterMs });
+  const stage = stageOf(request);
+  yield logEnd(state, request, { verdict, code, stage, retryAfterMs });
   const closesConnection = isStranded(state);
   yield {
     kind: "refuse",
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -21,6 +21,7 @@
 import { knownChains } from "../quarantine/mod.ts";
 import type { State } from "../state/types.ts";
 import { chooseDestination, type Destination } from "./choose.ts";
+import { describeSize } from "./describe_size.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
 import { quarantineRefusal } from "./held_requests.ts";
 import { urgencyAtRunner } from "./runner_urgency.ts";
@@ -200,7 +201,10 @@
       request: request.id,
       try: request.attempts,
       runner: id,
+      route: request.route.name,
+      ...describeSize(request),
       age: Math.round(state.now - request.arrivedAt),
+      remainingMs: Math.round(request.expiresAt - state.now),
       late: Math.round(state.lateMs),
       forwarder: forwarder?.node,
       group: runner.membership?.group,
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -99,6 +99,7 @@
 export { isPathLost } from "./service_path/mod.ts";
 export * from "./vm/types.ts";
 export * from "./reduce.ts";
+export { costOfOutput } from "./request/arrive.ts";
 export * from "./request/types.ts";
 export * from "./state/types.ts";
 export * from "./state/create_state.ts";
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -3,7 +3,12 @@
  *
  * @module
  */
-import type { Effect, LogEventName, State } from "@primroseshed/core";
+import {
+  costOfOutput,
+  type Effect,
+  type LogEventName,
+  type State,
+} from "@primroseshed/core";
 import {
   collectDefaultMetrics,
   Counter,
@@ -44,12 +49,27 @@
 ];
 const MS_PER_SECOND = 1_000;
 
+/** Upper ends of the buckets of request sizes, output tokens. */
+const SIZE_BUCKETS_TOKENS = [25, 50, 100, 200, 400, 800, 1_600, 3_200];
+
 type EventCounters = Partial<
   Record<LogEventName, (fields: LogFields) => void>
 >;
 
 const label = (value: unknown) => String(value ?? "none");
 
+/** Records the size of a request that has ended, unless it went to a plain service or no route was found for it. */
+function observeSize(
+  sizes: Histogram<"route" | "outcome">,
+  { route, promptTokens, maxOutputTokens, verdict, code }: LogFields,
+): void {
+  if (route === undefined || promptTokens === undefined) return;
+  const work = { promptTokens: Number(promptTokens) };
+  const size = costOfOutput(work, Number(maxOutputTokens));
+  const outcome = verdict === "ran" ? "served" : label(code);
+  sizes.observe({ route: label(route), outcome }, size);
+}
+
 /** Creates the metrics; gauges are read from the state when scraped. */
 export function createGatewayMetrics(
   state: State,
@@ -145,14 +165,27 @@
     "Time from the arrival of a request to the first event of its stream",
     ["priority"],
   );
+  const requestTokens = new Histogram({
+    name: "primrose_gateway_request_tokens",
+    help:
+      "Size of requests to models, in output tokens or their equivalent, by route and by how they ended",
+    labelNames: ["route", "outcome"],
+    buckets: SIZE_BUCKETS_TOKENS,
+    registers,
+  });
   createGauges(state, { registers, now, droppedLines });
   const loadMetrics = createLoadMetrics(state, { registers, now });
   createPacingMetrics(state, { registers });
 
   const counters: EventCounters = {
     ...createAdmissionCounters(state.gateway!, registers),
-    request_refused: ({ code }) => refusals.inc({ code: label(code) }),
-    request_ended: ({ verdict, code, tookMs, endedBy }) => {
+    request_refused: (fields) => {
+      refusals.inc({ code: label(fields.code) });
+      observeSize(requestTokens, fields);
+    },
+    request_ended: (fields) => {
+      const { verdict, code, tookMs, endedBy } = fields;
+      observeSize(requestTokens, fields);
       if (endedBy === "connection") unframedAnswers.inc();
       const labels = { verdict: label(verdict) };
       requests.inc({ ...labels, code: label(code) });
