Check runners that were presumed dead until they are back, and free those that a group went on without

They are checked once a second while they are listed, and ordered out of a group that has gone on without them for two seconds; an open head is closed first.

--- a/packages/core/src/formation/constants.ts
+++ b/packages/core/src/formation/constants.ts
@@ -25,6 +25,8 @@
 export const HEALTH_CHECK_MS_PER_MEMBER = 2;
 /** Health checks that one round of planning sends for each core of its VM; more would make the event loop late. */
 export const MAX_CHECKS_PER_ROUND_AND_CORE = 40;
+/** Interval between two health checks of a runner in no group that was presumed dead, ms. */
+export const ABSENT_CHECK_INTERVAL_MS = 1_000;
 /** Consecutive failed health checks after which a runner is presumed dead. */
 export const DEAD_AFTER_FAILURES = 2;
 /** Above this share of runners that are presumed dead, the planner itself is probably cut off from the network. */
@@ -45,6 +47,8 @@
 export const WEIGHT_LOAD_BURST = 4;
 /** Weight of one sample in the mean demand for a model; the mean follows within about five seconds. */
 export const DEMAND_WEIGHT = 0.02;
+/** Time for which a runner must report a group that goes on without it before it is ordered out of it, ms. */
+export const STRANDED_GRACE_MS = 2_000;
 /** Minimum share of the runners that a model is expected to need. */
 export const MIN_MODEL_SHARE = 0.01;
 /** Concurrent weight loads before the first request, as a multiple of those that run at full speed. */
--- a/packages/core/src/formation/health_checks.ts
+++ b/packages/core/src/formation/health_checks.ts
@@ -9,13 +9,14 @@
 import { isOwnFault } from "../service_path/mod.ts";
 import type { State } from "../state/types.ts";
 import {
+  ABSENT_CHECK_INTERVAL_MS,
   DEAD_AFTER_FAILURES,
   HEALTH_CHECK_INTERVAL_MS,
   HEALTH_CHECK_MS_PER_MEMBER,
   MAX_CHECKS_PER_ROUND_AND_CORE,
 } from "./constants.ts";
-import type { Runner } from "../gateway/fleet_types.ts";
-import type { GroupView } from "./group_view.ts";
+import type { Gateway, Runner } from "../gateway/types.ts";
+import { type GroupView, isPresumedDead } from "./group_view.ts";
 import type { HealthCheck, HealthStatus } from "./types.ts";
 
 /** A member that is due for a health check. */
@@ -59,7 +60,7 @@
     HEALTH_CHECK_INTERVAL_MS,
     members.length * HEALTH_CHECK_MS_PER_MEMBER,
   );
-  return members.flatMap((runner) => {
+  const due = members.flatMap((runner) => {
     const last = groupPlanner.healthChecks.get(runner.id);
     if (last?.isPending) return [];
     // It has just answered this daemon, and wants nothing from it.
@@ -72,6 +73,22 @@
     const isDue = last === undefined || now - last.sentAt >= dueMs;
     return isDue ? [{ runner, last }] : [];
   });
+  return [...due, ...listDueAbsent(gateway!, { members, now })];
+}
+
+/** Lists runners in no group that were presumed dead and are still listed: they may be back. */
+function listDueAbsent(
+  { groupPlanner, runners }: Gateway,
+  { members, now }: { members: readonly Runner[]; now: number },
+): DueCheck[] {
+  const ids = new Set(members.map(({ id }) => id));
+  return [...groupPlanner.healthChecks].flatMap(([id, last]) => {
+    const runner = runners.get(id);
+    if (runner === undefined || ids.has(id) || last.isPending) return [];
+    const isAbsent = isPresumedDead(groupPlanner, runner);
+    const isDue = now - last.sentAt >= ABSENT_CHECK_INTERVAL_MS;
+    return isAbsent && isDue ? [{ runner, last }] : [];
+  });
 }
 
 /** Orders checks by doubt, then by the age of the last one. */
--- a/packages/core/src/formation/leadership.ts
+++ b/packages/core/src/formation/leadership.ts
@@ -39,6 +39,7 @@
     weightLoadsEndAt: [],
     groupCount: 0,
     startedAt: now,
+    strandedSince: new Map(),
     capacityReportedAt: new Map(),
     lastPlannedAt: -Infinity,
     isPaused: false,
--- a/packages/core/src/formation/plan.ts
+++ b/packages/core/src/formation/plan.ts
@@ -45,6 +45,7 @@
   reconcileGroup,
   takeStagedRunners,
 } from "./repair.ts";
+import { freeStranded } from "./stranded.ts";
 import { type DomainView, nextStaging, sortByNeed } from "./weight_layout.ts";
 import { reserveWeightLoad } from "./weight_loads.ts";
 
@@ -108,6 +109,7 @@
     domains,
   };
   for (const view of plannable) yield* reconcileGroup(state, round, view);
+  yield* freeStranded(state, views);
   const demand = resolveDemand(state, round);
   yield* reportCapacity(state, round, { demand });
   yield* formGroups(state, round);
--- a/packages/core/src/formation/types.ts
+++ b/packages/core/src/formation/types.ts
@@ -126,6 +126,8 @@
   healthChecks: Map<string, HealthCheck>;
   /** Mean number of requests of each model's groups, by service and model. */
   demand: Map<string, Average>;
+  /** Times since which runners report a group that goes on without them, by runner, ms. */
+  strandedSince: Map<string, number>;
   /** Weight loads that may begin now, as of `weightLoadAllowanceAt`. */
   weightLoadAllowance: number;
   weightLoadAllowanceAt: number;
