Keep as many spares as members are lost while others load, and trust demand once it has settled

A group of 16 dies with any member.

Cause: capacity that a model will need soon was given away by what is seen at one moment.

Now a mean demand counts after five seconds, never falls while the groups left are full, spares follow the measured rate of losses, and leftovers of a model with smaller groups become missing spares.

--- a/packages/core/src/formation/constants.ts
+++ b/packages/core/src/formation/constants.ts
@@ -47,8 +47,14 @@
 export const WEIGHT_LOAD_BURST = 4;
 /** Weight of one sample in the mean demand for a model; the mean follows within about five seconds. */
 export const DEMAND_WEIGHT = 0.02;
+/** Time for which a model must have had requests before its mean demand counts, ms; the first ones make it uneven. */
+export const DEMAND_SETTLING_MS = 5_000;
+/** Share of its slots from which on a model's demand may be larger than the requests that its groups have. */
+export const FULL_USE = 0.9;
 /** Time for which a runner must report a group that goes on without it before it is ordered out of it, ms. */
 export const STRANDED_GRACE_MS = 2_000;
+/** Time constant with which member losses are forgotten, ms. */
+export const LOSS_WINDOW_MS = 60_000;
 /** Minimum share of the runners that a model is expected to need. */
 export const MIN_MODEL_SHARE = 0.01;
 /** Concurrent weight loads before the first request, as a multiple of those that run at full speed. */
--- a/packages/core/src/formation/demand_test.ts
+++ b/packages/core/src/formation/demand_test.ts
@@ -41,7 +41,7 @@
       report,
     });
   }
-  measureDemand(groupPlanner, heads.map(createView));
+  measureDemand(groupPlanner, heads.map(createView), { slots: 12, now: 0 });
   return demandOf(groupPlanner, { service: "llm", model: "small" });
 }
 
@@ -64,6 +64,35 @@
     expect(demand).to.equal(3);
   });
 
+  // Guards against a model whose demand seemed to fall with each group that it lost (issue 63).
+  it("does not fall while the groups that are left are full, or none is left", () => {
+    const { groupPlanner } = createHarness().state.gateway!;
+    const measureAt = (now: number, heads: Record<string, number>) => {
+      const views = Object.entries(heads).map(([id, running]) => {
+        groupPlanner.healthChecks.set(id, {
+          sentAt: 0,
+          isPending: false,
+          failures: 0,
+          runnerStartedUnixMs: 1,
+          report: { running, queued: 0 },
+        });
+        return createView(createHead(id));
+      });
+      measureDemand(groupPlanner, views, { slots: 12, now });
+      return demandOf(groupPlanner, { service: "llm", model: "small" })!;
+    };
+    const all = measureAt(0, { a: 12, b: 12, c: 10 });
+    let left = 0;
+    for (let now = 100; now < 10_000; now += 100) {
+      left = measureAt(now, { a: 12 });
+    }
+    expect(left).to.equal(all);
+    for (let now = 10_000; now < 20_000; now += 100) {
+      left = measureAt(now, { a: 3 });
+    }
+    expect(left).to.be.lessThan(all / 2);
+  });
+
   it("is unknown before there were any requests", () => {
     const idle = { running: 0, queued: 0 };
     expect(measure([createHead("a")], { a: idle })).to.equal(undefined);
--- a/packages/core/src/formation/plan.ts
+++ b/packages/core/src/formation/plan.ts
@@ -26,7 +26,7 @@
   PLAN_INTERVAL_MS,
   STABILIZATION_MS,
 } from "./constants.ts";
-import { demandOf, measureDemand } from "./demand.ts";
+import { demandOf, isSettled, measureDemand } from "./demand.ts";
 import { summarizeDomains } from "./domains.ts";
 import {
   deriveGroups,
@@ -38,6 +38,7 @@
 import { reportCapacity } from "./capacity_report.ts";
 import { checkGroupMembers } from "./health_checks.ts";
 import { ensureTerm, yieldLeadership } from "./leadership.ts";
+import { countExposure, lossRateOf, memberLossesOf } from "./member_losses.ts";
 import { orderRunner, pruneOrders } from "./orders.ts";
 import {
   orderJoins,
@@ -100,13 +101,18 @@
     !isInEvacuatedZone(state.gateway!, view)
   );
   if (isLikelyPartitioned(state, plannable)) return;
-  measureDemand(state.gateway!.groupPlanner, views);
+  const { groupPlanner } = state.gateway!;
+  const { slots } = engine;
+  measureDemand(groupPlanner, views, { slots, now: state.now });
+  const losses = memberLossesOf(groupPlanner, service.name);
+  countExposure(losses, { views: plannable, now: state.now });
   const domains = summarizeDomains(state, { service, views });
   const round: PlanningRound = {
     service: service.name,
     engine,
     views,
     domains,
+    losses,
   };
   for (const view of plannable) yield* reconcileGroup(state, round, view);
   yield* freeStranded(state, views);
@@ -139,7 +145,7 @@
 /**
  * Returns the demand for each model.
  *
- * Until the demand for every model is known, the configured shares are used instead, reduced for large models and, to a
+ * Until the demand for every model is known and has settled, the configured shares are used instead, reduced for large models and, to a
  * lesser degree, for slow ones.
  */
 function resolveDemand(
@@ -150,7 +156,10 @@
   const measured = models.map(({ name }) =>
     demandOf(groupPlanner, { service, model: name })
   );
-  const isMeasured = measured.every((each) => each !== undefined);
+  const isMeasured = models.every(({ name: model }, index) =>
+    measured[index] !== undefined &&
+    isSettled(groupPlanner, { service, model, now: state.now })
+  );
   const expected = ({ share, size, pace }: Model) =>
     Math.max(MIN_MODEL_SHARE, share / (size * Math.sqrt(pace)));
   return new Map(
@@ -196,12 +205,13 @@
 
 /** Orders weight loads on free runners, as far as the weight store allows. */
 function* orderWeightLoads(state: State, round: PlanningRound): Effects {
-  const { engine } = round;
+  const { engine, losses } = round;
   const { models } = engine;
+  const lossRate = lossRateOf(losses);
   const domains = [...round.domains.values()];
   const demand = resolveDemand(state, round);
   while (true) {
-    const staging = nextStaging(domains, { models, demand });
+    const staging = nextStaging(domains, { models, demand, lossRate });
     if (staging === undefined) return;
     const { runner, model } = staging;
     const { now } = state;
--- a/packages/core/src/formation/repair.ts
+++ b/packages/core/src/formation/repair.ts
@@ -11,6 +11,7 @@
   isPresumedDead,
   reportsMembership,
 } from "./group_view.ts";
+import { countLosses, type MemberLosses } from "./member_losses.ts";
 import { nextFence } from "./leadership.ts";
 import { orderRunner } from "./orders.ts";
 import type { DomainView } from "./weight_layout.ts";
@@ -21,6 +22,7 @@
   engine: EngineProfile;
   views: GroupView[];
   domains: Map<string, DomainView>;
+  losses: MemberLosses;
 }
 
 /** Returns whether a member is alive and has joined the group, or was ordered to join. */
@@ -101,6 +103,7 @@
     each !== undefined && isSurvivor(state, view, each)
   );
   const count = model.size - survivors.length;
+  countLosses(round.losses, view, count);
   const substitutes = survivors.length === 0
     ? undefined
     : takeStagedRunners(round, domain, { model, count });
--- a/packages/core/src/formation/test_pool.ts
+++ b/packages/core/src/formation/test_pool.ts
@@ -50,7 +50,9 @@
   /** Returns false where this daemon is not the leader of the group planner. */
   isLeader?: () => boolean;
   /** Time that a weight load takes, ms. */
-  loadMs?: number;
+  loadMs?: number | ((model: string) => number);
+  /** Time that a join takes where the host holds the weights, ms. */
+  joinMs?: number;
 }
 
 const JOIN_MS = 200;
@@ -59,9 +61,11 @@
 /** Creates simulated runners that carry out the orders of a gateway. */
 export function createSimulatedPool(
   harness: GatewayHarness,
-  { runners: list, isLeader = () => true, loadMs = 1_000 }:
+  { runners: list, isLeader = () => true, loadMs = 1_000, joinMs = JOIN_MS }:
     SimulatedPoolOptions,
 ): SimulatedPool {
+  const loadMsOf = (model: string) =>
+    typeof loadMs === "number" ? loadMs : loadMs(model);
   const runners = new Map(list.map((runner) => [runner.id, runner]));
   const dead = new Set<string>();
   const changes: Change[] = [];
@@ -171,7 +175,7 @@
     if (order.action === "stage") {
       pool.weightLoads.push(now);
       const apply = () => update(id, { staged: [order.model] });
-      changes.push({ at: now + loadMs, apply });
+      changes.push({ at: now + loadMsOf(order.model), apply });
       return "accepted";
     }
     const { group, epoch } = order;
@@ -181,7 +185,7 @@
       const assigned = { group, epoch, rank };
       update(id, { membership: { ...assigned, state: "joining" } });
       changes.push({
-        at: now + JOIN_MS,
+        at: now + joinMs,
         apply() {
           const current = runners.get(id)?.membership;
           if (current?.group !== group || current.epoch !== epoch) return;
--- a/packages/core/src/formation/types.ts
+++ b/packages/core/src/formation/types.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Average } from "../util/ewma.ts";
+import type { MemberLosses } from "./member_losses.ts";
 
 /** State of a runner within its group, as the runner reports it. */
 export type MembershipState =
@@ -126,8 +127,12 @@
   healthChecks: Map<string, HealthCheck>;
   /** Mean number of requests of each model's groups, by service and model. */
   demand: Map<string, Average>;
+  /** Time since which a model has had requests, by service and model, ms. */
+  demandSince: Map<string, number>;
   /** Times since which runners report a group that goes on without them, by runner, ms. */
   strandedSince: Map<string, number>;
+  /** Losses of group members, by service. */
+  memberLosses: Map<string, MemberLosses>;
   /** Weight loads that may begin now, as of `weightLoadAllowanceAt`. */
   weightLoadAllowance: number;
   weightLoadAllowanceAt: number;
--- a/packages/core/src/formation/weight_layout.ts
+++ b/packages/core/src/formation/weight_layout.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import type { Model, Runner } from "../gateway/types.ts";
-import { MIN_SIZE_WITH_SPARE } from "./constants.ts";
+import { sparesInUse, sparesWanted } from "./member_losses.ts";
 
 /** Groups and free runners of one fabric domain. */
 export interface DomainView {
@@ -36,6 +36,8 @@
   models: readonly Model[];
   /** Demand for each model, all in the same unit. */
   demand: ReadonlyMap<string, number>;
+  /** Members that groups lose, for each member and ms; 0 where it is not given. */
+  lossRate?: number;
 }
 
 /** Returns how many free runners of a domain hold or load a model's weights. */
@@ -75,29 +77,54 @@
     Math.floor(countHolders(domain, model) / model.size);
 }
 
-/** Returns how many spares a domain lacks for its large groups of a model, one for each group. */
-function countMissingSpares(domain: DomainView, model: Model): number {
-  if (model.size < MIN_SIZE_WITH_SPARE) return 0;
+/** A model with all that share the runners, and the rate at which their groups lose members. */
+interface Selection {
+  model: Model;
+  models: readonly Model[];
+  lossRate: number;
+}
+
+/**
+ * Returns how many spares the groups of a model keep from another one. A spare of a small group saves less than one of a
+ * large group, so that only those likely to be used are kept from a model with larger groups.
+ */
+function countKept(
+  model: Model,
+  { from, groups, lossRate }: { from: Model; groups: number; lossRate: number },
+): number {
+  return model.size < from.size
+    ? Math.min(groups, sparesInUse(model, { groups, lossRate }))
+    : sparesWanted(model, { groups, lossRate });
+}
+
+/** Returns how many spares a domain lacks for its groups of a model. */
+function countMissingSpares(
+  domain: DomainView,
+  { model, lossRate }: Pick<Selection, "model" | "lossRate">,
+): number {
+  const groups = countWholeGroups(domain, model);
   const spares = countHolders(domain, model) % model.size;
-  return Math.max(0, countWholeGroups(domain, model) - spares);
+  return Math.max(0, sparesWanted(model, { groups, lossRate }) - spares);
 }
 
 /** Returns how many runners of a domain are reserved as spares of other models. */
 function countReserved(
   domain: DomainView,
-  { model, models }: { model: Model; models: readonly Model[] },
+  { model, models, lossRate }: Selection,
 ): number {
-  return models.reduce(
-    (sum, other) =>
-      other === model ? sum : sum + countMissingSpares(domain, other),
-    0,
-  );
+  return models.reduce((sum, other) => {
+    if (other === model) return sum;
+    const groups = countWholeGroups(domain, other);
+    const kept = countKept(other, { from: model, groups, lossRate });
+    const spares = countHolders(domain, other) % other.size;
+    return sum + Math.max(0, kept - spares);
+  }, 0);
 }
 
 /** Returns how many runners of a domain serve models other than the given one, or hold or load their weights. */
 function countUsedByOthers(
   domain: DomainView,
-  { model, models }: { model: Model; models: readonly Model[] },
+  { model, models }: Pick<Selection, "model" | "models">,
 ): number {
   return models.reduce(
     (sum, other) =>
@@ -120,12 +147,18 @@
   domains: readonly DomainView[],
   options: LayoutOptions,
 ): Staging | undefined {
+  const { lossRate = 0 } = options;
   const available = domains.filter(({ unstaged }) => unstaged.length > 0);
   const models = sortByNeed(domains, options);
-  return stageForGroup(available, models) ?? stageSpare(available, models) ??
-    replaceStaging(domains, models);
+  return stageForGroup(available, { models, lossRate }) ??
+    stageSpare(available, { models, lossRate }) ??
+    replaceStaging(domains, { models, lossRate }) ??
+    replaceBySpare(domains, { models, lossRate });
 }
 
+/** The models, those with the least capacity first, and the rate at which their groups lose members. */
+type Needs = Pick<Selection, "models" | "lossRate">;
+
 /**
  * Completes a group of the model with the least capacity, in the domain where the fewest runners lack the weights.
  *
@@ -134,10 +167,10 @@
  */
 function stageForGroup(
   available: readonly DomainView[],
-  models: readonly Model[],
+  { models, lossRate }: Needs,
 ): Staging | undefined {
   for (const model of models) {
-    const selection = { model, models };
+    const selection = { model, models, lossRate };
     const fitting = available.filter((domain) =>
       domain.unstaged.length - countReserved(domain, selection) >=
         countMissing(domain, model)
@@ -157,11 +190,11 @@
 /** Loads the weights of a large group's model on a spare, or else those of the smallest model. */
 function stageSpare(
   available: readonly DomainView[],
-  models: readonly Model[],
+  { models, lossRate }: Needs,
 ): Staging | undefined {
   for (const model of models) {
     const domain = available.find((each) =>
-      countMissingSpares(each, model) > 0
+      countMissingSpares(each, { model, lossRate }) > 0
     );
     if (domain !== undefined) return { runner: domain.unstaged[0]!, model };
   }
@@ -176,12 +209,12 @@
 /** Completes a group of the model with the least capacity from free runners that hold another model's weights. */
 function replaceStaging(
   domains: readonly DomainView[],
-  models: readonly Model[],
+  { models, lossRate }: Needs,
 ): Staging | undefined {
   const [model] = models;
   if (model === undefined) return undefined;
   for (const domain of domains) {
-    const leftovers = listLeftovers(domain, { model, models });
+    const leftovers = listLeftovers(domain, { model, models, lossRate });
     const missing = countMissing(domain, model);
     const [runner] = leftovers;
     if (runner === undefined || leftovers.length < missing) continue;
@@ -190,16 +223,34 @@
   return undefined;
 }
 
-/** Lists free runners that hold the weights of other models and are not needed as spares of their large groups. */
+/** Turns free runners that hold the weights of a model with smaller groups into missing spares of a larger one. */
+function replaceBySpare(
+  domains: readonly DomainView[],
+  { models, lossRate }: Needs,
+): Staging | undefined {
+  for (const model of models) {
+    const selection = { model, models, lossRate };
+    for (const domain of domains) {
+      if (countMissingSpares(domain, selection) === 0) continue;
+      const runner = listLeftovers(domain, selection).find(({ staged }) =>
+        models.some(({ name, size }) => name === staged[0] && size < model.size)
+      );
+      if (runner !== undefined) return { runner, model };
+    }
+  }
+  return undefined;
+}
+
+/** Lists free runners that hold the weights of other models and are not needed as spares of their groups. */
 function listLeftovers(
   domain: DomainView,
-  { model, models }: { model: Model; models: readonly Model[] },
+  { model, models, lossRate }: Selection,
 ): Runner[] {
   return models.flatMap((other) => {
     if (other === model) return [];
     const holders = domain.staged.get(other.name) ?? [];
-    const isLarge = other.size >= MIN_SIZE_WITH_SPARE;
-    const spares = isLarge ? domain.groups.get(other.name) ?? 0 : 0;
-    return holders.slice(spares);
+    const groups = domain.groups.get(other.name) ?? 0;
+    const kept = countKept(other, { from: model, groups, lossRate });
+    return holders.slice(kept);
   });
 }
