--- a/packages/cli/src/commands/sizes.ts
+++ b/packages/cli/src/commands/sizes.ts
@@ -46,10 +46,11 @@
 ];
 
 function readEnd({ event, fields }: LogLine): EndedRequest | undefined {
-  const { promptTokens, maxOutputTokens, verdict, code, stage } = fields;
+  const { promptTokens, verdict, code, stage } = fields;
   if (!FINAL_EVENTS.has(event)) return undefined;
   if (typeof promptTokens !== "number") return undefined;
-  const size = costOfOutput({ promptTokens }, Number(maxOutputTokens ?? 0));
+  const outputTokens = fields.expectedOutputTokens ?? fields.maxOutputTokens;
+  const size = costOfOutput({ promptTokens }, Number(outputTokens ?? 0));
   const isServed = event === "request_ended" && verdict === "ran";
   const cause = [code, stage ?? "arrival"].join(" ");
   return {
--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -152,6 +152,7 @@
     expiresAt: event.at + timeoutMs,
     promptTokens: event.promptTokens,
     maxOutputTokens: event.maxOutputTokens,
+    expectedOutputTokens: event.expectedOutputTokens,
     promptParts: event.promptParts,
     fingerprint: event.fingerprint,
     crashSuspects: crashSuspectsOf({
--- a/packages/core/src/gateway/describe_size.ts
+++ b/packages/core/src/gateway/describe_size.ts
@@ -7,9 +7,10 @@
 
 /** What determines how much work a request is; all undefined for plain services. */
 export interface SizeFields {
-  model: string | undefined;
-  promptTokens: number | undefined;
-  maxOutputTokens: number | undefined;
+  model?: string;
+  promptTokens?: number;
+  maxOutputTokens?: number;
+  expectedOutputTokens?: number | undefined;
 }
 
 /**
@@ -17,21 +18,15 @@
  *
  * @example
  * ```ts
- * describeSize(request); // { model: "small", promptTokens: 674, maxOutputTokens: 217 }
+ * describeSize(request); // { model: "small", promptTokens: 674, maxOutputTokens: 549, expectedOutputTokens: 200 }
  * ```
  */
 export function describeSize(
-  { model, promptTokens, maxOutputTokens }: Pick<
+  { model, promptTokens, maxOutputTokens, expectedOutputTokens }: Pick<
     RoutedRequest,
-    "model" | "promptTokens" | "maxOutputTokens"
+    "model" | "promptTokens" | "maxOutputTokens" | "expectedOutputTokens"
   >,
 ): SizeFields {
-  if (model === undefined) {
-    return {
-      model,
-      promptTokens: undefined,
-      maxOutputTokens: undefined,
-    };
-  }
-  return { model, promptTokens, maxOutputTokens };
+  if (model === undefined) return {};
+  return { model, promptTokens, maxOutputTokens, expectedOutputTokens };
 }
--- a/packages/core/src/gateway/event_types.ts
+++ b/packages/core/src/gateway/event_types.ts
@@ -56,6 +56,8 @@
     model: string | undefined;
     promptTokens: number;
     maxOutputTokens: number;
+    /** The caller's estimate of the output, tokens; undefined where it gives none. */
+    expectedOutputTokens?: number | undefined;
     /** Ids of the parts of the prompt that other requests may share, in order. */
     promptParts: readonly string[];
     /** Hash of the content, the same for all copies of the request; undefined where it is not known. */
--- a/packages/daemon/src/gateway/adapters.ts
+++ b/packages/daemon/src/gateway/adapters.ts
@@ -31,6 +31,8 @@
   model: string | undefined;
   promptTokens: number;
   maxOutputTokens: number;
+  /** The caller's estimate of the output, tokens; undefined where it gives none. */
+  expectedOutputTokens?: number | undefined;
   /** Ids of the parts of the prompt that other requests may share, in order. */
   promptParts: readonly string[];
   lastEvent: string | undefined;
--- a/packages/daemon/src/gateway/caller_listener.ts
+++ b/packages/daemon/src/gateway/caller_listener.ts
@@ -133,6 +133,7 @@
       model: metadata.model,
       promptTokens: metadata.promptTokens,
       maxOutputTokens: metadata.maxOutputTokens,
+      expectedOutputTokens: metadata.expectedOutputTokens,
       promptParts: metadata.promptParts,
       fingerprint: fingerprintOf({
         caller: metadata.key ?? "",
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -61,11 +61,13 @@
 /** Records the size of a request that has ended, unless it went to a plain service or no route was found for it. */
 function observeSize(
   sizes: Histogram<"route" | "outcome">,
-  { route, promptTokens, maxOutputTokens, verdict, code }: LogFields,
+  fields: LogFields,
 ): void {
+  const { route, promptTokens, verdict, code } = fields;
   if (route === undefined || promptTokens === undefined) return;
+  const outputTokens = fields.expectedOutputTokens ?? fields.maxOutputTokens;
   const work = { promptTokens: Number(promptTokens) };
-  const size = costOfOutput(work, Number(maxOutputTokens));
+  const size = costOfOutput(work, Number(outputTokens));
   const outcome = verdict === "ran" ? "served" : label(code);
   sizes.observe({ route: label(route), outcome }, size);
 }
