--- a/packages/daemon/src/gateway/relay.ts
+++ b/packages/daemon/src/gateway/relay.ts
@@ -6,14 +6,7 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import {
-  advanceOrder,
-  createEventOrder,
-  type Effect,
-  type EventBody,
-  type EventOrder,
-  type LogEventName,
-} from "@primroseshed/core";
+import type { Effect, EventBody, LogEventName } from "@primroseshed/core";
 import { isFramed } from "../backend/answer_agent.ts";
 import {
   type Agents,
@@ -33,7 +26,8 @@
   encodeForwardOrder,
   withoutForwardHeaders,
 } from "./forward_headers.ts";
-import { type CompleteEvent, createEventSplitter } from "./event_splitter.ts";
+import { createEventRelay } from "./event_relay.ts";
+import { createEventSplitter } from "./event_splitter.ts";
 import { watchUnread } from "./unread_answer.ts";
 import type { UpstreamResponse } from "./upstream_response.ts";
 
@@ -78,13 +72,10 @@
 
 /** Largest response that is buffered until it is complete, bytes. */
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
-/** Largest event of a stream, bytes. */
-const MAX_EVENT_BYTES = 1024 * 1024;
-/** Bytes that a caller may leave unread before the response of its runner is paused. */
-const MAX_UNREAD_BYTES = 256 * 1024;
 const MS_PER_SECOND = 1_000;
 /** Statuses that tell a caller that its request did not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** Creates the relay of one request. */
 export function createRelay(options: RelayOptions): Relay {
   const {
@@ -105,8 +96,6 @@
   const answer = createCallerAnswer(options);
   /** Attempts in flight by number; two where the request is hedged. */
   const upstreams = new Map<number, UpstreamResponse>();
-  /** Order of the caller's stream over all attempts; undefined before the first one. */
-  let order: EventOrder | undefined;
   const countUnread = watchUnread(response, {
     buffers,
     onGivenUp(bytes) {
@@ -114,13 +103,16 @@
       answer.breakOff();
     },
   });
-
-  function beginStream(
-    { status, relayedHeaders: headers }: UpstreamResponse,
-  ): void {
-    const length = undefined;
-    answer.begin({ status, headers, length, endsWithConnection: false });
-  }
+  const events = createEventRelay({
+    name,
+    response,
+    answer,
+    isOpen: (upstream) => upstreams.get(upstream.number) === upstream,
+    fail: (upstream) => fail(upstream, "broken_frame"),
+    countUnread,
+    dispatch,
+    log,
+  });
 
   function beginWhole(upstream: UpstreamResponse, body: Buffer): void {
     const { status, relayedHeaders: headers } = upstream;
@@ -130,75 +122,10 @@
     answer.begin({ status, headers, length, endsWithConnection });
   }
 
-  function writeEvents(upstream: UpstreamResponse, bytes: Buffer): void {
-    response.write(bytes);
-    countUnread();
-    if (response.writableLength < MAX_UNREAD_BYTES) return;
-    upstream.attempt?.pause();
-    reportBlocked(upstream, true);
-    response.once("drain", () => {
-      upstream.attempt?.resume();
-      reportBlocked(upstream, false);
-    });
-  }
-
-  function reportBlocked(
-    { number: attempt }: UpstreamResponse,
-    isBlocked: boolean,
-  ): void {
-    dispatch({ kind: "relay_blocked", request: name, attempt, isBlocked });
-  }
-
   function onData(upstream: UpstreamResponse, chunk: Buffer): void {
     const isEvents = upstream.isStream && upstream.metadata?.verdict === "ran";
-    if (!isEvents) return bufferChunk(upstream, chunk);
-    const complete = upstream.splitter.push(chunk);
-    if (complete !== undefined) {
-      const { bytes, events } = complete;
-      const broken = events.find((event) =>
-        advanceOrder(order!, event) === "broken_frame"
-      );
-      const end = broken === undefined ? events.length : events.indexOf(broken);
-      passOn(upstream, bytes, events.slice(0, end));
-      if (broken !== undefined) return failDisordered(upstream, broken);
-    }
-    if (upstreams.get(upstream.number) !== upstream) return;
-    const partialBytes = upstream.splitter.partialBytes();
-    if (partialBytes > MAX_EVENT_BYTES) return fail(upstream, "broken_frame");
-    // It may be given up for this, so what it passes on comes before.
-    upstream.share.set(partialBytes);
-  }
-
-  function passOn(
-    upstream: UpstreamResponse,
-    bytes: Buffer,
-    events: readonly CompleteEvent[],
-  ): void {
-    const last = events.at(-1);
-    if (last === undefined) return;
-    upstream.hasEvents ||= events.some(({ id, hasData }) =>
-      id !== undefined || hasData
-    );
-    if (!answer.hasBegun()) beginStream(upstream);
-    writeEvents(upstream, bytes.subarray(0, last.end));
-    dispatch({
-      kind: "response_progressed",
-      request: name,
-      attempt: upstream.number,
-      lastEvent: events.findLast(({ id }) => id !== undefined)?.id,
-    });
-  }
-
-  /** Ends an attempt whose next event does not follow the last one that the caller has. */
-  function failDisordered(
-    upstream: UpstreamResponse,
-    { id: event }: CompleteEvent,
-  ): void {
-    if (upstreams.get(upstream.number) !== upstream) return;
-    const { number: attempt } = upstream;
-    const last = order!.last?.toString();
-    log("frame_broken", { request: name, attempt, event, last });
-    fail(upstream, "broken_frame");
+    if (isEvents) events.push(upstream, chunk);
+    else bufferChunk(upstream, chunk);
   }
 
   function bufferChunk(upstream: UpstreamResponse, chunk: Buffer): void {
@@ -355,8 +282,7 @@
       held.setStage("kept");
       upstreams.set(effect.attempt, upstream);
       const { runner, remainingMs, team, resumeAfter } = effect;
-      order ??= createEventOrder(resumeAfter);
-      order.isNewRun = true;
+      events.beginRun(resumeAfter);
       const urgency = effect.isStream ? effect.urgency : undefined;
       const agent = effect.isRepeatable ? agents.reusing : agents.fresh;
       const headers = headerCodec.requestHeaders(request.rawHeaders, {
@@ -442,7 +368,7 @@
     },
     finish() {
       const [upstream] = upstreams.values();
-      if (upstream !== undefined && !answer.hasBegun()) beginStream(upstream);
+      if (upstream !== undefined) events.begin(upstream);
       releaseAll();
       response.end();
     },
