Refuse requests at once that cannot end in the time left at any runner

A request got a slot by occupancy alone.

Now a request is sent, sent again, hedged or kept waiting only while it can end alone in a batch with half of the output that its caller expects; else it is refused as not run, at once. Both capacity policies use the same rule. Not weighed yet: the pace of full groups in the choice among groups; the product's own path has no speed of its engines to weigh.

--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -13,7 +13,6 @@
 import { chooseDestination } from "./choose.ts";
 import {
   MAX_WAIT_SHARE,
-  MIN_REMAINING_MS,
   STOP_MARGIN_MS,
   STOP_STREAMS_MS,
 } from "./constants.ts";
@@ -32,6 +31,7 @@
 import { admitShared } from "./shared_admission.ts";
 import { isShared } from "./capacity_policy.ts";
 import { hastenSweep } from "./sweep_schedule.ts";
+import { hasTime, TOO_LATE } from "./time_left.ts";
 import type { Gateway, Route, RoutedRequest, Team } from "./types.ts";
 
 const STOPPING: Refusal = {
@@ -40,11 +40,6 @@
   retryAfterMs: 0,
 };
 
-const TOO_LATE: Refusal = {
-  code: "deadline_passed",
-  message: "The request was not sent within the time allowed",
-};
-
 /** True where a request may outlast this daemon's stop. */
 function outlivesStop(
   { gateway, phase, now }: State,
@@ -117,7 +112,7 @@
   yield* tryHeldPart(state, request);
   const held = quarantineRefusal(state, request);
   if (held !== undefined) return yield* refuseArrival(held, context);
-  if (request.expiresAt - now < MIN_REMAINING_MS) {
+  if (!hasTime(state, request)) {
     return yield* refuseArrival(TOO_LATE, context);
   }
   gateway.requests.set(id, request);
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -36,6 +36,8 @@
 export const MAX_LOGGED_PARTS = 8;
 /** Remaining time below which a request is not sent again, since no runner can respond in time, ms. */
 export const MIN_REMAINING_MS = 20;
+/** Share of the output that a caller expects which a request nearly surely needs; estimates are often far off. */
+export const SURE_OUTPUT_SHARE = 0.5;
 /** A stream that has begun and delivers no byte for this long has stalled, ms. */
 export const STREAM_STALL_MS = 600;
 /** A runner with open streams that stays silent this long gets no new requests, ms; a decode pass takes about 50 ms. */
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -22,7 +22,6 @@
   MAX_AVOID_MS,
   MAX_LOGGED_PARTS,
   MAX_REJECTED_SENDS,
-  MIN_REMAINING_MS,
   RESUME_WAIT_MS,
 } from "./constants.ts";
 import { endRequest, failRequest, logEnd, releaseAttempt } from "./finish.ts";
@@ -39,6 +38,7 @@
 import { joinQueue, sendToRunner } from "./send.ts";
 import { mayReturn, readmitShared } from "./shared_admission.ts";
 import { hastenSweep } from "./sweep_schedule.ts";
+import { hasTime } from "./time_left.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
 import { isCutUnread } from "./unread.ts";
 
@@ -221,10 +221,9 @@
   // The same would come of it at any other runner.
   if (outcome === "request_unwritable") return { next: { kind: "end" } };
   const { route } = request;
-  const remainingMs = request.expiresAt - state.now;
   const mayResend = (!request.mayHaveRun || canRepeat(route)) &&
     request.countedAttempts < route.maxAttempts &&
-    remainingMs >= MIN_REMAINING_MS;
+    hasTime(state, request);
   const isHeld = findHeld(state, request.crashSuspects) !== undefined;
   if (!mayResend || isHeld) return { next: { kind: "end" } };
   const destination = chooseDestination(state, gateway, request, {
@@ -274,7 +273,7 @@
 ): boolean {
   const { route, countedAttempts, service } = request;
   if (!canRepeat(route) || countedAttempts >= route.maxAttempts) return false;
-  if (request.expiresAt - state.now < MIN_REMAINING_MS) return false;
+  if (!hasTime(state, request)) return false;
   const budget = retryBudgetOf(gateway, service);
   if (!hasRetry(budget, state.now, retryLimitsOf(gateway))) return false;
   const destination = chooseDestination(state, gateway, request, {
--- a/packages/core/src/gateway/shared_admission.ts
+++ b/packages/core/src/gateway/shared_admission.ts
@@ -17,7 +17,6 @@
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import type { Outcome } from "../verdict/types.ts";
-import { MIN_REMAINING_MS } from "./constants.ts";
 import { failRequest } from "./finish.ts";
 import { retryAfterOf } from "./retry_after.ts";
 import { hasCandidates, workKey } from "./runner_index.ts";
@@ -31,6 +30,7 @@
   windowOf,
 } from "./shared_queue.ts";
 import { hastenSweep } from "./sweep_schedule.ts";
+import { latestStartOf } from "./time_left.ts";
 import type { RoutedRequest } from "./types.ts";
 
 /** Why a request finds no room. */
@@ -146,7 +146,7 @@
   const isLateUseful = now + expectedMs <= window.lateUntil;
   request.waitUntil = Math.min(
     isLateUseful ? window.lateUntil : window.inTimeUntil,
-    request.expiresAt - MIN_REMAINING_MS,
+    latestStartOf(state, request),
   );
   yield {
     kind: "log",
--- a/packages/core/src/gateway/sweep.ts
+++ b/packages/core/src/gateway/sweep.ts
@@ -23,6 +23,7 @@
 import { isStream } from "./routes.ts";
 import { backoffRefusal, isHopeless } from "./runner_backoff.ts";
 import { workKey } from "./runner_index.ts";
+import { hasTime, TOO_LATE } from "./time_left.ts";
 import { serveWaiting } from "./send.ts";
 import { checkSharedWait } from "./shared_admission.ts";
 import type { Gateway, RoutedRequest } from "./types.ts";
@@ -77,6 +78,9 @@
   if (refusal !== undefined) {
     return yield* failRequest(state, gateway, request, refusal);
   }
+  if (!hasTime(state, request)) {
+    return yield* failRequest(state, gateway, request, TOO_LATE);
+  }
   const unplaced = placementRefusal(state, request);
   // A stream that waits to be resumed would be cut off; a group may open for it in time.
   if (unplaced !== undefined && !request.isRelaying) {
--- a/packages/core/src/hedging/hedging.ts
+++ b/packages/core/src/hedging/hedging.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import { chooseDestination, type Destination } from "../gateway/choose.ts";
-import { MIN_REMAINING_MS } from "../gateway/constants.ts";
+import { hasTime } from "../gateway/time_left.ts";
 import { occupancyOf } from "../gateway/occupancy.ts";
 import { retryBudgetOf, retryLimitsOf } from "../gateway/retry_allowance.ts";
 import { retriesLeft, takeRetry } from "../gateway/retry_budget.ts";
@@ -180,12 +180,9 @@
     forwarder === undefined;
 }
 
-function hasAttempt(
-  { now }: State,
-  { route, countedAttempts, expiresAt }: RoutedRequest,
-): boolean {
-  return countedAttempts < route.maxAttempts &&
-    expiresAt - now >= MIN_REMAINING_MS;
+function hasAttempt(state: State, request: RoutedRequest): boolean {
+  return request.countedAttempts < request.route.maxAttempts &&
+    hasTime(state, request);
 }
 
 function hasSpareRetry({ gateway, now }: State, service: string): boolean {
