Let a broken stream wait for a retry, and give it the next one

Callers of long answers saw them cut off near their end.

A stream that its caller has a part of now waits for a retry as it waits for a slot, until the caller is about to leave (1.9 s after its last event, not one second after the break), and no request that has not begun gets a retry while such a stream waits. The budget stays as it was.

--- a/packages/core/src/gateway/admit.ts
+++ b/packages/core/src/gateway/admit.ts
@@ -168,6 +168,7 @@
     lastEvent: event.lastEvent,
     hasEvents: false,
     isWaiting: false,
+    awaitsRetry: false,
     isTrial: false,
     waitUntil: state.now + route.targetLatencyMs * MAX_WAIT_SHARE,
   };
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -24,8 +24,10 @@
 export const IDLE_SWEEP_INTERVAL_MS = 250;
 /** Share of the latency objective that a request may wait for a free slot. */
 export const MAX_WAIT_SHARE = 0.125;
-/** Time for which a stream that broke off may wait for a slot to be resumed in, ms; callers give up after 2 s of silence. */
-export const RESUME_WAIT_MS = 1_000;
+/** Time without an event after which a stream that broke off is given up, ms; callers leave after 2 s of silence. */
+export const RESUME_SILENCE_MS = 1_900;
+/** Shortest time for which a stream that broke off may wait to be resumed, ms. */
+export const MIN_RESUME_WAIT_MS = 1_000;
 /** Sends beyond the route's limit of a stream whose runners rejected it, so that it is not cut off for their load. */
 export const MAX_REJECTED_SENDS = 2;
 /** Delay after which a refused caller should retry, since a slot may be free by then, ms. */
--- a/packages/core/src/gateway/retry.ts
+++ b/packages/core/src/gateway/retry.ts
@@ -22,7 +22,8 @@
   MAX_AVOID_MS,
   MAX_LOGGED_PARTS,
   MAX_REJECTED_SENDS,
-  RESUME_WAIT_MS,
+  MIN_RESUME_WAIT_MS,
+  RESUME_SILENCE_MS,
 } from "./constants.ts";
 import { endRequest, failRequest, logEnd, releaseAttempt } from "./finish.ts";
 import {
@@ -31,8 +32,13 @@
   SUSPICIOUS_OUTCOMES,
   UNSENT_OUTCOMES,
 } from "./outcome_sets.ts";
-import { retryBudgetOf, retryLimitsOf } from "./retry_allowance.ts";
-import { hasRetry, retriesLeft, takeRetry } from "./retry_budget.ts";
+import {
+  owesRetry,
+  retryBudgetOf,
+  retryLimitsOf,
+  takeRetryFor,
+} from "./retry_allowance.ts";
+import { hasRetry, retriesLeft } from "./retry_budget.ts";
 import { retryAfterOf } from "./retry_after.ts";
 import { canRepeat } from "./routes.ts";
 import { joinQueue, sendToRunner } from "./send.ts";
@@ -108,7 +114,11 @@
       ...next.destination,
     });
   }
-  if (next.kind === "wait") return yield* waitAgain(state, request);
+  if (next.kind === "wait") {
+    request.awaitsRetry = charge === "deferred";
+    const { lastByteAt: silentSince } = currentAttempt!;
+    return yield* waitAgain(state, request, { silentSince });
+  }
   if (isRelayable && !request.isRelaying) {
     yield logEnd(state, request, { runner, verdict, outcome });
     yield { kind: "relay", request: request.id, attempt };
@@ -209,6 +219,8 @@
   | "charged"
   /** The failed attempt never arrived, so that the next one is no retry to the runners. */
   | "free"
+  /** The budget holds none; a stream that has begun waits for one. */
+  | "deferred"
   | "denied";
 
 /** Decides whether the request is sent again, waits, or ends. */
@@ -233,21 +245,31 @@
   if (destination === undefined && !mayWait) return { next: { kind: "end" } };
   const charge = chargeRetry(state, gateway, failure);
   if (charge === "denied") return { next: { kind: "end" }, charge };
+  if (charge === "deferred") return { next: { kind: "wait" }, charge };
   const next: NextStep = destination === undefined
     ? { kind: "wait" }
     : { kind: "send", destination };
   return { next, charge };
 }
 
-/** Takes a retry from the budget, unless the runners will not see it as one. */
+/**
+ * Takes a retry from the budget, unless the runners will not see it as one.
+ *
+ * A stream that has begun loses all that its caller has of it, the more the longer it is. It therefore waits for a
+ * retry, and gets it before requests that have not begun.
+ */
 function chargeRetry(
-  { now }: State,
+  state: State,
   gateway: Gateway,
   failure: FailedAttempt,
 ): RetryCharge {
+  const { request } = failure;
   if (neverArrived(failure)) return "free";
-  const budget = retryBudgetOf(gateway, failure.request.service);
-  return takeRetry(budget, now, retryLimitsOf(gateway)) ? "charged" : "denied";
+  if (!request.isRelaying && owesRetry(gateway, request.service)) {
+    return "denied";
+  }
+  if (takeRetryFor(state, request)) return "charged";
+  return request.isRelaying ? "deferred" : "denied";
 }
 
 /** Returns what the budget holds for a log line. */
@@ -283,9 +305,16 @@
 }
 
 /** Queues a request that was turned away, or a stream that broke off until a slot is free in which it can be resumed. */
-function* waitAgain(state: State, request: RoutedRequest): Effects {
+function* waitAgain(
+  state: State,
+  request: RoutedRequest,
+  { silentSince }: { silentSince: number },
+): Effects {
   if (!request.isRelaying) return yield* readmitShared(state, request);
-  request.waitUntil = state.now + RESUME_WAIT_MS;
+  request.waitUntil = Math.max(
+    state.now + MIN_RESUME_WAIT_MS,
+    silentSince + RESUME_SILENCE_MS,
+  );
   joinQueue(state, request);
   hastenSweep(state);
   yield {
@@ -294,7 +323,8 @@
     fields: {
       request: request.id,
       lastEvent: request.lastEvent,
-      waitMs: RESUME_WAIT_MS,
+      waitMs: Math.round(request.waitUntil - state.now),
+      awaitsRetry: request.awaitsRetry,
     },
   };
 }
--- a/packages/core/src/gateway/retry_allowance.ts
+++ b/packages/core/src/gateway/retry_allowance.ts
@@ -13,8 +13,10 @@
   createRetryBudget,
   type RetryBudget,
   type RetryLimits,
+  takeRetry,
 } from "./retry_budget.ts";
-import type { Gateway } from "./types.ts";
+import type { State } from "../state/types.ts";
+import type { Gateway, RoutedRequest } from "./types.ts";
 
 /** Returns the retry budget of a service. */
 export function retryBudgetOf(gateway: Gateway, service: string): RetryBudget {
@@ -53,3 +55,24 @@
     perMs: (part - capacity) / settings.retryWindowMs,
   };
 }
+
+/** Takes a retry for a request from the budget of its service; returns false where none is left. */
+export function takeRetryFor(
+  { gateway, now }: State,
+  { service }: Pick<RoutedRequest, "service">,
+): boolean {
+  const budget = retryBudgetOf(gateway!, service);
+  return takeRetry(budget, now, retryLimitsOf(gateway!));
+}
+
+/** Returns whether a stream that broke off waits for a retry of a service. */
+export function owesRetry(
+  { requests, waitingRequests }: Gateway,
+  service: string,
+): boolean {
+  if (waitingRequests.size === 0) return false;
+  for (const request of requests.values()) {
+    if (request.awaitsRetry && request.service === service) return true;
+  }
+  return false;
+}
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -26,6 +26,7 @@
 import { quarantineRefusal } from "./held_requests.ts";
 import { urgencyAtRunner } from "./runner_urgency.ts";
 import { canRepeat, isStream } from "./routes.ts";
+import { takeRetryFor } from "./retry_allowance.ts";
 import { noteTrial } from "./runner_backoff.ts";
 import { workKey } from "./runner_index.ts";
 import { isShared } from "./capacity_policy.ts";
@@ -52,6 +53,7 @@
 export function leaveQueue(gateway: Gateway, request: RoutedRequest): void {
   if (!request.isWaiting) return;
   request.isWaiting = false;
+  request.awaitsRetry = false;
   const key = workKey(request);
   gateway.waitingRequests.get(key)?.delete(request.id);
   const queue = gateway.admission.queues.get(key);
@@ -95,6 +97,7 @@
       canUseReserved: request.mayHaveRun,
     });
     if (destination === undefined) continue;
+    if (request.awaitsRetry && !takeRetryFor(state, request)) continue;
     leaveQueue(gateway, request);
     yield* sendToRunner(state, gateway, { request, ...destination });
   }
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -187,6 +187,8 @@
   hasEvents: boolean;
   /** True while the request waits for a free slot. */
   isWaiting: boolean;
+  /** True while a stream that broke off waits for a retry, since the budget holds none. */
+  awaitsRetry: boolean;
   /** True where the request is a trial of a quarantined part of its prompt. */
   isTrial: boolean;
   /** Time until which the request may wait for a free slot, ms. */
