Keep a group whose member is only unlisted, as long as it passes health checks

The class: absence from a list taken for death. What decides for a member now is what decides for a listed one, the planner's own health checks, which also name the runner they are for, as its address may be used again. A head that is not listed gets no more requests, so its group is repaired as before. An unlisted member counts for 20 s at most, only in a group that is open, and is no survivor of a repair.

--- a/packages/core/src/formation/cold_capacity_test.ts
+++ b/packages/core/src/formation/cold_capacity_test.ts
@@ -53,6 +53,7 @@
   const views = deriveGroups(harness.state.gateway!, {
     service: "llm",
     models: MODELS,
+    now: harness.state.now,
   });
   const domains = summarizeDomains(harness.state, { service, views });
   const demand = new Map([["large", 1], ["small", 0.9]]);
--- a/packages/core/src/formation/constants.ts
+++ b/packages/core/src/formation/constants.ts
@@ -53,6 +53,8 @@
 export const FULL_USE = 0.9;
 /** Time for which a runner must report a group that goes on without it before it is ordered out of it, ms. */
 export const STRANDED_GRACE_MS = 2_000;
+/** Time for which a member that is no longer listed counts as long as it passes health checks, ms. */
+export const UNLISTED_MEMBER_MS = 20_000;
 /** Time constant with which member losses are forgotten, ms. */
 export const LOSS_WINDOW_MS = 60_000;
 /** Minimum share of the runners that a model is expected to need. */
--- a/packages/core/src/formation/group_view.ts
+++ b/packages/core/src/formation/group_view.ts
@@ -7,6 +7,7 @@
 import { isEvacuated } from "../placement/evacuations.ts";
 import { DEAD_AFTER_FAILURES } from "./constants.ts";
 import type { GroupPlanner } from "./types.ts";
+import { listUnlisted, unlistedMember } from "./unlisted.ts";
 
 /** A replica group as its members report it, or as it is planned. */
 export interface GroupView {
@@ -64,12 +65,13 @@
 export interface DeriveGroupsOptions {
   service: string;
   models: readonly Model[];
+  now: number;
 }
 
 /** Lists the groups that runners of a service report or that are planned; drops planned groups that are outdated. */
 export function deriveGroups(
   { runners, groupPlanner }: Gateway,
-  { service, models }: DeriveGroupsOptions,
+  { service, models, now }: DeriveGroupsOptions,
 ): GroupView[] {
   const epochs = new Map<string, number>();
   const known = [...runners.values()].filter((each) =>
@@ -89,6 +91,9 @@
     }
     epochs.set(name, planned.epoch);
   }
+  const unlisted = listUnlisted(groupPlanner, now).filter((each) =>
+    each.service === service && !runners.has(each.id)
+  );
   const views: GroupView[] = [];
   for (const [name, epoch] of epochs) {
     const planned = groupPlanner.plannedGroups.get(name);
@@ -99,11 +104,10 @@
       { length: model.size },
       (_, rank) =>
         planned === undefined
-          ? known.find(({ membership }) =>
-            membership?.group === name && membership.epoch === epoch &&
-            membership.rank === rank
-          )
-          : runners.get(planned.members[rank]!),
+          ? findMember(known, { name, epoch, rank }) ??
+            findMember(unlisted, { name, epoch, rank })
+          : runners.get(planned.members[rank]!) ??
+            unlistedMember(groupPlanner, planned.members[rank]!, now),
     );
     const domain = members.find((each) => each !== undefined)?.domain;
     if (domain === undefined) {
@@ -115,6 +119,16 @@
   return views;
 }
 
+function findMember(
+  runners: readonly Runner[],
+  { name, epoch, rank }: { name: string; epoch: number; rank: number },
+): Runner | undefined {
+  return runners.find(({ membership }) =>
+    membership?.group === name && membership.epoch === epoch &&
+    membership.rank === rank
+  );
+}
+
 /** Returns whether any member of a group is in an evacuated availability zone; the group is then left as it is. */
 export function isInEvacuatedZone(
   gateway: Gateway,
--- a/packages/core/src/formation/plan.ts
+++ b/packages/core/src/formation/plan.ts
@@ -94,6 +94,7 @@
   const views = deriveGroups(state.gateway!, {
     service: service.name,
     models: engine.models,
+    now: state.now,
   });
   yield* checkGroupMembers(state, views);
   // The members in an evacuated zone may all be dead, and nothing is planned there.
--- a/packages/core/src/formation/repair.ts
+++ b/packages/core/src/formation/repair.ts
@@ -31,12 +31,23 @@
   if (member.state !== "ready" || isPresumedDead(groupPlanner, member)) {
     return false;
   }
+  if (!isListed(state, member)) return isServingWith(view, member);
   if (reportsMembership(view, member)) {
     return member.membership?.state !== "broken";
   }
   return groupPlanner.pendingOrders.get(member.id)?.order.action === "join";
 }
 
+function isListed({ gateway }: State, { id }: Runner): boolean {
+  return gateway!.runners.has(id);
+}
+
+/** Returns whether a group that is open goes on with a member that is no longer listed. */
+function isServingWith(view: GroupView, member: Runner): boolean {
+  const isOpen = view.members[0]?.membership?.state === "open";
+  return isOpen && reportsMembership(view, member);
+}
+
 /** Reconciles one group: opens, repairs, drains or dissolves it. */
 export function* reconcileGroup(
   state: State,
@@ -118,7 +129,7 @@
 /** Returns whether a member is alive and belongs to no other group. */
 function isSurvivor(state: State, view: GroupView, member: Runner): boolean {
   const { membership } = member;
-  if (member.state !== "ready") return false;
+  if (member.state !== "ready" || !isListed(state, member)) return false;
   if (isPresumedDead(state.gateway!.groupPlanner, member)) return false;
   return membership === undefined || membership.group === view.name;
 }
--- a/packages/core/src/formation/test_pool.ts
+++ b/packages/core/src/formation/test_pool.ts
@@ -27,6 +27,8 @@
   violations: string[];
   /** Stops a runner for good. */
   kill(id: string, options?: { isListed: boolean }): void;
+  /** Takes a runner off the list that goes on working, as one that is cut off from the store. */
+  unlist(id: string): void;
   /** Lets a runner go on that fell silent, with what it held. */
   revive(id: string): void;
   /** Lists a new runner. */
@@ -68,6 +70,7 @@
     typeof loadMs === "number" ? loadMs : loadMs(model);
   const runners = new Map(list.map((runner) => [runner.id, runner]));
   const dead = new Set<string>();
+  const unlisted = new Set<string>();
   const changes: Change[] = [];
   const reports = new Map<string, RunnerReport>();
   let term = 0;
@@ -84,6 +87,10 @@
       dead.add(id);
       if (!isListed) removeFromList(id);
     },
+    unlist(id) {
+      unlisted.add(id);
+      feedRemoval(id);
+    },
     revive(id) {
       dead.delete(id);
       update(id, {});
@@ -103,6 +110,10 @@
 
   function removeFromList(id: string): void {
     runners.delete(id);
+    feedRemoval(id);
+  }
+
+  function feedRemoval(id: string): void {
     const sentAt = harness.state.now;
     harness.feed({
       kind: "runners_read",
@@ -119,6 +130,7 @@
     if (runner === undefined || dead.has(id)) return;
     const next = { ...runner, ...change };
     runners.set(id, next);
+    if (unlisted.has(id)) return;
     const sentAt = harness.state.now;
     harness.feed({
       kind: "runners_read",
--- a/packages/core/src/formation/types.ts
+++ b/packages/core/src/formation/types.ts
@@ -6,6 +6,7 @@
 
 import type { Average } from "../util/ewma.ts";
 import type { MemberLosses } from "./member_losses.ts";
+import type { UnlistedMember } from "./unlisted.ts";
 
 /** State of a runner within its group, as the runner reports it. */
 export type MembershipState =
@@ -131,6 +132,8 @@
   demandSince: Map<string, number>;
   /** Times since which runners report a group that goes on without them, by runner, ms. */
   strandedSince: Map<string, number>;
+  /** Members of groups that are no longer listed, by id; those that left the list first come first. */
+  unlistedMembers: Map<string, UnlistedMember>;
   /** Losses of group members, by service. */
   memberLosses: Map<string, MemberLosses>;
   /** Weight loads that may begin now, as of `weightLoadAllowanceAt`. */
--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -8,6 +8,7 @@
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { forgetEvidence } from "../load/ejection.ts";
+import { recordUnlisted } from "../formation/unlisted.ts";
 import { publishRunners } from "../read_sharing/publish.ts";
 import { laterOf } from "../store_timeline/position.ts";
 import { confirm } from "./freshness.ts";
@@ -45,7 +46,7 @@
     if (!isPassedOn || departedIds.has(id)) {
       recordDeparture(gateway, id, state.now);
     }
-    yield* applyRemoval(gateway, id, { isPassedOn });
+    yield* applyRemoval(gateway, id, { isPassedOn, now: state.now });
   }
   if (removedIds.length > 0) pruneRunnerStats(gateway, state.now);
   for (const runner of runners) {
@@ -80,12 +81,15 @@
 function* applyRemoval(
   gateway: Gateway,
   id: string,
-  { isPassedOn }: { isPassedOn: boolean },
+  { isPassedOn, now }: { isPassedOn: boolean; now: number },
 ): Effects {
   const known = gateway.runners.get(id);
   if (known === undefined) return;
   removeRunner(gateway, id);
-  gateway.groupPlanner.healthChecks.delete(id);
+  if (!isPassedOn) recordUnlisted(gateway, known, now);
+  if (!gateway.groupPlanner.unlistedMembers.has(id)) {
+    gateway.groupPlanner.healthChecks.delete(id);
+  }
   // An upstream does not pass on runners that serve no requests, so their absence says nothing.
   if (isPassedOn && !canServe(known)) return;
   yield { kind: "log", event: "runner_gone", fields: { runner: id } };
--- a/packages/daemon/src/gateway/adapters.ts
+++ b/packages/daemon/src/gateway/adapters.ts
@@ -179,7 +179,10 @@
     options: { runner: string; fence: number; order: RunnerOrder },
   ): Promise<OrderOutcome>;
   /** Requests a runner's status directly. */
-  checkHealth(address: string): Promise<HealthCheckResult>;
+  checkHealth(
+    address: string,
+    options: { runner: string },
+  ): Promise<HealthCheckResult>;
 }
 
 /** All external systems of a gateway. */
--- a/packages/daemon/src/gateway/wire.ts
+++ b/packages/daemon/src/gateway/wire.ts
@@ -157,7 +157,9 @@
 
   async function checkHealth(runner: string, address: string): Promise<void> {
     const { status, report, problem } = await adapters.runnerControl
-      .checkHealth(address).catch((error: Error): HealthCheckResult => ({
+      .checkHealth(address, { runner }).catch((
+        error: Error,
+      ): HealthCheckResult => ({
         status: "silent",
         problem: error.message,
       }));
