--- a/packages/core/src/formation/group_view.ts
+++ b/packages/core/src/formation/group_view.ts
@@ -70,9 +70,10 @@
 
 /** Lists the groups that runners of a service report or that are planned; drops planned groups that are outdated. */
 export function deriveGroups(
-  { runners, groupPlanner }: Gateway,
+  gateway: Gateway,
   { service, models, now }: DeriveGroupsOptions,
 ): GroupView[] {
+  const { runners, groupPlanner } = gateway;
   const epochs = new Map<string, number>();
   const known = [...runners.values()].filter((each) =>
     each.service === service
@@ -91,7 +92,7 @@
     }
     epochs.set(name, planned.epoch);
   }
-  const unlisted = listUnlisted(groupPlanner, now).filter((each) =>
+  const unlisted = listUnlisted(gateway, now).filter((each) =>
     each.service === service && !runners.has(each.id)
   );
   const views: GroupView[] = [];
@@ -107,7 +108,7 @@
           ? findMember(known, { name, epoch, rank }) ??
             findMember(unlisted, { name, epoch, rank })
           : runners.get(planned.members[rank]!) ??
-            unlistedMember(groupPlanner, planned.members[rank]!, now),
+            unlistedMember(gateway, planned.members[rank]!, now),
     );
     const domain = members.find((each) => each !== undefined)?.domain;
     if (domain === undefined) {
--- a/packages/core/src/formation/leadership.ts
+++ b/packages/core/src/formation/leadership.ts
@@ -41,7 +41,6 @@
     startedAt: now,
     demandSince: new Map(),
     strandedSince: new Map(),
-    unlistedMembers: new Map(),
     memberLosses: new Map(),
     capacityReportedAt: new Map(),
     lastPlannedAt: -Infinity,
--- a/packages/core/src/formation/member_losses.ts
+++ b/packages/core/src/formation/member_losses.ts
@@ -5,21 +5,9 @@
  */
 import type { Model } from "../gateway/types.ts";
 import type { GroupView } from "./group_view.ts";
-import type { GroupPlanner } from "./types.ts";
+import type { GroupPlanner, MemberLosses } from "./types.ts";
 import { LOSS_WINDOW_MS, MIN_SIZE_WITH_SPARE } from "./constants.ts";
 
-/** Losses and exposure of the last minute or so, each decaying with time. */
-export interface MemberLosses {
-  /** Members lost. */
-  losses: number;
-  /** Time that members spent in groups, summed over all members, ms. */
-  memberMs: number;
-  /** Time up to which both are counted, ms; undefined before the first round. */
-  countedUntil: number | undefined;
-  /** Members that each group has lost in its present epoch, by group. */
-  counted: Map<string, { epoch: number; lost: number }>;
-}
-
 /** Creates the record of a service whose groups have lost no member yet. */
 export function createMemberLosses(): MemberLosses {
   return {
--- a/packages/core/src/formation/repair.ts
+++ b/packages/core/src/formation/repair.ts
@@ -11,9 +11,10 @@
   isPresumedDead,
   reportsMembership,
 } from "./group_view.ts";
-import { countLosses, type MemberLosses } from "./member_losses.ts";
+import { countLosses } from "./member_losses.ts";
 import { nextFence } from "./leadership.ts";
 import { orderRunner } from "./orders.ts";
+import type { MemberLosses } from "./types.ts";
 import type { DomainView } from "./weight_layout.ts";
 
 /** Input of one round of planning for a service. */
--- a/packages/core/src/formation/types.ts
+++ b/packages/core/src/formation/types.ts
@@ -5,8 +5,6 @@
  */
 
 import type { Average } from "../util/ewma.ts";
-import type { MemberLosses } from "./member_losses.ts";
-import type { UnlistedMember } from "./unlisted.ts";
 
 /** State of a runner within its group, as the runner reports it. */
 export type MembershipState =
@@ -117,6 +115,18 @@
   members: string[];
 }
 
+/** Losses and exposure of the last minute or so, each decaying with time. */
+export interface MemberLosses {
+  /** Members lost. */
+  losses: number;
+  /** Time that members spent in groups, summed over all members, ms. */
+  memberMs: number;
+  /** Time up to which both are counted, ms; undefined before the first round. */
+  countedUntil: number | undefined;
+  /** Members that each group has lost in its present epoch, by group. */
+  counted: Map<string, { epoch: number; lost: number }>;
+}
+
 /** State of the group planner. */
 export interface GroupPlanner {
   leadership: Leadership;
@@ -132,8 +142,6 @@
   demandSince: Map<string, number>;
   /** Times since which runners report a group that goes on without them, by runner, ms. */
   strandedSince: Map<string, number>;
-  /** Members of groups that are no longer listed, by id; those that left the list first come first. */
-  unlistedMembers: Map<string, UnlistedMember>;
   /** Losses of group members, by service. */
   memberLosses: Map<string, MemberLosses>;
   /** Weight loads that may begin now, as of `weightLoadAllowanceAt`. */
--- a/packages/core/src/formation/unlisted.ts
+++ b/packages/core/src/formation/unlisted.ts
@@ -9,26 +9,16 @@
  */
 import type { Gateway, Runner } from "../gateway/types.ts";
 import { UNLISTED_MEMBER_MS } from "./constants.ts";
-import type { GroupPlanner } from "./types.ts";
-
-/** A member of a group that is no longer listed. */
-export interface UnlistedMember {
-  /** Its last entry. */
-  runner: Runner;
-  /** Time at which it left the list, ms. */
-  since: number;
-}
 
 /** Remembers a runner that has just left the list, where it was an ordinary member of a group. */
 export function recordUnlisted(
-  { groupPlanner }: Gateway,
+  { unlistedMembers }: Gateway,
   runner: Runner,
   now: number,
 ): void {
   const { membership, state } = runner;
   if (membership === undefined || membership.rank === 0) return;
   if (state !== "ready") return;
-  const { unlistedMembers } = groupPlanner;
   for (const [id, { since }] of unlistedMembers) {
     if (now - since <= UNLISTED_MEMBER_MS) break;
     unlistedMembers.delete(id);
@@ -39,7 +29,7 @@
 
 /** Returns the last entry of a member that is no longer listed; undefined where it is not known or for too long. */
 export function unlistedMember(
-  { unlistedMembers }: GroupPlanner,
+  { unlistedMembers }: Gateway,
   id: string,
   now: number,
 ): Runner | undefined {
@@ -52,7 +42,7 @@
 
 /** Lists the last entries of all members that are no longer listed. */
 export function listUnlisted(
-  { unlistedMembers }: GroupPlanner,
+  { unlistedMembers }: Gateway,
   now: number,
 ): Runner[] {
   return [...unlistedMembers.values()].flatMap(({ runner, since }) =>
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -60,6 +60,7 @@
     nextSweepAt: now,
     lastRunnerAddedAt: now,
     runnerStats: new Map(),
+    unlistedMembers: new Map(),
     leavingRunners: new Map(),
     unreachableRunners: new Set(),
     servicePaths: new Map(),
--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -87,7 +87,7 @@
   if (known === undefined) return;
   removeRunner(gateway, id);
   if (!isPassedOn) recordUnlisted(gateway, known, now);
-  if (!gateway.groupPlanner.unlistedMembers.has(id)) {
+  if (!gateway.unlistedMembers.has(id)) {
     gateway.groupPlanner.healthChecks.delete(id);
   }
   // An upstream does not pass on runners that serve no requests, so their absence says nothing.
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -202,6 +202,14 @@
   at: number;
 }
 
+/** A member of a group that is no longer listed. */
+export interface UnlistedMember {
+  /** Its last entry. */
+  runner: Runner;
+  /** Time at which it left the list, ms. */
+  since: number;
+}
+
 /** State of the gateway. */
 export interface Gateway {
   zone: string;
@@ -218,6 +226,8 @@
   /** Time at which a new runner was last added to the list, ms. */
   lastRunnerAddedAt: number;
   runnerStats: Map<string, RunnerStats>;
+  /** Members of groups that are no longer listed, by id; those that left the list first come first. */
+  unlistedMembers: Map<string, UnlistedMember>;
   /** Start times of the runner processes that have said that they leave, Unix ms, by runner id. */
   leavingRunners: Map<string, number>;
   /** Runners to which the last connection of this daemon failed. */
