Keep what each service's stranded runners have waited apart, and state the loss rate in one step

A planner of two engine services forgot, with each, since when runners of the other one were stranded. Found while reading the diff; no deployment in force has two.

--- a/packages/core/src/formation/member_losses.ts
+++ b/packages/core/src/formation/member_losses.ts
@@ -61,15 +61,14 @@
   record.counted.set(name, { epoch, lost: lacking });
 }
 
+/** Exposure from which on a rate counts in full, summed over all members, ms; one early loss tells little. */
+const MIN_MEMBER_MS = 400_000;
+
 /** Returns the members lost for each member and ms; 0 where none was lost. */
 export function lossRateOf({ losses, memberMs }: MemberLosses): number {
-  // Nothing is known of the time before the first round, so that a full window without a loss is assumed there.
-  return losses / Math.max(memberMs, 1) * Math.min(1, memberMs / MIN_MEMBER_MS);
+  return losses / Math.max(memberMs, MIN_MEMBER_MS);
 }
 
-/** Exposure from which on a rate counts in full, summed over all members, ms. */
-const MIN_MEMBER_MS = 400_000;
-
 /** Returns the losses that groups of a model in one domain expect while weights are loaded for a substitute. */
 function expectedLosses(
   { size, loadMs }: Pick<Model, "size" | "loadMs">,
--- a/packages/core/src/formation/plan.ts
+++ b/packages/core/src/formation/plan.ts
@@ -116,7 +116,7 @@
     losses,
   };
   for (const view of plannable) yield* reconcileGroup(state, round, view);
-  yield* freeStranded(state, views);
+  yield* freeStranded(state, { service: service.name, views });
   const demand = resolveDemand(state, round);
   yield* reportCapacity(state, round, { demand });
   yield* formGroups(state, round);
@@ -146,8 +146,8 @@
 /**
  * Returns the demand for each model.
  *
- * Until the demand for every model is known and has settled, the configured shares are used instead, reduced for large models and, to a
- * lesser degree, for slow ones.
+ * Until the demand for every model is known and has settled, the configured shares are used instead, reduced for large
+ * models and, to a lesser degree, for slow ones.
  */
 function resolveDemand(
   state: State,
--- a/packages/core/src/formation/stranded.ts
+++ b/packages/core/src/formation/stranded.ts
@@ -16,7 +16,7 @@
 /** Orders runners out of groups that have gone on without them for some time. */
 export function* freeStranded(
   state: State,
-  views: readonly GroupView[],
+  { service, views }: { service: string; views: readonly GroupView[] },
 ): Effects {
   const { runners, groupPlanner } = state.gateway!;
   const { strandedSince, pendingOrders } = groupPlanner;
@@ -25,14 +25,17 @@
   );
   const groups = new Set(views.map(({ name }) => name));
   const isStranded = (runner: Runner) =>
-    runner.membership !== undefined && !members.has(runner.id) &&
+    runner.service === service && runner.membership !== undefined &&
+    !members.has(runner.id) &&
     groups.has(runner.membership.group) && runner.state === "ready" &&
     !isPresumedDead(groupPlanner, runner) &&
     !isEvacuated(state.gateway!, runner.zone);
   const stranded = [...runners.values()].filter(isStranded);
   const ids = new Set(stranded.map(({ id }) => id));
   for (const id of strandedSince.keys()) {
-    if (!ids.has(id)) strandedSince.delete(id);
+    const isOfOther = runners.get(id)?.service !== service &&
+      runners.has(id);
+    if (!ids.has(id) && !isOfOther) strandedSince.delete(id);
   }
   for (const runner of stranded) {
     const since = strandedSince.get(runner.id) ?? state.now;
