--- a/packages/core/src/formation/capacity_report.ts
+++ b/packages/core/src/formation/capacity_report.ts
@@ -6,7 +6,7 @@
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import { CAPACITY_REPORT_INTERVAL_MS } from "./constants.ts";
-import type { PlanningRound } from "./repair.ts";
+import type { PlanningRound } from "./round_types.ts";
 
 const DEMAND_DIGITS = 1;
 
--- a/packages/core/src/formation/constants.ts
+++ b/packages/core/src/formation/constants.ts
@@ -49,6 +49,10 @@
 export const DEMAND_WEIGHT = 0.02;
 /** Time for which a model must have had requests before its mean demand counts, ms; the first ones make it uneven. */
 export const DEMAND_SETTLING_MS = 5_000;
+/** Time after which a model counts as idle that has nearly no requests while another one has some, ms. */
+export const IDLE_MODEL_MS = 10_000;
+/** Demand for an idle model, requests. */
+export const IDLE_DEMAND = 0.5;
 /** Share of its slots from which on a model's demand may be larger than the requests that its groups have. */
 export const FULL_USE = 0.9;
 /** Time for which a runner must report a group that goes on without it before it is ordered out of it, ms. */
@@ -57,6 +61,8 @@
 export const UNLISTED_MEMBER_MS = 20_000;
 /** Time constant with which member losses are forgotten, ms. */
 export const LOSS_WINDOW_MS = 60_000;
+/** Share of its members that a group is expected to lose at least while weights are loaded. */
+export const MIN_LOSS_SHARE = 0.06;
 /** Minimum share of the runners that a model is expected to need. */
 export const MIN_MODEL_SHARE = 0.01;
 /** Concurrent weight loads before the first request, as a multiple of those that run at full speed. */
--- a/packages/core/src/formation/demand.ts
+++ b/packages/core/src/formation/demand.ts
@@ -74,11 +74,16 @@
   return mean === undefined || mean < 1 ? undefined : mean;
 }
 
-/** Returns whether the mean demand for a model has had time to settle. */
+/** Returns whether the mean demand for a model has had time to settle, or has been known for some time. */
 export function isSettled(
   { demandSince }: GroupPlanner,
-  { service, model, now }: { service: string; model: string; now: number },
+  { service, model, now, forMs = DEMAND_SETTLING_MS }: {
+    service: string;
+    model: string;
+    now: number;
+    forMs?: number;
+  },
 ): boolean {
   const since = demandSince.get(tupleKey(service, model));
-  return since !== undefined && now - since >= DEMAND_SETTLING_MS;
+  return since !== undefined && now - since >= forMs;
 }
--- a/packages/core/src/formation/domains.ts
+++ b/packages/core/src/formation/domains.ts
@@ -12,7 +12,7 @@
   isInEvacuatedZone,
   isPresumedDead,
 } from "./group_view.ts";
-import type { DomainView } from "./weight_layout.ts";
+import type { DomainView } from "./round_types.ts";
 
 function createDomainView(
   domain: string,
--- a/packages/core/src/formation/leadership.ts
+++ b/packages/core/src/formation/leadership.ts
@@ -39,6 +39,7 @@
     weightLoadsEndAt: [],
     groupCount: 0,
     startedAt: now,
+    retiringGroups: new Set(),
     demandSince: new Map(),
     strandedSince: new Map(),
     memberLosses: new Map(),
@@ -141,6 +142,7 @@
   groupPlanner.orderCount = 0;
   groupPlanner.pendingOrders.clear();
   groupPlanner.plannedGroups.clear();
+  groupPlanner.retiringGroups.clear();
   yield {
     kind: "log",
     event: "duty_taken",
--- a/packages/core/src/formation/member_losses.ts
+++ b/packages/core/src/formation/member_losses.ts
@@ -48,17 +48,21 @@
   }
 }
 
-/** Counts the members that a group lacks as lost, each once in an epoch of the group. */
+/**
+ * Counts the members that a group lacks as lost, each once in an epoch of the group. A group that lacks most of its
+ * members has lost its domain, or its path to it, for which no number of spares there makes up.
+ */
 export function countLosses(
   record: MemberLosses,
-  { name, epoch }: Pick<GroupView, "name" | "epoch">,
+  { name, epoch, members }: Pick<GroupView, "name" | "epoch" | "members">,
   lacking: number,
 ): void {
   const known = record.counted.get(name);
   const counted = known?.epoch === epoch ? known.lost : 0;
-  if (lacking <= counted) return;
-  record.losses += lacking - counted;
-  record.counted.set(name, { epoch, lost: lacking });
+  const isOutage = lacking * 2 > members.length;
+  const lost = isOutage ? 0 : Math.max(lacking, counted);
+  record.losses = Math.max(0, record.losses + lost - counted);
+  record.counted.set(name, { epoch, lost });
 }
 
 /** Exposure from which on a rate counts in full, summed over all members, ms; one early loss tells little. */
--- a/packages/core/src/formation/member_losses_test.ts
+++ b/packages/core/src/formation/member_losses_test.ts
@@ -14,7 +14,8 @@
   lossRateOf,
   sparesWanted,
 } from "./member_losses.ts";
-import { type DomainView, nextStaging } from "./weight_layout.ts";
+import type { DomainView } from "./round_types.ts";
+import { nextStaging } from "./weight_layout.ts";
 import { createRandom, nextIndex, type Random } from "../util/random.ts";
 import {
   createSimulatedPool,
@@ -243,7 +244,7 @@
   // Guards against spares that another model took while groups kept losing members (issue 63).
   it("are not lent to another model while groups lose members often", () => {
     const groups = { large: 1, small: 5 };
-    const view = createView({ largeHolders: 5, groups });
+    const view = createView({ largeHolders: 8, groups });
     const demand = { large: 1, small: 900 };
     const calm = stage(view, { demand, lossRate: 0 });
     expect(calm?.model).to.equal(small);
--- a/packages/core/src/formation/plan.ts
+++ b/packages/core/src/formation/plan.ts
@@ -20,6 +20,8 @@
 import type { State } from "../state/types.ts";
 import { isRewriting } from "../store_timeline/timeline.ts";
 import {
+  IDLE_DEMAND,
+  IDLE_MODEL_MS,
   MAX_DEAD_SHARE,
   MAX_STABILIZATION_MS,
   MIN_MODEL_SHARE,
@@ -40,14 +42,16 @@
 import { ensureTerm, yieldLeadership } from "./leadership.ts";
 import { countExposure, lossRateOf, memberLossesOf } from "./member_losses.ts";
 import { orderRunner, pruneOrders } from "./orders.ts";
+import { orderJoins, reconcileGroup, takeStagedRunners } from "./repair.ts";
+import type { DomainView, PlanningRound } from "./round_types.ts";
 import {
-  orderJoins,
-  type PlanningRound,
-  reconcileGroup,
-  takeStagedRunners,
-} from "./repair.ts";
+  countGroups,
+  type LayoutTarget,
+  targetLayout,
+} from "./layout_target.ts";
+import { markRetired, retireGroup } from "./retire.ts";
 import { freeStranded } from "./stranded.ts";
-import { type DomainView, nextStaging, sortByNeed } from "./weight_layout.ts";
+import { nextStaging, sortByNeed } from "./weight_layout.ts";
 import { reserveWeightLoad } from "./weight_loads.ts";
 
 /** Plans all groups if this daemon is the leader. */
@@ -115,11 +119,21 @@
     domains,
     losses,
   };
-  for (const view of plannable) yield* reconcileGroup(state, round, view);
-  yield* freeStranded(state, { service: service.name, views });
   const demand = resolveDemand(state, round);
+  const target = targetLayout([...domains.values()], {
+    models: engine.models,
+    demand,
+    lossRate: lossRateOf(losses),
+  });
+  markRetired(state, round, target);
+  for (const view of plannable) {
+    if (groupPlanner.retiringGroups.has(view.name)) {
+      yield* retireGroup(state, view);
+    } else yield* reconcileGroup(state, round, view);
+  }
+  yield* freeStranded(state, { service: service.name, views });
   yield* reportCapacity(state, round, { demand });
-  yield* formGroups(state, round);
+  yield* formGroups(state, round, target);
   if (!isStabilizing(state)) yield* orderWeightLoads(state, round);
 }
 
@@ -146,42 +160,51 @@
 /**
  * Returns the demand for each model.
  *
- * Until the demand for every model is known and has settled, the configured shares are used instead, reduced for large
- * models and, to a lesser degree, for slow ones.
+ * Until the demand for every model is known and has settled, the configured shares of the work are used instead. A model
+ * that has nearly no requests long after those of another have settled is idle.
  */
 function resolveDemand(
   state: State,
   { service, engine: { models } }: PlanningRound,
 ): Map<string, number> {
   const { groupPlanner } = state.gateway!;
-  const measured = models.map(({ name }) =>
-    demandOf(groupPlanner, { service, model: name })
+  const { now } = state;
+  const isKnown = models.some(({ name: model }) =>
+    isSettled(groupPlanner, { service, model, now, forMs: IDLE_MODEL_MS })
   );
-  const isMeasured = models.every(({ name: model }, index) =>
-    measured[index] !== undefined &&
-    isSettled(groupPlanner, { service, model, now: state.now })
+  const isMeasured = models.every(({ name: model }) =>
+    isSettled(groupPlanner, { service, model, now }) ||
+    (isKnown && demandOf(groupPlanner, { service, model }) === undefined)
   );
-  const expected = ({ share, size, pace }: Model) =>
-    Math.max(MIN_MODEL_SHARE, share / (size * Math.sqrt(pace)));
+  const measured = (model: string) =>
+    demandOf(groupPlanner, { service, model }) ?? IDLE_DEMAND;
+  const expected = ({ share, size }: Model) =>
+    Math.max(MIN_MODEL_SHARE, share) / size;
   return new Map(
-    models.map((model, index) => [
+    models.map((model) => [
       model.name,
-      isMeasured ? measured[index]! : expected(model),
+      isMeasured ? measured(model.name) : expected(model),
     ]),
   );
 }
 
 /** Forms groups wherever a domain has enough free runners that hold a model's weights. */
-function* formGroups(state: State, round: PlanningRound): Effects {
+function* formGroups(
+  state: State,
+  round: PlanningRound,
+  target: LayoutTarget,
+): Effects {
   const { groupPlanner } = state.gateway!;
   const { models } = round.engine;
   const demand = resolveDemand(state, round);
   for (
     const model of sortByNeed([...round.domains.values()], { models, demand })
   ) {
-    for (const domain of round.domains.keys()) {
+    for (const [domain, view] of round.domains) {
+      const { groups } = target.get(domain)!.get(model.name)!;
+      if (countGroups(view, model) >= groups) continue;
       const count = model.size;
-      const members = takeStagedRunners(round, domain, { model, count });
+      const members = takeStagedRunners(round, { domain, model, count });
       if (members === undefined) continue;
       groupPlanner.groupCount += 1;
       const name = groupName(model.name, groupPlanner.leadership.term!, {
--- a/packages/core/src/formation/repair.ts
+++ b/packages/core/src/formation/repair.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { EngineProfile, Model, Runner } from "../gateway/types.ts";
+import type { Model, Runner } from "../gateway/types.ts";
 import type { Effects } from "../reduce_types.ts";
 import type { State } from "../state/types.ts";
 import {
@@ -14,17 +14,7 @@
 import { countLosses } from "./member_losses.ts";
 import { nextFence } from "./leadership.ts";
 import { orderRunner } from "./orders.ts";
-import type { MemberLosses } from "./types.ts";
-import type { DomainView } from "./weight_layout.ts";
-
-/** Input of one round of planning for a service. */
-export interface PlanningRound {
-  service: string;
-  engine: EngineProfile;
-  views: GroupView[];
-  domains: Map<string, DomainView>;
-  losses: MemberLosses;
-}
+import type { PlanningRound } from "./round_types.ts";
 
 /** Returns whether a member is alive and has joined the group, or was ordered to join. */
 function isHealthy(state: State, view: GroupView, member: Runner): boolean {
@@ -97,8 +87,7 @@
 /** Takes `count` free runners that hold a model's weights out of a domain; undefined where it has fewer. */
 export function takeStagedRunners(
   { domains }: PlanningRound,
-  domain: string,
-  { model, count }: { model: Model; count: number },
+  { domain, model, count }: { domain: string; model: Model; count: number },
 ): Runner[] | undefined {
   const staged = domains.get(domain)?.staged.get(model.name) ?? [];
   if (staged.length < count) return undefined;
@@ -118,7 +107,7 @@
   countLosses(round.losses, view, count);
   const substitutes = survivors.length === 0
     ? undefined
-    : takeStagedRunners(round, domain, { model, count });
+    : takeStagedRunners(round, { domain, model, count });
   if (substitutes === undefined) {
     return yield* dissolveGroup(state, { view, survivors });
   }
@@ -173,7 +162,7 @@
 }
 
 /** Dissolves a group that cannot be repaired, so that its survivors can join other groups. */
-function* dissolveGroup(
+export function* dissolveGroup(
   state: State,
   { view, survivors }: { view: GroupView; survivors: Runner[] },
 ): Effects {
--- a/packages/core/src/formation/types.ts
+++ b/packages/core/src/formation/types.ts
@@ -136,6 +136,8 @@
   /** Groups that were planned in the current term, by name. */
   plannedGroups: Map<string, PlannedGroup>;
   healthChecks: Map<string, HealthCheck>;
+  /** Groups that finish their requests and are not opened again, by name. */
+  retiringGroups: Set<string>;
   /** Mean number of requests of each model's groups, by service and model. */
   demand: Map<string, Average>;
   /** Time since which a model has had requests, by service and model, ms. */
--- a/packages/core/src/formation/weight_layout_test.ts
+++ b/packages/core/src/formation/weight_layout_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { createDomain, MODELS } from "../gateway/test_fixture.ts";
-import { type DomainView, nextStaging, type Staging } from "./weight_layout.ts";
+import type { DomainView } from "./round_types.ts";
+import { nextStaging, type Staging } from "./weight_layout.ts";
 
 const [large, small] = MODELS;
 
