--- a/packages/core/src/formation/domains.ts
+++ b/packages/core/src/formation/domains.ts
@@ -13,6 +13,7 @@
   isPresumedDead,
 } from "./group_view.ts";
 import type { DomainView } from "./round_types.ts";
+import { isWarmingUp } from "./warm_runners.ts";
 
 function createDomainView(
   domain: string,
@@ -57,9 +58,8 @@
   );
   for (const runner of runners.values()) {
     if (runner.service !== service.name || runner.state !== "ready") continue;
-    if (runner.domain === undefined || runner.membership !== undefined) {
-      continue;
-    }
+    const isFree = runner.membership === undefined || isWarmingUp(runner);
+    if (runner.domain === undefined || !isFree) continue;
     if (isEvacuated(state.gateway!, runner.zone)) continue;
     if (planned.has(runner.id) || isPresumedDead(groupPlanner, runner)) {
       continue;
--- a/packages/core/src/formation/leadership.ts
+++ b/packages/core/src/formation/leadership.ts
@@ -40,6 +40,7 @@
     groupCount: 0,
     startedAt: now,
     retiringGroups: new Set(),
+    warmModels: new Map(),
     demandSince: new Map(),
     strandedSince: new Map(),
     memberLosses: new Map(),
--- a/packages/core/src/formation/plan.ts
+++ b/packages/core/src/formation/plan.ts
@@ -52,6 +52,8 @@
 import { markRetired, retireGroup } from "./retire.ts";
 import { freeStranded } from "./stranded.ts";
 import { nextStaging, sortByNeed } from "./weight_layout.ts";
+import { recordWarmMembers } from "./warm_runners.ts";
+import { warmUpSpares } from "./warm_up.ts";
 import { reserveWeightLoad } from "./weight_loads.ts";
 
 /** Plans all groups if this daemon is the leader. */
@@ -119,6 +121,7 @@
     domains,
     losses,
   };
+  recordWarmMembers(state, round);
   const demand = resolveDemand(state, round);
   const target = targetLayout([...domains.values()], {
     models: engine.models,
@@ -134,6 +137,7 @@
   yield* freeStranded(state, { service: service.name, views });
   yield* reportCapacity(state, round, { demand });
   yield* formGroups(state, round, target);
+  yield* warmUpSpares(state, round, target);
   if (!isStabilizing(state)) yield* orderWeightLoads(state, round);
 }
 
@@ -204,7 +208,7 @@
       const { groups } = target.get(domain)!.get(model.name)!;
       if (countGroups(view, model) >= groups) continue;
       const count = model.size;
-      const members = takeStagedRunners(round, { domain, model, count });
+      const members = takeStagedRunners(state, round, { domain, model, count });
       if (members === undefined) continue;
       groupPlanner.groupCount += 1;
       const name = groupName(model.name, groupPlanner.leadership.term!, {
--- a/packages/core/src/formation/repair.ts
+++ b/packages/core/src/formation/repair.ts
@@ -15,6 +15,7 @@
 import { nextFence } from "./leadership.ts";
 import { orderRunner } from "./orders.ts";
 import type { PlanningRound } from "./round_types.ts";
+import { isWarm } from "./warm_runners.ts";
 
 /** Returns whether a member is alive and has joined the group, or was ordered to join. */
 function isHealthy(state: State, view: GroupView, member: Runner): boolean {
@@ -86,11 +87,15 @@
 
 /** Takes `count` free runners that hold a model's weights out of a domain; undefined where it has fewer. */
 export function takeStagedRunners(
+  { gateway }: State,
   { domains }: PlanningRound,
   { domain, model, count }: { domain: string; model: Model; count: number },
 ): Runner[] | undefined {
   const staged = domains.get(domain)?.staged.get(model.name) ?? [];
   if (staged.length < count) return undefined;
+  const coldness = (runner: Runner) =>
+    isWarm(gateway!.groupPlanner, runner, model.name) ? 0 : 1;
+  staged.sort((left, right) => coldness(left) - coldness(right));
   return staged.splice(0, count);
 }
 
@@ -107,7 +112,7 @@
   countLosses(round.losses, view, count);
   const substitutes = survivors.length === 0
     ? undefined
-    : takeStagedRunners(round, { domain, model, count });
+    : takeStagedRunners(state, round, { domain, model, count });
   if (substitutes === undefined) {
     return yield* dissolveGroup(state, { view, survivors });
   }
--- a/packages/core/src/formation/types.ts
+++ b/packages/core/src/formation/types.ts
@@ -138,6 +138,8 @@
   healthChecks: Map<string, HealthCheck>;
   /** Groups that finish their requests and are not opened again, by name. */
   retiringGroups: Set<string>;
+  /** Models of the last groups of runners, by runner, as far as this planner has seen them. */
+  warmModels: Map<string, { model: string; startedUnixMs: number }>;
   /** Mean number of requests of each model's groups, by service and model. */
   demand: Map<string, Average>;
   /** Time since which a model has had requests, by service and model, ms. */
