--- a/packages/core/src/gateway/occupancy.ts
+++ b/packages/core/src/gateway/occupancy.ts
@@ -19,7 +19,7 @@
   SHARED_REPORT_FRESH_MS,
   WORK_SHARE_WEIGHT,
 } from "./constants.ts";
-import { canServe } from "./runner_index.ts";
+import { canServe, workKey } from "./runner_index.ts";
 import type { Gateway, LoadSample, Runner, RunnerStats } from "./types.ts";
 
 function kindOf({ service, model, zone }: Runner): string {
@@ -71,13 +71,17 @@
  */
 export function occupancyOf(
   gateway: Gateway,
-  { runner, stats: { load, inFlight } }: { runner: Runner; stats: RunnerStats },
+  { runner, stats }: { runner: Runner; stats: RunnerStats },
   now: number,
 ): number {
+  const { load, inFlight } = stats;
   if (isReportedInZone(gateway, runner, now)) {
     return inFlight + sharedRemoteRequests(load, now);
   }
-  const expected = expectedRemoteRequests(gateway, runner, now);
+  const mean = expectedRemoteRequests(gateway, runner, now);
+  const expected = mean === undefined
+    ? undefined
+    : mean * filledShareOf(gateway, { runner, stats }, now);
   if (load === undefined) {
     return expected === undefined
       ? inFlight * ASSUMED_DAEMONS
@@ -89,6 +93,21 @@
     (1 - reportWeight) * (expected ?? reported);
 }
 
+/**
+ * Returns how far a group that has just opened has filled, 0 to 1, where it gets what all groups of its kind complete.
+ *
+ * The mean of its kind would keep all daemons away from an empty group, beside others that are full.
+ */
+function filledShareOf(
+  { runnerIndex }: Gateway,
+  { runner, stats: { openedAt } }: { runner: Runner; stats: RunnerStats },
+  now: number,
+): number {
+  if (openedAt === undefined) return 1;
+  const groups = runnerIndex.get(workKey(runner))?.size ?? 1;
+  return Math.min(1, (now - openedAt) * groups / LOAD_DECAY_MS);
+}
+
 /**
  * Returns whether the daemons that use a runner pass on its reports, so that a missing one says something: those of its
  * own zone do, while the daemons of other zones share nothing with this one.
--- a/packages/core/src/gateway/occupancy_test.ts
+++ b/packages/core/src/gateway/occupancy_test.ts
@@ -85,6 +85,51 @@
   });
 });
 
+describe("a group that has just opened", () => {
+  const LONG_OPEN = createHead("long-open");
+
+  function open(harness: GatewayHarness): Runner {
+    const head = createHead("fresh");
+    harness.feed({
+      kind: "runners_read",
+      runners: [head],
+      removedIds: [],
+      isWhole: false,
+      position: { timeline: 1, offset: 1 },
+      confirmedAt: harness.state.now,
+    });
+    return head;
+  }
+
+  // Guards against an empty group that gets nothing since the others of its kind are full (issue 66).
+  it("counts as empty at first, and fills like the others within a second", () => {
+    const { harness, gateway } = startGroups([LONG_OPEN]);
+    report(gateway, LONG_OPEN, { running: 12, at: 0 });
+    const fresh = open(harness);
+    expect(occupancy(gateway, fresh, 0)).to.equal(0);
+    expect(occupancy(gateway, fresh, 300)).to.be.within(1, 8);
+    expect(occupancy(gateway, fresh, 1_000)).to.be.above(10);
+  });
+
+  it("is known by no report of the group that its head led before", () => {
+    const { harness, gateway } = startGroups([LONG_OPEN]);
+    const fresh = open(harness);
+    report(gateway, fresh, { running: 12, at: 0 });
+    harness.feed({
+      kind: "runners_read",
+      runners: [{
+        ...fresh,
+        membership: { ...fresh.membership!, epoch: 2 },
+      }],
+      removedIds: [],
+      isWhole: false,
+      position: { timeline: 1, offset: 2 },
+      confirmedAt: harness.state.now,
+    });
+    expect(runnerStatsOf(gateway, fresh.id).load).to.equal(undefined);
+  });
+});
+
 describe("many groups with rare reports", () => {
   it("are not preferred over one that reported little load", () => {
     const heads = Array.from(
--- a/packages/core/src/gateway/runner_stats.ts
+++ b/packages/core/src/gateway/runner_stats.ts
@@ -29,6 +29,7 @@
       inFlight: 0,
       streaming: 0,
       load: undefined,
+      openedAt: undefined,
       requestsPerSecond: undefined,
       nextSendAt: -Infinity,
       backoff: undefined,
--- a/packages/core/src/gateway/runners.ts
+++ b/packages/core/src/gateway/runners.ts
@@ -19,7 +19,7 @@
 } from "../store_timeline/timeline.ts";
 import { withLeaving } from "./leaving.ts";
 import { forgetBackoff } from "./runner_backoff.ts";
-import { pruneRunnerStats } from "./runner_stats.ts";
+import { pruneRunnerStats, runnerStatsOf } from "./runner_stats.ts";
 import { canServe, indexRunner, removeRunner } from "./runner_index.ts";
 import { serveWaiting } from "./send.ts";
 import type { Gateway, Runner } from "./types.ts";
@@ -51,7 +51,7 @@
   if (removedIds.length > 0) pruneRunnerStats(gateway, state.now);
   for (const runner of runners) {
     if (!gateway.runners.has(runner.id)) gateway.lastRunnerAddedAt = state.now;
-    yield* applyEntry(state, runner);
+    yield* applyEntry(state, runner, { isWhole });
   }
   if (!isPassedOn) {
     yield* publishRunners(state, { read: runners, removedIds });
@@ -137,7 +137,25 @@
     known.staged[0] === runner.staged[0];
 }
 
-function* applyEntry(state: State, read: Runner): Effects {
+/** Records that a runner has become the head of a group that has just opened: what was known of its load is over. */
+function noteOpening(
+  { gateway, now }: State,
+  { known, runner }: { known: Runner | undefined; runner: Runner },
+): void {
+  if (runner.membership?.state !== "open") return;
+  const wasOpen = known?.membership?.state === "open" &&
+    known.membership.epoch === runner.membership.epoch;
+  if (wasOpen) return;
+  const stats = runnerStatsOf(gateway!, runner.id);
+  stats.load = undefined;
+  stats.openedAt = now;
+}
+
+function* applyEntry(
+  state: State,
+  read: Runner,
+  { isWhole }: { isWhole: boolean },
+): Effects {
   const gateway = state.gateway!;
   const runner = withLeaving(gateway, read);
   const known = gateway.runners.get(runner.id);
@@ -163,6 +181,7 @@
   const isSameGroup = known !== undefined && !isRestarted &&
     known.membership?.epoch === membership?.epoch;
   if (!isSameGroup) forgetEvidence(state, runner.id);
+  if (!isWhole) noteOpening(state, { known, runner });
   if (isSame) return;
   yield {
     kind: "log",
--- a/packages/core/src/gateway/types.ts
+++ b/packages/core/src/gateway/types.ts
@@ -86,6 +86,8 @@
   /** Streams among them that have begun. */
   streaming: number;
   load: LoadSample | undefined;
+  /** Time at which this daemon learned that the runner's group has opened, ms; undefined where it was open before. */
+  openedAt: number | undefined;
   /** Requests a second that the runner takes from all daemons together; undefined where it names no limit. */
   requestsPerSecond: number | undefined;
   /** Time before which a runner with a limit or a cold start gets no request from this daemon, ms. */
--- a/packages/core/src/load/reports.ts
+++ b/packages/core/src/load/reports.ts
@@ -109,7 +109,8 @@
   const { loadSharing, readSharing } = gateway;
   const stats = runnerStatsOf(gateway, runner.id);
   const at = state.now - ageMs;
-  const knownAt = stats.load?.at ?? -Infinity;
+  // A report from before the runner's group opened is of another group.
+  const knownAt = stats.load?.at ?? stats.openedAt ?? -Infinity;
   const isNewer = at > knownAt + REPORT_RESOLUTION_MS;
   if (isNewer) {
     const localInFlight = inFlightAt(state, stats, at);
