--- a/packages/core/src/gateway/choose_test.ts
+++ b/packages/core/src/gateway/choose_test.ts
@@ -81,3 +81,31 @@
     ]);
   });
 });
+
+describe("a stream that goes on after an interruption", () => {
+  // Guards against an interrupted stream that waits behind new requests until its caller leaves (issue 66).
+  it("comes before new requests at its runner", () => {
+    const harness = createHarness();
+    publish(harness, { runners: [createHead("head-0"), createHead("head-1")] });
+    const [first] = effectsOf(
+      sendRequest(harness, "r1", { ...NORMAL, path: "/chat/1" }),
+      "send_to_runner",
+    );
+    const at = { request: "r1", attempt: 1 };
+    harness.feed({
+      kind: "response_started",
+      ...at,
+      status: 200,
+      verdict: "ran",
+      load: undefined,
+    });
+    harness.feed({ kind: "response_progressed", ...at, lastEvent: "3" });
+    const [second] = effectsOf(
+      harness.feed({ kind: "response_failed", ...at, outcome: "body_cut_off" }),
+      "send_to_runner",
+    );
+    expect(first!.urgency).to.be.above(0);
+    expect(second!.urgency).to.equal(0);
+    expect(second!.resumeAfter).to.equal("3");
+  });
+});
