--- a/packages/core/src/gateway/choose.ts
+++ b/packages/core/src/gateway/choose.ts
@@ -1,10 +1,11 @@
 /**
  * Chooses the runner that a request is sent to.
  *
- * Local requests are known exactly, remote ones are estimated. Of the runners with a free slot, the one with the lowest
- * occupancy is chosen. A fixed penalty is added to the occupancy of runners in other availability zones, since traffic
- * between zones costs; a random fraction of one request is added to every runner, so that the choice among nearly
- * equal runners is random.
+ * Local requests are known exactly, remote ones are estimated. A group of engines is drawn at random among those with a
+ * free slot, the more likely the more room it has: the daemons of a fleet have much the same estimates, so that all of
+ * them would fill the one that seems least loaded. Of the runners of a plain service, the one with the lowest occupancy
+ * is chosen; a random fraction of one request is added to each, so that the choice among nearly equal ones is random. A
+ * fixed penalty is added to the occupancy of runners in other availability zones, since traffic between zones costs.
  *
  * Services whose load reports are shared are chosen by the expected time to the first event instead (`load/choice.ts`).
  *
@@ -19,8 +20,12 @@
 import { nextFloat } from "../util/random.ts";
 import type { State } from "../state/types.ts";
 import {
+  MAX_ROOM_DRAWS,
+  MIN_ROOM,
+  MIN_ROOM_DRAWS,
   OTHER_ZONE_PENALTY,
   RESERVED_SLOTS,
+  ROOM_EXPONENT,
   SUSPECT_SILENCE_MS,
   URGENT_QUEUE_REQUESTS,
 } from "./constants.ts";
@@ -125,25 +130,86 @@
   options: RunnerOptions,
 ): Runner | undefined {
   const candidates = usableCandidates(state, gateway, request, options);
-  return request.model !== undefined && isShared(gateway, request)
+  if (request.model === undefined) {
+    return chooseLeastLoaded(state, gateway, candidates);
+  }
+  return isShared(gateway, request)
     ? chooseByExpectedTime(state, request, candidates)
-    : chooseLeastLoaded(state, gateway, request, candidates);
+    : drawByRoom(state, gateway, candidates);
+}
+
+/** Returns the occupancy of a runner, with the penalty of another availability zone. */
+function penalizedOccupancy(
+  { zone }: Gateway,
+  { runner, occupancy }: Candidate,
+): number {
+  return occupancy + (runner.zone === zone ? 0 : OTHER_ZONE_PENALTY);
+}
+
+/** Draws a few runners with a free slot, with weights that grow with their room, and returns the least loaded one. */
+function drawByRoom(
+  state: State,
+  gateway: Gateway,
+  candidates: Iterable<Candidate>,
+): Runner | undefined {
+  const open: WeighedRunner[] = [];
+  let sum = 0;
+  for (const candidate of candidates) {
+    const { runner, occupancy, usable } = candidate;
+    if (occupancy >= usable) continue;
+    const room = usable - penalizedOccupancy(gateway, candidate);
+    const weight = Math.max(MIN_ROOM, room) ** ROOM_EXPONENT;
+    open.push({ runner, weight });
+    sum += weight;
+  }
+  const draw = () => drawByWeight(open, nextFloat(state.random) * sum);
+  let best = draw();
+  for (let draws = 1; draws < drawsOf(gateway); draws += 1) {
+    const other = draw();
+    if (other !== undefined && other.weight > best!.weight) best = other;
+  }
+  return best?.runner;
+}
+
+/**
+ * Returns how many groups a daemon draws: the smaller its share of all requests, the more other daemons choose by the
+ * same reports at the same time.
+ */
+function drawsOf({ workShare }: Gateway): number {
+  return Math.max(MIN_ROOM_DRAWS, Math.ceil(workShare.value * MAX_ROOM_DRAWS));
+}
+
+/** A runner with its weight in a draw. */
+interface WeighedRunner {
+  runner: Runner;
+  weight: number;
+}
+
+/** Returns the runner at a point of the sum of all weights. */
+function drawByWeight(
+  runners: readonly WeighedRunner[],
+  point: number,
+): WeighedRunner | undefined {
+  let left = point;
+  for (const each of runners) {
+    left -= each.weight;
+    if (left < 0) return each;
+  }
+  return runners.at(-1);
 }
 
-/** Chooses the least loaded runner with a free slot. */
+/** Chooses the least loaded runner of a plain service; these shed load themselves and report it. */
 function chooseLeastLoaded(
   state: State,
   gateway: Gateway,
-  request: RoutedRequest,
   candidates: Iterable<Candidate>,
 ): Runner | undefined {
   let best: { runner: Runner; score: number } | undefined;
-  for (const { runner, occupancy, usable } of candidates) {
-    // Runners of plain services shed load themselves and report it.
-    if (request.model !== undefined && occupancy >= usable) continue;
-    const zonePenalty = runner.zone === gateway.zone ? 0 : OTHER_ZONE_PENALTY;
-    const score = occupancy + zonePenalty + nextFloat(state.random);
-    if (best === undefined || score < best.score) best = { runner, score };
+  for (const candidate of candidates) {
+    const score = penalizedOccupancy(gateway, candidate) +
+      nextFloat(state.random);
+    if (best !== undefined && score >= best.score) continue;
+    best = { runner: candidate.runner, score };
   }
   return best?.runner;
 }
--- a/packages/core/src/gateway/choose_test.ts
+++ b/packages/core/src/gateway/choose_test.ts
@@ -82,6 +82,34 @@
   });
 });
 
+describe("many daemons with the same reports", () => {
+  // Guards against daemons that all fill the group that seems least loaded, while others stand idle (issue 66).
+  it("spread their requests over the groups, fewer to those with less room", () => {
+    const heads = [0, 1, 2, 3].map((index) => createHead(`head-${index}`));
+    const sent = new Map(heads.map(({ id }) => [id, 0]));
+    for (let seed = 1; seed <= 200; seed += 1) {
+      const harness = createHarness({}, { seed });
+      publish(harness, { runners: heads });
+      const gateway = harness.state.gateway!;
+      gateway.workShare.value = 1 / 200;
+      heads.forEach(({ id }, index) => {
+        const running = index === 3 ? 11 : 4 + index;
+        const load = { running, waiting: 0, at: 0, localInFlight: 0 };
+        runnerStatsOf(gateway, id).load = load;
+      });
+      const [send] = effectsOf(
+        sendRequest(harness, "r1", { ...NORMAL, path: "/chat/1" }),
+        "send_to_runner",
+      );
+      sent.set(send!.runner, sent.get(send!.runner)! + 1);
+    }
+    const [least, more, most, full] = heads.map(({ id }) => sent.get(id)!);
+    expect(least).to.be.above(more!).and.below(150);
+    expect(more).to.be.above(most!);
+    expect(most).to.be.above(full!).and.above(10);
+  });
+});
+
 describe("a stream that goes on after an interruption", () => {
   // Guards against an interrupted stream that waits behind new requests until its caller leaves (issue 66).
   it("comes before new requests at its runner", () => {
--- a/packages/core/src/gateway/constants.ts
+++ b/packages/core/src/gateway/constants.ts
@@ -66,6 +66,14 @@
 export const ASSUMED_DAEMONS = 3;
 /** Requests added to the occupancy of a group in another zone, since traffic between zones costs. */
 export const OTHER_ZONE_PENALTY = 4;
+/** Exponent of a group's room in its weight for the choice of a group. */
+export const ROOM_EXPONENT = 2;
+/** Groups that a daemon draws for a request at least, of which the least loaded one is taken. */
+export const MIN_ROOM_DRAWS = 2;
+/** Groups that a daemon with all requests draws. */
+export const MAX_ROOM_DRAWS = 200;
+/** Least room of a group that has a free slot, as the choice weighs it, requests. */
+export const MIN_ROOM = 0.1;
 /** Requests beyond the slots that may queue at a runner for the most urgent priority. */
 export const URGENT_QUEUE_REQUESTS = 2;
 /** Slots kept free for more urgent requests, for each step of priority. */
--- a/packages/core/src/read_sharing/suspects_test.ts
+++ b/packages/core/src/read_sharing/suspects_test.ts
@@ -40,9 +40,17 @@
   return lost;
 }
 
+/** Returns the runner that the first daemon of a fleet sends a request to; all daemons draw the same numbers. */
+function firstChoice(): string {
+  const [daemon] = startFleet(1).daemons;
+  const options = { path: "/chat/1", model: "small" };
+  const effects = sendRequest(daemon!.harness, "first", options);
+  return effectsOf(effects, "send_to_runner")[0]!.runner;
+}
+
 describe("a dead runner before many daemons", () => {
   it("costs a few requests, not one of each daemon", () => {
-    const lost = countLostRequests(startFleet(40), "head-3");
+    const lost = countLostRequests(startFleet(40), firstChoice());
     expect(lost).to.be.within(1, 8);
   });
 
