--- a/packages/cli/src/commands/sizes.ts
+++ b/packages/cli/src/commands/sizes.ts
@@ -34,6 +34,10 @@
   cause: string | undefined;
 }
 
+/** Cause of an end at the caller's deadline, whether the caller left or the daemon ended the request. */
+const AT_DEADLINE = "deadline_passed";
+/** Time left at which a caller that leaves does so at its deadline, ms. */
+const DEADLINE_SLACK_MS = 50;
 const FINAL_EVENTS: ReadonlySet<string> = new Set([
   "request_ended",
   "request_refused",
@@ -46,13 +50,16 @@
 ];
 
 function readEnd({ event, fields }: LogLine): EndedRequest | undefined {
-  const { promptTokens, verdict, code, stage } = fields;
+  const { promptTokens, verdict, code, stage, remainingMs } = fields;
   if (!FINAL_EVENTS.has(event)) return undefined;
   if (typeof promptTokens !== "number") return undefined;
   const outputTokens = fields.expectedOutputTokens ?? fields.maxOutputTokens;
   const size = costOfOutput({ promptTokens }, Number(outputTokens ?? 0));
   const isServed = event === "request_ended" && verdict === "ran";
-  const cause = [code, stage ?? "arrival"].join(" ");
+  const isAtDeadline = typeof remainingMs === "number" &&
+    remainingMs <= DEADLINE_SLACK_MS;
+  const cause = [isAtDeadline ? AT_DEADLINE : code, stage ?? "arrival"]
+    .join(" ");
   return {
     route: String(fields.route ?? "none"),
     model: String(fields.model ?? "none"),
--- a/packages/cli/src/commands/sizes_test.ts
+++ b/packages/cli/src/commands/sizes_test.ts
@@ -56,4 +56,18 @@
     expect(counts[0]).to.include({ route: "r1", requests: 1, servedShare: 0 });
     expect(counts[0]!.unserved).to.deep.equal({ "no_capacity arrival": 1 });
   });
+
+  // Guards against ends at the deadline that seem to be callers who lost interest (issue 66).
+  it("tells callers that leave at their deadline from those that leave before", () => {
+    const gone = { code: "caller_gone", stage: "answering" };
+    const lines = [
+      createEnd(1, { ...gone, remainingMs: 1 }),
+      createEnd(1, { ...gone, remainingMs: 3_000 }),
+    ];
+    const unserved = countBySize(lines).map((count) => count.unserved);
+    expect(Object.assign({}, ...unserved)).to.deep.equal({
+      "deadline_passed answering": 1,
+      "caller_gone answering": 1,
+    });
+  });
 });
--- a/packages/core/src/effect/log_events.ts
+++ b/packages/core/src/effect/log_events.ts
@@ -158,6 +158,11 @@
   ),
   order_sent: event(1409, "info", "order sent to a runner"),
   model_capacity: event(1411, "info", "groups and demand of a model"),
+  group_retired: event(
+    1412,
+    "info",
+    "group gives its runners to a larger model",
+  ),
   order_dropped: event(1403, "warn", "order dropped, lease no longer held"),
   group_planned: event(1404, "info", "replica group change planned"),
   order_failed: event(1405, "warn", "order to an engine failed"),
--- a/packages/core/src/formation/layout_target.ts
+++ b/packages/core/src/formation/layout_target.ts
@@ -127,7 +127,7 @@
 }
 
 /** Idle holders of a model's weights for each runner that groups of another model give up, so that they serve again. */
-const MIN_IDLE_FOR_EACH = 2;
+const MIN_IDLE_FOR_EACH = 1.5;
 
 /** Room of a domain for a model, and what it gets of it. */
 interface Place {
--- a/packages/core/src/formation/plan.ts
+++ b/packages/core/src/formation/plan.ts
@@ -128,7 +128,7 @@
     demand,
     lossRate: lossRateOf(losses),
   });
-  markRetired(state, round, target);
+  yield* markRetired(state, round, target);
   for (const view of plannable) {
     if (groupPlanner.retiringGroups.has(view.name)) {
       yield* retireGroup(state, view);
--- a/packages/core/src/formation/plan_test.ts
+++ b/packages/core/src/formation/plan_test.ts
@@ -278,6 +278,34 @@
     expect(effectsOf(harness.effects, "order_runner")).to.have.length(before);
   });
 
+  // Guards against a domain whose idle holders of a large model's weights wait for a runner that none adds (issue 66).
+  it("drains a small group whose runners complete a large one, and opens the large one", () => {
+    const { harness, pool } = startPool({ size: 10 });
+    pool.run(40_000);
+    const isLarge = (name: string) => name.startsWith("large:");
+    for (const { id, membership, model } of pool.runners.values()) {
+      const running = model === "large" ? 12 : 1;
+      if (membership?.rank === 0) {
+        pool.reports.set(id, { running, queued: 0 });
+      }
+    }
+    pool.run(10_000);
+    const member = [...pool.runners.values()].find(({ membership }) =>
+      membership !== undefined && isLarge(membership.group) &&
+      membership.rank === 2
+    )!;
+    pool.kill(member.id, { isListed: false });
+    pool.run(1_000);
+    expect(openGroups(pool).filter(isLarge)).to.have.length(0);
+    pool.run(30_000);
+    expect(openGroups(pool).filter(isLarge)).to.have.length(1);
+    const closes = effectsOf(harness.effects, "order_runner").flatMap((
+      { order },
+    ) => order.action === "close" ? [order.mode] : []);
+    expect(closes).to.include("finish");
+    expect(pool.violations).to.deep.equal([]);
+  });
+
   it("keeps serving at least half the groups when one of two domains is lost", () => {
     const { pool } = startPool({ domains: 2 });
     pool.run(20_000);
--- a/packages/core/src/formation/retire.ts
+++ b/packages/core/src/formation/retire.ts
@@ -12,11 +12,11 @@
 import type { PlanningRound } from "./round_types.ts";
 
 /** Marks groups beyond their domain's target, those with the fewest requests first. */
-export function markRetired(
+export function* markRetired(
   state: State,
   { views, domains, engine }: PlanningRound,
   target: LayoutTarget,
-): void {
+): Effects {
   const { groupPlanner } = state.gateway!;
   const { retiringGroups, healthChecks } = groupPlanner;
   const names = new Set(views.map(({ name }) => name));
@@ -38,8 +38,13 @@
       const candidates = own.filter((view) =>
         !marked.includes(view) && view.members[0]?.membership?.state === "open"
       ).sort((left, right) => requestsAt(left) - requestsAt(right));
-      for (const { name } of candidates.slice(0, Math.max(0, surplus))) {
-        retiringGroups.add(name);
+      for (const view of candidates.slice(0, Math.max(0, surplus))) {
+        retiringGroups.add(view.name);
+        yield {
+          kind: "log",
+          event: "group_retired",
+          fields: { group: view.name, domain: id, requests: requestsAt(view) },
+        };
       }
     }
   }
--- a/packages/core/src/gateway/finish.ts
+++ b/packages/core/src/gateway/finish.ts
@@ -153,6 +153,7 @@
     code: "caller_gone",
     stage: stageOf(request),
     runner: request.currentAttempt?.runner,
+    remainingMs: Math.round(request.expiresAt - state.now),
     late: Math.round(state.lateMs),
   });
   yield* endRequest(state, gateway, request);
--- a/packages/core/src/gateway/send.ts
+++ b/packages/core/src/gateway/send.ts
@@ -22,6 +22,7 @@
 import type { State } from "../state/types.ts";
 import { chooseDestination, type Destination } from "./choose.ts";
 import { describeSize } from "./describe_size.ts";
+import { occupancyOf } from "./occupancy.ts";
 import { runnerStatsOf } from "./runner_stats.ts";
 import { quarantineRefusal } from "./held_requests.ts";
 import { urgencyAtRunner } from "./runner_urgency.ts";
@@ -168,6 +169,9 @@
   }
   const expectation = recordSharedSend(state, request, runner);
   const stats = runnerStatsOf(gateway, id);
+  const occupancy = request.model === undefined
+    ? undefined
+    : Math.round(occupancyOf(gateway, { runner, stats }, state.now));
   stats.inFlight += 1;
   if (isShared(gateway, request)) countHeld(state, request);
   forgetRefused(gateway.admission, request);
@@ -213,6 +217,7 @@
       group: runner.membership?.group,
       epoch: runner.membership?.epoch,
       inFlight: stats.inFlight,
+      occupancy,
       loadAge: stats.load && Math.round(state.now - stats.load.at),
       configVersion: gateway.routing?.document.version,
       resumeAfter: request.isRelaying ? request.lastEvent : undefined,
