--- a/packages/core/src/formation/layout_target.ts
+++ b/packages/core/src/formation/layout_target.ts
@@ -1,8 +1,8 @@
 /**
  * Decides how many runners of each fabric domain should hold the weights of each model.
  *
- * A group is lost with any of its members, and only runners of its own domain can take their place. So the groups of a
- * model are spread over the domains, each with spares beside it: a spare is kept as long as the capacity that it is
+ * A group is lost with any of its members, and only runners of its own domain can take their place. Groups of a model
+ * therefore stand together in a domain, with spares for all of them: a spare is kept as long as the capacity that it is
  * likely to save exceeds its own.
  *
  * @module
@@ -139,30 +139,33 @@
   retired: Map<string, number>;
 }
 
-/** Adds groups, each to the domain with the fewest of the model, until there are enough or none fits. */
-function spreadGroups(
+/** Orders places: those with the most groups of the model first, since groups of one domain share their spares. */
+function comparePlaces(model: Model) {
+  return (left: Place, right: Place) =>
+    right.groups - left.groups ||
+    countHolders(right.domain, model) - countHolders(left.domain, model) ||
+    right.room - left.room;
+}
+
+/** Adds groups until there are enough or none fits, with spares beside them where possible. */
+function placeGroups(
   places: readonly Place[],
   model: Model,
   { needed, lossRate }: { needed: number; lossRate: number },
 ): void {
-  const sizeWith = (groups: number, hasSpares: boolean) =>
-    groups * model.size +
-    (hasSpares ? sparesWorth(model, { groups, lossRate }) : 0);
   let count = places.reduce((sum, { groups }) => sum + groups, 0);
+  const fits = ({ room, groups }: Place, hasSpares: boolean) => {
+    const spares = hasSpares
+      ? sparesWorth(model, { groups: groups + 1, lossRate })
+      : 0;
+    return (groups + 1) * model.size + spares <= room;
+  };
   for (const hasSpares of [true, false]) {
-    while (count < needed) {
-      const fitting = places.filter(({ room, groups }) =>
-        sizeWith(groups + 1, hasSpares) <= room
-      );
-      fitting.sort((left, right) =>
-        right.groups - left.groups ||
-        countHolders(right.domain, model) - countHolders(left.domain, model) ||
-        right.room - left.room
-      );
-      const [place] = fitting;
-      if (place === undefined) break;
-      place.groups += 1;
-      count += 1;
+    for (const place of places.toSorted(comparePlaces(model))) {
+      while (count < needed && fits(place, hasSpares)) {
+        place.groups += 1;
+        count += 1;
+      }
     }
   }
 }
@@ -240,7 +243,7 @@
     });
     const isSmallest = smaller.length === 0;
     const needed = isSmallest ? Infinity : countNeeded(domains, model, options);
-    spreadGroups(places, model, { needed, lossRate });
+    placeGroups(places, model, { needed, lossRate });
     if (!isSmallest) retireGroups(places, model, { needed, smaller });
     for (const { domain: { domain }, retired } of places) {
       for (const [name, count] of retired) {
--- a/packages/core/src/formation/leadership.ts
+++ b/packages/core/src/formation/leadership.ts
@@ -39,7 +39,7 @@
     weightLoadsEndAt: [],
     groupCount: 0,
     startedAt: now,
-    retiringGroups: new Set(),
+    retiringGroups: new Map(),
     warmModels: new Map(),
     demandSince: new Map(),
     strandedSince: new Map(),
--- a/packages/core/src/formation/retire.ts
+++ b/packages/core/src/formation/retire.ts
@@ -14,14 +14,14 @@
 /** Marks groups beyond their domain's target, those with the fewest requests first. */
 export function* markRetired(
   state: State,
-  { views, domains, engine }: PlanningRound,
+  { service, views, domains, engine }: PlanningRound,
   target: LayoutTarget,
 ): Effects {
   const { groupPlanner } = state.gateway!;
   const { retiringGroups, healthChecks } = groupPlanner;
   const names = new Set(views.map(({ name }) => name));
-  for (const name of retiringGroups) {
-    if (!names.has(name)) retiringGroups.delete(name);
+  for (const [name, owner] of retiringGroups) {
+    if (owner === service && !names.has(name)) retiringGroups.delete(name);
   }
   const requestsAt = ({ members: [head] }: GroupView) => {
     const report = head && healthChecks.get(head.id)?.report;
@@ -39,7 +39,7 @@
         !marked.includes(view) && view.members[0]?.membership?.state === "open"
       ).sort((left, right) => requestsAt(left) - requestsAt(right));
       for (const view of candidates.slice(0, Math.max(0, surplus))) {
-        retiringGroups.add(view.name);
+        retiringGroups.set(view.name, service);
         yield {
           kind: "log",
           event: "group_retired",
--- a/packages/core/src/formation/types.ts
+++ b/packages/core/src/formation/types.ts
@@ -136,8 +136,8 @@
   /** Groups that were planned in the current term, by name. */
   plannedGroups: Map<string, PlannedGroup>;
   healthChecks: Map<string, HealthCheck>;
-  /** Groups that finish their requests and are not opened again, by name. */
-  retiringGroups: Set<string>;
+  /** Services of the groups that finish their requests and are not opened again, by group. */
+  retiringGroups: Map<string, string>;
   /** Models of the last groups of runners, by runner, as far as this planner has seen them. */
   warmModels: Map<string, { model: string; startedUnixMs: number }>;
   /** Mean number of requests of each model's groups, by service and model. */
--- a/packages/core/src/formation/warm_up.ts
+++ b/packages/core/src/formation/warm_up.ts
@@ -7,6 +7,7 @@
  */
 import type { Model, Runner } from "../gateway/types.ts";
 import type { Effects } from "../reduce_types.ts";
+import { isEvacuated } from "../placement/evacuations.ts";
 import type { State } from "../state/types.ts";
 import { isPresumedDead } from "./group_view.ts";
 import { countGroups, type LayoutTarget } from "./layout_target.ts";
@@ -61,6 +62,7 @@
     if (runner.state !== "ready" || isPresumedDead(groupPlanner, runner)) {
       continue;
     }
+    if (isEvacuated(state.gateway!, runner.zone)) continue;
     const { group, epoch, state: status } = runner.membership!;
     if (status === "joining" || groupPlanner.pendingOrders.has(runner.id)) {
       continue;
