--- a/packages/core/src/formation/plan.ts
+++ b/packages/core/src/formation/plan.ts
@@ -164,7 +164,8 @@
 /**
  * Returns the demand for each model.
  *
- * Until the demand for every model is known and has settled, the configured shares of the work are used instead. A model
+ * Until the demand for every model is known and has settled, the configured shares of the work are used instead, reduced
+ * for large models and, to a lesser degree, for slow ones. A model
  * that has nearly no requests long after those of another have settled is idle.
  */
 function resolveDemand(
@@ -182,8 +183,8 @@
   );
   const measured = (model: string) =>
     demandOf(groupPlanner, { service, model }) ?? IDLE_DEMAND;
-  const expected = ({ share, size }: Model) =>
-    Math.max(MIN_MODEL_SHARE, share) / size;
+  const expected = ({ share, size, pace }: Model) =>
+    Math.max(MIN_MODEL_SHARE, share / (size * Math.sqrt(pace)));
   return new Map(
     models.map((model) => [
       model.name,
